--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# Targets of the laburnumpier workspace; `make demo` and `make test` set themselves up.
+VENV := .venv
+PY := $(VENV)/bin/python
+PACKAGES := core router operator standins measure
+
+.PHONY: setup test lint format demo measure bench check-model slopes
+
+$(VENV)/.installed: requirements.txt $(wildcard packages/*/pyproject.toml)
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet -r requirements.txt
+	$(VENV)/bin/pip install --quiet --no-build-isolation --no-deps $(foreach p,$(PACKAGES),-e packages/$(p))
+	touch $@
+
+setup: $(VENV)/.installed
+
+lint: setup
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+format: setup
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+test: lint
+	PYTHONHASHSEED=0 $(VENV)/bin/behave --no-capture --format progress features
+
+demo: setup
+	$(PY) -m laburnumpier_measure.demo
+
+bench: setup
+	$(PY) -m laburnumpier_measure.bench
+
+measure: setup
+	$(PY) -m laburnumpier_measure.measure
+
+check-model: setup
+	$(PY) -m spec.check --large
+
+slopes: setup
+	$(PY) -m laburnumpier_measure.slopes
--- /dev/null
+++ b/features/budget/budget.feature
@@ -0,0 +1,75 @@
+Feature: Budgets across the fleet
+  No workspace spends more than its prepaid budget, and none is refused while its budget can pay.
+
+  Background:
+    Given a fleet of 3 routers, 2 model servers and a budget of 3000 tokens
+
+  Scenario: A request is billed its real usage once
+    When a chat of 20 tokens is sent to router 1
+    Then the chat is served whole
+    And exactly 1 bill is stored, of the tokens that the engine counted
+    And no reservation is left
+
+  Scenario: The last tokens are found wherever they are
+    When chats of 100 tokens are sent to router 1 until one is refused
+    And chats of 20 tokens are sent to router 2 until one is refused
+    Then the last refusal is BUDGET_EXHAUSTED and says it did not run
+    And fewer than 50 tokens are left in the whole budget
+    And the budget holds
+
+  Scenario: Concurrent requests on all routers never overspend
+    When 200 chats of 30 tokens are sent to all routers at once
+    Then every chat is served whole or refused as not run
+    And fewer than 60 tokens are left in the whole budget
+    And the budget holds
+
+  Scenario: Tokens held by a peer are found while the store is down
+    Given router 2 has served chats and holds tokens
+    And the store is down
+    When chats of 20 tokens are sent to router 1 until one is refused
+    Then more tokens were spent at router 1 than it held itself
+    And the last refusal is BUDGET_UNREACHABLE and says it did not run
+    When the store is back
+    And 10 seconds pass
+    Then the budget holds
+    And every served chat is billed once
+
+  Scenario Outline: A store fault neither loses nor doubles a bill
+    Given every router has served chats and holds tokens
+    And the store <fault>
+    When 30 chats of 20 tokens are sent to all routers at once
+    And the store is back
+    And 20 seconds pass
+    Then every served chat is billed once
+    And the budget holds
+
+    Examples:
+      | fault                              |
+      | loses every answer                 |
+      | loses half of the answers          |
+      | is down                            |
+      | is slow                            |
+      | gives stale reads                  |
+
+  Scenario: A top-up sent twice counts once and reaches a starved router
+    Given chats of 100 tokens are sent to router 1 until one is refused
+    When the budget is topped up by 1000 tokens, twice with the same id
+    And a chat of 500 tokens is sent to router 2
+    Then the chat is served whole
+    And the purchased total is 4000 tokens
+
+  Scenario: A lowered budget never goes below what is spent
+    Given a chat of 100 tokens is sent to router 1
+    When the budget is set to 10 tokens
+    And a chat of 20 tokens is sent to router 2
+    Then the last refusal is BUDGET_EXHAUSTED and says it did not run
+    And the budget holds
+
+  Scenario: Two sides of a partition share what they hold, and the total holds
+    Given router 1 and the store are cut off from routers 2 and 3
+    When chats of 30 tokens are sent to router 1 until one is refused
+    And chats of 30 tokens are sent to router 2 until one is refused
+    And the partition heals
+    And 20 seconds pass
+    Then the budget holds
+    And every served chat is billed once
--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,31 @@
+"""Set-up and clean-up around each scenario."""
+
+import asyncio
+import logging
+
+from laburnumpier_standins.virtual_loop import VirtualLoop
+
+
+def before_all(context):
+    logging.disable(logging.CRITICAL)
+    context.counts = {"passed": 0, "failed": 0}
+
+
+def before_scenario(context, scenario):
+    context.virtual = asyncio.Runner(loop_factory=VirtualLoop)
+    context.real = asyncio.Runner()
+    context.cleanups = []
+
+
+def after_scenario(context, scenario):
+    for runner, cleanup in reversed(context.cleanups):
+        runner.run(cleanup())
+    context.virtual.close()
+    context.real.close()
+    outcome = "passed" if scenario.status.name == "passed" else "failed"
+    context.counts[outcome] += 1
+
+
+def after_all(context):
+    counts = context.counts
+    print(f"\nscenarios: {counts['passed']} passed, {counts['failed']} failed")
--- /dev/null
+++ b/packages/core/laburnumpier_core/__init__.py
@@ -0,0 +1,1 @@
+"""Shared immutable data, result codes, settings, logging and metrics."""
--- /dev/null
+++ b/packages/core/laburnumpier_core/result_codes.py
@@ -0,0 +1,112 @@
+"""Numbered result codes of laburnumpier.
+
+Every answer that is not a plain success carries one of these numbers, so that scripts can act
+on the number while the wording stays free to improve. The thousands digit names the party at
+fault: 1 none, 2 the caller, 3 the budget, 4 the fleet or its load, 5 a backend server, 6 the
+operator. docs/RESULT_CODES.md holds the same table; a feature compares the two.
+"""
+
+import dataclasses
+import enum
+
+
+class Ran(enum.StrEnum):
+    """Whether any part of a request can have run at a backend server."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class ResultCode(enum.IntEnum):
+    """Number of each outcome; see `RESULT_CODE_TABLE` for status and meaning."""
+
+    OK = 1000
+    REPLAYED = 1001
+    MISSING_KEY = 2001
+    UNKNOWN_KEY = 2002
+    BROKEN_JSON = 2003
+    INVALID_FIELD = 2004
+    BODY_TOO_LARGE = 2005
+    UNKNOWN_MODEL = 2006
+    UNKNOWN_SERVICE = 2007
+    INVALID_DEADLINE = 2008
+    INVALID_IDEMPOTENCY_KEY = 2009
+    KEY_REUSED = 2010
+    NOT_FOUND = 2011
+    REQUEST_EXPIRED = 2012
+    BUDGET_EXHAUSTED = 3001
+    BUDGET_UNREACHABLE = 3002
+    BUDGET_RESERVED = 3003
+    STOPPING = 4001
+    OVERLOADED = 4002
+    DEADLINE_PASSED = 4003
+    STORE_UNAVAILABLE = 4004
+    ALREADY_RUNNING = 4005
+    NOT_READY = 4006
+    INTERNAL_ERROR = 4007
+    NO_SERVER = 5001
+    SERVER_REFUSED = 5002
+    SERVER_FAILED = 5003
+    OUTCOME_UNKNOWN = 5004
+    CONFLICT = 6001
+    OPERATOR_UNAUTHORIZED = 6002
+    INVALID_CONFIGURATION = 6003
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ResultCodeInfo:
+    """What a result code stands for.
+
+    Attributes:
+        http_status: Status of the HTTP answer that carries the code.
+        meaning: One sentence for people.
+    """
+
+    http_status: int
+    meaning: str
+
+
+def _info(http_status: int, meaning: str) -> ResultCodeInfo:
+    return ResultCodeInfo(http_status=http_status, meaning=meaning)
+
+
+RESULT_CODE_TABLE: dict[ResultCode, ResultCodeInfo] = {
+    ResultCode.OK: _info(200, "The request was served."),
+    ResultCode.REPLAYED: _info(200, "The recorded answer of an earlier try was sent again."),
+    ResultCode.MISSING_KEY: _info(401, "The Authorization header holds no bearer key."),
+    ResultCode.UNKNOWN_KEY: _info(401, "The bearer key belongs to no workspace."),
+    ResultCode.BROKEN_JSON: _info(400, "The body is not valid JSON."),
+    ResultCode.INVALID_FIELD: _info(400, "A field of the body has a wrong type or value."),
+    ResultCode.BODY_TOO_LARGE: _info(413, "The body is larger than the limit."),
+    ResultCode.UNKNOWN_MODEL: _info(404, "The workspace has no such model."),
+    ResultCode.UNKNOWN_SERVICE: _info(404, "The workspace has no such service."),
+    ResultCode.INVALID_DEADLINE: _info(
+        400, "The deadline header is not a valid number of seconds."
+    ),
+    ResultCode.INVALID_IDEMPOTENCY_KEY: _info(400, "The idempotency key is malformed."),
+    ResultCode.KEY_REUSED: _info(422, "The idempotency key was used before with another request."),
+    ResultCode.NOT_FOUND: _info(404, "There is nothing at this path."),
+    ResultCode.REQUEST_EXPIRED: _info(410, "The request ended but its answer is no longer held."),
+    ResultCode.BUDGET_EXHAUSTED: _info(402, "The prepaid budget cannot pay for the request."),
+    ResultCode.BUDGET_UNREACHABLE: _info(
+        503, "The budget's remaining tokens cannot be reached now."
+    ),
+    ResultCode.BUDGET_RESERVED: _info(
+        503, "The rest of the budget is reserved by requests in progress."
+    ),
+    ResultCode.STOPPING: _info(503, "The router is stopping and takes no new work."),
+    ResultCode.OVERLOADED: _info(503, "No server can start the request before its deadline."),
+    ResultCode.DEADLINE_PASSED: _info(504, "The deadline passed before the request could finish."),
+    ResultCode.STORE_UNAVAILABLE: _info(503, "A claim could not be recorded in the store."),
+    ResultCode.ALREADY_RUNNING: _info(409, "The same request is still running elsewhere."),
+    ResultCode.NOT_READY: _info(503, "The router has no configuration yet."),
+    ResultCode.INTERNAL_ERROR: _info(500, "The router met an unexpected error."),
+    ResultCode.NO_SERVER: _info(503, "No eligible backend server is known."),
+    ResultCode.SERVER_REFUSED: _info(503, "The backend server refused the request."),
+    ResultCode.SERVER_FAILED: _info(502, "The backend server failed while it ran the request."),
+    ResultCode.OUTCOME_UNKNOWN: _info(502, "The call was sent and its outcome cannot be known."),
+    ResultCode.CONFLICT: _info(409, "The patch was written against an outdated number."),
+    ResultCode.OPERATOR_UNAUTHORIZED: _info(401, "The operator token is missing or wrong."),
+    ResultCode.INVALID_CONFIGURATION: _info(422, "The patched configuration is not valid."),
+}
--- /dev/null
+++ b/packages/measure/laburnumpier_measure/__init__.py
@@ -0,0 +1,1 @@
+"""Demo, load and measurement tools over the stand-ins."""
--- /dev/null
+++ b/packages/operator/laburnumpier_operator/__init__.py
@@ -0,0 +1,1 @@
+"""The command line that operators use against any router."""
--- /dev/null
+++ b/packages/router/laburnumpier_router/__init__.py
@@ -0,0 +1,1 @@
+"""The router daemon: budgets, requests, backend servers, fleet and configuration."""
--- /dev/null
+++ b/packages/router/laburnumpier_router/application.py
@@ -0,0 +1,488 @@
+"""The router application: builds the aggregates, starts them, and stops them gracefully."""
+
+import asyncio
+import json
+import random
+from collections.abc import Coroutine
+from typing import Any
+
+import msgspec
+from laburnumpier_core.clock import Clock
+from laburnumpier_core.errors import StoreError
+from laburnumpier_core.log import get_part_logger
+from laburnumpier_core.metrics import Metrics
+from laburnumpier_core.settings import Settings
+
+from .backend.choice import ChoicePolicy, ExpectedWait
+from .backend.directory import BackendDirectory
+from .backend.dispatcher import Dispatcher
+from .backend.engine_port import EnginePort, ServicePort
+from .budget import peers as budget_messages
+from .budget.recovery import GrantRecovery
+from .budget.service import BudgetLimits, BudgetService
+from .budget.submitter import ChangeSubmitter
+from .budget.write_pacer import WritePacer
+from .callers.front import CallersFront
+from .configuration.document import Configuration
+from .configuration.service import (
+    WATCHERS_PER_DATA_CENTRE,
+    ConfigurationFetched,
+    ConfigurationService,
+    FetchConfiguration,
+)
+from .fleet.departures import DepartureWatch
+from .fleet.member import Heartbeat, Member
+from .fleet.peer_link import PeerLink
+from .fleet.peer_network import PeerNetwork
+from .fleet.registry import MemberRegistry
+from .fleet.service import FleetService
+from .operators.front import OperatorsFront
+from .operators.reports import OperatorReports
+from .platform.key_value_service import KeyValueService
+from .platform.vm_list import VmList
+from .request import messages as request_messages
+from .request.call_service import CallService
+from .request.chat_run import ChatRunner
+from .request.chat_service import ChatService
+from .request.home import RequestHome
+
+_log = get_part_logger("app")
+
+MESSAGE_TYPES: tuple[type, ...] = (
+    Heartbeat,
+    FetchConfiguration,
+    ConfigurationFetched,
+    budget_messages.SubmitChanges,
+    budget_messages.ChangesSubmitted,
+    budget_messages.RequestTransfer,
+    budget_messages.TransferOffered,
+    budget_messages.GiveTokens,
+    budget_messages.KeepBills,
+    budget_messages.CollectHoldings,
+    budget_messages.HoldingsCollected,
+    budget_messages.Acknowledged,
+    request_messages.OpenRequest,
+    request_messages.RequestOpened,
+    request_messages.PlaceRequest,
+    request_messages.ReadAnswer,
+    request_messages.AnswerRead,
+    request_messages.ReadOutcome,
+    request_messages.OutcomeRead,
+)
+
+
+class Ports(msgspec.Struct, kw_only=True):
+    """The outside of a router, which tests replace by small fakes.
+
+    Attributes:
+        store: The platform's key-value service.
+        vm_list: The platform's VM list; None where there is none.
+        network: Carries messages between routers.
+        engines: Client of model engines.
+        services: Client of plain services.
+    """
+
+    store: KeyValueService
+    network: PeerNetwork
+    engines: EnginePort
+    services: ServicePort
+    vm_list: VmList | None = None
+
+
+class RouterApplication:
+    """One router process, from its start to its graceful stop."""
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        member: Member,
+        ports: Ports,
+        fleet_token: str,
+        operator_token: str,
+        clock: Clock,
+        metrics: Metrics,
+        seed: int,
+        seeds: list[str] | None = None,
+        policy: ChoicePolicy | None = None,
+    ):
+        """Builds all aggregates; nothing runs before `start`.
+
+        Args:
+            settings: Checked settings.
+            member: Identity of this process.
+            ports: The outside.
+            fleet_token: Secret shared by the routers.
+            operator_token: Secret of the operators.
+            clock: Source of time.
+            metrics: Counters.
+            seed: Start value of all jitter and random choice.
+            seeds: Addresses of peers to try while the store tells none.
+            policy: How servers are chosen; the default estimates the wait.
+        """
+        self._settings = settings
+        self._ports = ports
+        self._clock = clock
+        self._metrics = metrics
+        self._random = random.Random(seed)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._purchased: dict[str, int] = {}
+        self._link = PeerLink(
+            network=ports.network,
+            self_name=member.incarnation,
+            token=fleet_token,
+            message_types=MESSAGE_TYPES,
+            metrics=metrics,
+        )
+        self._fleet = FleetService(
+            member=member,
+            link=self._link,
+            registry=MemberRegistry(
+                store=ports.store, lease_seconds=settings.member_lease_seconds
+            ),
+            clock=clock,
+            metrics=metrics,
+            random_source=self._random,
+            heartbeat_seconds=settings.heartbeat_seconds,
+            seeds=seeds or [],
+            on_heartbeat=self._take_heartbeat,
+        )
+        self._configuration = ConfigurationService(
+            store=ports.store,
+            fleet=self._fleet,
+            clock=clock,
+            metrics=metrics,
+            random_source=self._random,
+            is_watcher=self._is_watcher,
+            on_change=self._take_configuration,
+        )
+        self._build_budget()
+        self._build_backend(policy or ExpectedWait())
+        self._build_requests()
+        self._reports = OperatorReports(
+            store=ports.store,
+            configuration=self._configuration,
+            budget=self._budget,
+            submitter=self._submitter,
+            chats=self._chats,
+            calls=self._calls,
+            home=self._home,
+            directory=self._directory,
+            dispatcher=self._dispatcher,
+            fleet=self._fleet,
+            metrics=metrics,
+        )
+        self._callers = CallersFront(
+            configuration=self._configuration,
+            chats=self._chats,
+            calls=self._calls,
+            clock=clock,
+            metrics=metrics,
+            is_ready=self.is_ready,
+            default_deadline_seconds=settings.default_deadline_seconds,
+            max_body_bytes=settings.max_body_bytes,
+        )
+        self._operators = OperatorsFront(
+            configuration=self._configuration, reports=self._reports, token=operator_token
+        )
+        self._register_handlers()
+
+    @property
+    def fleet(self) -> FleetService:
+        """Membership of this process."""
+        return self._fleet
+
+    @property
+    def configuration(self) -> ConfigurationService:
+        """The configuration in force."""
+        return self._configuration
+
+    @property
+    def budget(self) -> BudgetService:
+        """Budgets as held here."""
+        return self._budget
+
+    @property
+    def submitter(self) -> ChangeSubmitter:
+        """Writers of account shards."""
+        return self._submitter
+
+    @property
+    def departures(self) -> DepartureWatch:
+        """Recovery of departed processes."""
+        return self._departures
+
+    @property
+    def directory(self) -> BackendDirectory:
+        """Backend servers."""
+        return self._directory
+
+    @property
+    def dispatcher(self) -> Dispatcher:
+        """Hands out servers."""
+        return self._dispatcher
+
+    @property
+    def chats(self) -> ChatService:
+        """Chat requests."""
+        return self._chats
+
+    @property
+    def calls(self) -> CallService:
+        """Calls of plain services."""
+        return self._calls
+
+    @property
+    def callers(self) -> CallersFront:
+        """HTTP front of callers."""
+        return self._callers
+
+    @property
+    def operators(self) -> OperatorsFront:
+        """HTTP front of operators."""
+        return self._operators
+
+    @property
+    def reports(self) -> OperatorReports:
+        """Reports for operators."""
+        return self._reports
+
+    @property
+    def metrics(self) -> Metrics:
+        """Counters of this process."""
+        return self._metrics
+
+    def is_ready(self) -> bool:
+        """Whether the process can serve: a configuration is in force."""
+        return self._configuration.number > 0
+
+    async def start(self) -> None:
+        """Starts answering peers, joins the fleet and starts the background tasks."""
+        await self._link.start()
+        await self._fleet.register()
+        try:
+            await self._configuration.refresh_from_store()
+        except StoreError as error:
+            _log.warning("no configuration from the store yet", fields={"error": error})
+        self._run_in_background(self._fleet.follow_store_periodically())
+        self._run_in_background(self._fleet.beat_periodically())
+        self._run_in_background(self._configuration.follow_store_periodically())
+        self._run_in_background(self._directory.probe_periodically())
+        self._run_in_background(self._directory.follow_vm_list_periodically())
+        self._run_in_background(self._budget.bills.flush_periodically())
+        self._run_in_background(self._budget.maintain_periodically())
+        self._run_in_background(self._calls.flush_periodically())
+        self._run_in_background(self._chats.reap_periodically())
+        self._run_in_background(self._departures.watch_periodically())
+        _log.info("router started", fields={"router": self._fleet.self_name})
+
+    async def stop_gracefully(self) -> None:
+        """Refuses new work, lets work in progress end, and hands back every right.
+
+        It waits as long as the longest request takes, and no longer because of the store.
+        """
+        _log.info("graceful stop begins", fields={"router": self._fleet.self_name})
+        self._callers.stop_taking_work()
+        self._fleet.announce_stop()
+        await self._fleet.tell_partners()
+        await self._callers.wait_until_idle()
+        await self._chats.wait_until_idle()
+        await self._calls.wait_until_idle()
+        await self._calls.flush_releases()
+        await self._budget.hand_back_all()
+        clean = not self._budget.bills.owned_bills
+        try:
+            member = self._fleet.member
+            await self._fleet.registry.mark_departed(
+                member.incarnation, member.vm, clean=clean, proof="it stopped gracefully"
+            )
+            await self._fleet.registry.end_lease()
+        except StoreError as error:
+            _log.warning("departure not recorded", fields={"error": error})
+        await self.close()
+        _log.info("graceful stop done", fields={"router": self._fleet.self_name})
+
+    async def close(self) -> None:
+        """Ends all tasks and closes all connections at once."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._chats.close()
+        await self._budget.close()
+        await self._submitter.close()
+        await self._link.close()
+        await self._ports.store.close()
+        if self._ports.vm_list is not None:
+            await self._ports.vm_list.close()
+
+    def log_state(self) -> None:
+        """Writes the state dump to the log."""
+        _log.info(f"state {json.dumps(self._reports.dump_state())}")
+
+    def _build_budget(self) -> None:
+        settings = self._settings
+        self._pacer = WritePacer(
+            clock=self._clock, fleet_writes_per_second=settings.store_writes_per_second
+        )
+        self._submitter = ChangeSubmitter(
+            store=self._ports.store,
+            fleet=self._fleet,
+            pacer=self._pacer,
+            clock=self._clock,
+            metrics=self._metrics,
+            random_source=self._random,
+            shard_count=settings.account_shards,
+        )
+        self._budget = BudgetService(
+            submitter=self._submitter,
+            fleet=self._fleet,
+            configuration=self._configuration,
+            clock=self._clock,
+            metrics=self._metrics,
+            random_source=self._random,
+            limits=BudgetLimits(
+                grant_minimum_tokens=settings.grant_minimum_tokens,
+                grant_horizon_seconds=settings.grant_horizon_seconds,
+                admission_wait_seconds=settings.admission_wait_seconds,
+                bill_wait_seconds=settings.bill_wait_seconds,
+            ),
+        )
+        self._departures = DepartureWatch(
+            fleet=self._fleet,
+            recovery=GrantRecovery(
+                budget=self._budget,
+                submitter=self._submitter,
+                fleet=self._fleet,
+                metrics=self._metrics,
+                release_in_doubt=settings.in_doubt_policy == "release",
+            ),
+            vm_list=self._ports.vm_list,
+            clock=self._clock,
+            random_source=self._random,
+        )
+
+    def _build_backend(self, policy: ChoicePolicy) -> None:
+        self._directory = BackendDirectory(
+            engines=self._ports.engines,
+            vm_list=self._ports.vm_list,
+            clock=self._clock,
+            random_source=self._random,
+            probe_seconds=self._settings.probe_seconds,
+            freshness_seconds=self._settings.probe_freshness_seconds,
+        )
+        self._dispatcher = Dispatcher(
+            directory=self._directory,
+            policy=policy,
+            clock=self._clock,
+            metrics=self._metrics,
+            random_source=self._random,
+        )
+        self._fleet.get_configuration_number = lambda: self._configuration.number
+        self._fleet.list_leaving_servers = self._directory.list_leaving
+
+    def _build_requests(self) -> None:
+        retention = self._settings.answer_retention_seconds
+        self._home = RequestHome(clock=self._clock, retention_seconds=retention)
+        self._chats = ChatService(
+            budget=self._budget,
+            fleet=self._fleet,
+            home=self._home,
+            runner=ChatRunner(
+                engines=self._ports.engines,
+                directory=self._directory,
+                dispatcher=self._dispatcher,
+                clock=self._clock,
+                metrics=self._metrics,
+            ),
+            clock=self._clock,
+            metrics=self._metrics,
+            retention_seconds=retention,
+        )
+        self._calls = CallService(
+            budget=self._budget,
+            submitter=self._submitter,
+            fleet=self._fleet,
+            services=self._ports.services,
+            directory=self._directory,
+            dispatcher=self._dispatcher,
+            clock=self._clock,
+            metrics=self._metrics,
+            retention_seconds=retention,
+        )
+
+    def _register_handlers(self) -> None:
+        """Connects each request message to the aggregate that answers it."""
+        handle = self._link.handle
+        handle(FetchConfiguration, self._configuration.answer_fetch)
+        handle(request_messages.OpenRequest, self._home.answer_open)
+        handle(request_messages.PlaceRequest, self._home.answer_place)
+        handle(request_messages.ReadAnswer, self._chats.answer_read)
+        handle(request_messages.ReadOutcome, self._calls.answer_read)
+        handle(budget_messages.SubmitChanges, self._answer_changes)
+        handle(budget_messages.RequestTransfer, self._answer_transfer)
+        handle(budget_messages.GiveTokens, self._answer_gift)
+        handle(budget_messages.KeepBills, self._answer_keep_bills)
+        handle(budget_messages.CollectHoldings, self._answer_collect)
+
+    async def _answer_changes(
+        self, sender: str, message: budget_messages.SubmitChanges
+    ) -> budget_messages.ChangesSubmitted:
+        results = await self._submitter.submit_here(message.shard, message.changes)
+        return budget_messages.ChangesSubmitted(results=results)
+
+    async def _answer_transfer(
+        self, sender: str, message: budget_messages.RequestTransfer
+    ) -> budget_messages.TransferOffered:
+        return self._budget.lend(message)
+
+    async def _answer_gift(
+        self, sender: str, message: budget_messages.GiveTokens
+    ) -> budget_messages.Acknowledged:
+        return self._budget.accept_tokens(message)
+
+    async def _answer_keep_bills(
+        self, sender: str, message: budget_messages.KeepBills
+    ) -> budget_messages.Acknowledged:
+        self._budget.bills.keep_copies(message.owner, message.bills)
+        return budget_messages.Acknowledged()
+
+    async def _answer_collect(
+        self, sender: str, message: budget_messages.CollectHoldings
+    ) -> budget_messages.HoldingsCollected:
+        return self._budget.collect_holdings(message)
+
+    def _take_heartbeat(self, sender: str, message: Heartbeat) -> None:
+        self._configuration.note_peer_number(sender, message.configuration_number)
+        self._directory.note_leaving(message.leaving_servers)
+        self._pacer.set_member_count(1 + len(self._fleet.view.live))
+
+    def _take_configuration(self, configuration: Configuration) -> None:
+        self._directory.apply_configuration(configuration)
+        for workspace in self._budget.states:
+            entry = configuration.workspaces.get(workspace)
+            purchased = entry.budget_tokens if entry else 0
+            if purchased < self._purchased.get(workspace, 0):
+                self._budget.return_unspent(workspace)
+        self._purchased = {
+            name: entry.budget_tokens for name, entry in configuration.workspaces.items()
+        }
+
+    def _is_watcher(self) -> bool:
+        """Whether this process is one of the few of its data centre that watch the store."""
+        view = self._fleet.view
+        own = self._fleet.member
+        names = [
+            name for name in view.live if view.known[name].member.data_centre == own.data_centre
+        ]
+        return sorted([*names, own.incarnation]).index(own.incarnation) < WATCHERS_PER_DATA_CENTRE
+
+    def _run_in_background(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        task.add_done_callback(_report_failure)
+        self._tasks.append(task)
+
+
+def _report_failure(task: asyncio.Task[None]) -> None:
+    """Logs a background task that ended by an error, which none of them should."""
+    if not task.cancelled() and task.exception() is not None:
+        _log.error("background task failed", exc_info=task.exception())
--- /dev/null
+++ b/packages/router/laburnumpier_router/budget/__init__.py
@@ -0,0 +1,1 @@
+"""Budgets: accounts, grants, reservations, bills and their group-committed records."""
--- /dev/null
+++ b/packages/router/laburnumpier_router/budget/service.py
@@ -0,0 +1,582 @@
+"""Admits requests against prepaid budgets and settles what they used.
+
+Admission reserves the greatest cost of a request from tokens that this process already holds,
+which needs no message at all. Only when these run short are the store and the peers asked, and
+only when neither can help is a request refused. Refusals tell a budget that is known to be
+exhausted from one whose tokens cannot be reached now.
+"""
+
+import asyncio
+import dataclasses
+import random
+
+import msgspec
+from laburnumpier_core.clock import Clock
+from laburnumpier_core.errors import PeerError, RequestError
+from laburnumpier_core.log import get_part_logger
+from laburnumpier_core.metrics import Metrics
+from laburnumpier_core.result_codes import ResultCode
+
+from .account import ChangeFailed, GrantOpened, OpenGrant, ReturnTokens
+from .bill_keeper import BillKeeper
+from .demand import DemandMeter
+from .grant_pool import GrantPool, Reservation
+from .peers import (
+    Acknowledged,
+    BudgetConfiguration,
+    BudgetFleet,
+    BudgetTerms,
+    CollectHoldings,
+    GiveTokens,
+    HoldingsCollected,
+    RequestTransfer,
+    TransferOffered,
+)
+from .slot import Bill
+from .submitter import ChangeSubmitter
+
+DEMAND_WINDOW_SECONDS = 30.0
+REFILL_SECONDS = 10.0
+IDLE_RETURN_SECONDS = 60.0
+WAIT_STEP_SECONDS = 0.2
+PEER_TIMEOUT_SECONDS = 0.5
+VERDICT_SECONDS = 0.5
+RETRY_AFTER_SECONDS = 2.0
+MAX_REMEMBERED_TRANSFERS = 1000
+
+_log = get_part_logger("budget")
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class GatherOutcome:
+    """What one round of drawing and borrowing found.
+
+    Attributes:
+        at_seconds: Monotonic time of the round.
+        configuration_number: Number of the configuration in force during the round.
+        store_answered: Whether the store took a decision on the draw.
+        peers_answered: Whether every live peer answered.
+        elsewhere: Tokens free or reserved at peers, and those left in the store.
+    """
+
+    at_seconds: float
+    configuration_number: int
+    store_answered: bool
+    peers_answered: bool
+    elsewhere: int
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class BudgetState:
+    """All that this process knows of one workspace's budget."""
+
+    pool: GrantPool
+    demand: DemandMeter
+    draw_lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
+    pending_draw: OpenGrant | None = None
+    next_sequence: int = 1
+    last_refill_seconds: float = float("-inf")
+    gathering: asyncio.Task[GatherOutcome] | None = None
+    verdict: GatherOutcome | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BudgetLimits:
+    """Settings of the budget aggregate; amounts in tokens, durations in seconds."""
+
+    grant_minimum_tokens: int
+    grant_horizon_seconds: float
+    admission_wait_seconds: float
+    bill_wait_seconds: float
+
+
+class BudgetService:
+    """Reserves, settles and hands back tokens for all workspaces served here."""
+
+    __slots__ = (
+        "_accepted",
+        "_background",
+        "_bills",
+        "_clock",
+        "_configuration",
+        "_fenced",
+        "_fleet",
+        "_limits",
+        "_metrics",
+        "_random",
+        "_states",
+        "_submitter",
+        "_transfer_sequence",
+        "_transfers",
+    )
+
+    def __init__(
+        self,
+        *,
+        submitter: ChangeSubmitter,
+        fleet: BudgetFleet,
+        configuration: BudgetConfiguration,
+        clock: Clock,
+        metrics: Metrics,
+        random_source: random.Random,
+        limits: BudgetLimits,
+    ):
+        """Creates a service that holds no tokens yet."""
+        self._submitter = submitter
+        self._fleet = fleet
+        self._configuration = configuration
+        self._clock = clock
+        self._metrics = metrics
+        self._random = random_source
+        self._limits = limits
+        self._states: dict[str, BudgetState] = {}
+        self._transfers: dict[str, TransferOffered] = {}
+        self._transfer_sequence = 0
+        self._fenced: set[str] = set()
+        self._accepted: set[str] = set()
+        self._background: set[asyncio.Task] = set()
+        self._bills = BillKeeper(
+            submitter=submitter,
+            fleet=fleet,
+            clock=clock,
+            metrics=metrics,
+            random_source=random_source,
+            on_recorded=self._note_recorded_bill,
+        )
+
+    @property
+    def bills(self) -> BillKeeper:
+        """Bills that are not known to be durable."""
+        return self._bills
+
+    @property
+    def states(self) -> dict[str, BudgetState]:
+        """Known budgets by workspace."""
+        return self._states
+
+    async def reserve(self, workspace: str, amount: int, deadline_seconds: float) -> Reservation:
+        """Sets aside the greatest cost of a request.
+
+        Args:
+            workspace: Who pays.
+            amount: Tokens to set aside.
+            deadline_seconds: Monotonic time after which waiting is of no use.
+
+        Returns:
+            The reservation, to be passed to `settle` or `release` exactly once.
+
+        Raises:
+            RequestError: If the budget cannot pay, or its tokens cannot be reached in time.
+        """
+        state = self._get_state(workspace)
+        reservation = state.pool.reserve(amount)
+        if reservation is None:
+            reservation = await self._reserve_by_gathering(
+                workspace, state, amount, deadline_seconds
+            )
+        self._start_refill_if_low(workspace, state)
+        return reservation
+
+    def has_free(self, workspace: str, amount: int) -> bool:
+        """Returns whether an amount can be reserved here at once."""
+        return self._get_state(workspace).pool.free >= amount
+
+    def release(self, reservation: Reservation) -> None:
+        """Frees the reservation of a request that used nothing."""
+        self._get_state(reservation.workspace).pool.release(reservation)
+
+    async def settle(self, reservation: Reservation, bill: Bill) -> Bill | None:
+        """Bills the real usage of a request and frees the rest of its reservation.
+
+        Args:
+            reservation: The reservation of the request.
+            bill: The bill; its charges are filled in here, and its tokens are capped at the
+                reserved amount.
+
+        Returns:
+            The bill that stands in the store; None when the store has not answered within the
+            configured wait, in which case the bill is kept and submitted again.
+        """
+        state = self._get_state(reservation.workspace)
+        if bill.tokens > reservation.amount:
+            self._metrics.count("budget.usage_over_reservation")
+        charges = state.pool.settle(reservation, bill.tokens)
+        tokens = sum(charge.tokens for charge in charges)
+        state.demand.record(tokens, self._clock.monotonic_seconds())
+        finished = msgspec.structs.replace(bill, tokens=tokens, charges=charges)
+        return await self._bills.record(finished, self._limits.bill_wait_seconds)
+
+    def lend(self, message: RequestTransfer) -> TransferOffered:
+        """Answers a peer's request for tokens; asked twice, it gives the same answer.
+
+        Args:
+            message: The request.
+
+        Returns:
+            The debited parts and what is left here.
+        """
+        if message.transfer_id in self._transfers:
+            return self._transfers[message.transfer_id]
+        state = self._states.get(message.workspace)
+        if state is None:
+            return TransferOffered(parts=[], free=0, reserved=0)
+        parts = state.pool.lend(min(message.tokens, self._count_lendable(state, message)))
+        offer = TransferOffered(parts=parts, free=state.pool.free, reserved=state.pool.reserved)
+        if parts:
+            self._transfers[message.transfer_id] = offer
+            while len(self._transfers) > MAX_REMEMBERED_TRANSFERS:
+                self._transfers.pop(next(iter(self._transfers)))
+            self._metrics.count("budget.transfers_lent")
+        return offer
+
+    def return_unspent(self, workspace: str) -> None:
+        """Starts to hand back all free tokens of a workspace, whose budget was lowered."""
+        state = self._states.get(workspace)
+        if state is not None and state.pool.free:
+            self._keep(asyncio.create_task(self._return_tokens(workspace, state, keep=0)))
+
+    def collect_holdings(self, message: CollectHoldings) -> HoldingsCollected:
+        """Tells what is held of a dead process's grants; later credit from it is refused.
+
+        Args:
+            message: Names the dead process.
+
+        Returns:
+            Tokens held here by grant id, and copies of its bills.
+        """
+        self._fenced.add(message.dead)
+        held: dict[str, int] = {}
+        for state in self._states.values():
+            for grant in state.pool.grants.values():
+                if not grant.own and name_holder(grant.grant_id) == message.dead:
+                    held[grant.grant_id] = grant.held
+        return HoldingsCollected(held=held, bills=self._bills.list_bills_of(message.dead))
+
+    async def maintain_periodically(self) -> None:
+        """Hands back idle tokens again and again; runs until cancelled."""
+        while True:
+            await asyncio.sleep(REFILL_SECONDS * self._random.uniform(0.8, 1.2))
+            now = self._clock.monotonic_seconds()
+            for workspace, state in list(self._states.items()):
+                state.pool.drop_finished()
+                if now - state.demand.last_use_seconds > IDLE_RETURN_SECONDS:
+                    await self._return_tokens(workspace, state, keep=0)
+                else:
+                    excess_limit = 4 * self._find_wanted(state)
+                    if state.pool.free > excess_limit:
+                        await self._return_tokens(workspace, state, keep=excess_limit)
+
+    async def hand_back_all(self) -> None:
+        """Gives away all free tokens and pending bills, before the process stops.
+
+        With the store reachable the tokens go back to their accounts; in an outage they go to
+        a peer, which can spend them at once.
+        """
+        await self._bills.flush()
+        store_works = await self._submitter.can_reach_store()
+        for workspace, state in list(self._states.items()):
+            if store_works:
+                await self._return_tokens(workspace, state, keep=0)
+            else:
+                await self._give_to_peer(workspace, state)
+        await self._bills.hand_over()
+
+    def accept_tokens(self, message: GiveTokens) -> Acknowledged:
+        """Credits tokens that a stopping router gives away; the same gift counts once.
+
+        Args:
+            message: The gift.
+
+        Returns:
+            An empty reply.
+        """
+        if message.transfer_id not in self._accepted:
+            self._accepted.add(message.transfer_id)
+            offer = TransferOffered(parts=message.parts, free=0, reserved=0)
+            self._credit(self._get_state(message.workspace), offer)
+        return Acknowledged()
+
+    async def _give_to_peer(self, workspace: str, state: BudgetState) -> None:
+        """Sends free own tokens to the nearest peer only, as a lost reply proves nothing."""
+        peers = self._fleet.list_peers()
+        parts = state.pool.lend(state.pool.free) if peers else []
+        if not parts:
+            return
+        self._transfer_sequence += 1
+        message = GiveTokens(
+            workspace=workspace,
+            transfer_id=f"{self._fleet.self_name}/{self._transfer_sequence}",
+            parts=parts,
+        )
+        for _ in range(2):
+            try:
+                await self._fleet.call(peers[0], message, PEER_TIMEOUT_SECONDS)
+            except PeerError:
+                continue
+            self._metrics.count("budget.tokens_given")
+            return
+
+    async def close(self) -> None:
+        """Stops background work."""
+        for task in list(self._background):
+            task.cancel()
+        await asyncio.gather(*self._background, return_exceptions=True)
+
+    def _get_state(self, workspace: str) -> BudgetState:
+        if workspace not in self._states:
+            demand = DemandMeter(
+                window_seconds=DEMAND_WINDOW_SECONDS,
+                now_seconds=self._clock.monotonic_seconds(),
+            )
+            self._states[workspace] = BudgetState(
+                pool=GrantPool(workspace=workspace), demand=demand
+            )
+        return self._states[workspace]
+
+    def _find_wanted(self, state: BudgetState) -> int:
+        """Returns the tokens that the measured demand would use over the grant horizon."""
+        rate = state.demand.get_tokens_per_second(self._clock.monotonic_seconds())
+        return max(
+            self._limits.grant_minimum_tokens, int(rate * self._limits.grant_horizon_seconds)
+        )
+
+    async def _reserve_by_gathering(
+        self, workspace: str, state: BudgetState, amount: int, deadline_seconds: float
+    ) -> Reservation:
+        """Draws, borrows and waits for settlements until the amount is free or cannot be."""
+        pool = state.pool
+        wait_until = min(
+            deadline_seconds,
+            self._clock.monotonic_seconds() + self._limits.admission_wait_seconds,
+        )
+        pool.add_waiting(amount)
+        try:
+            while True:
+                outcome = await self._gather(workspace, state, amount)
+                reservation = pool.reserve(amount)
+                if reservation is not None:
+                    return reservation
+                reachable = pool.free + pool.reserved + outcome.elsewhere
+                left_seconds = wait_until - self._clock.monotonic_seconds()
+                if reachable < amount or left_seconds <= 0:
+                    raise self._make_refusal(outcome, reachable, amount)
+                await pool.wait_for_change(min(WAIT_STEP_SECONDS, left_seconds))
+                reservation = pool.reserve(amount)
+                if reservation is not None:
+                    return reservation
+        finally:
+            pool.add_waiting(-amount)
+
+    def _make_refusal(self, outcome: GatherOutcome, reachable: int, amount: int) -> RequestError:
+        if not (outcome.store_answered and outcome.peers_answered):
+            self._metrics.count("budget.refused_unreachable")
+            return RequestError(
+                ResultCode.BUDGET_UNREACHABLE, retry_after_seconds=RETRY_AFTER_SECONDS
+            )
+        if reachable >= amount:
+            self._metrics.count("budget.refused_reserved")
+            return RequestError(
+                ResultCode.BUDGET_RESERVED, retry_after_seconds=RETRY_AFTER_SECONDS
+            )
+        self._metrics.count("budget.refused_exhausted")
+        return RequestError(
+            ResultCode.BUDGET_EXHAUSTED,
+            detail=f"the request may cost {amount} tokens and {reachable} are left",
+        )
+
+    async def _gather(self, workspace: str, state: BudgetState, amount: int) -> GatherOutcome:
+        """Joins the running round of drawing and borrowing, or starts one.
+
+        A fresh verdict is used again: what is left anywhere can only shrink until the
+        configuration changes, so a request that exceeded it a moment ago still does.
+        """
+        verdict = state.verdict
+        if verdict is not None and self._is_still_true(verdict, workspace):
+            reachable = state.pool.free + state.pool.reserved + verdict.elsewhere
+            if reachable < amount:
+                return verdict
+        if state.gathering is None or state.gathering.done():
+            state.gathering = asyncio.create_task(self._gather_once(workspace, state))
+            self._keep(state.gathering)
+        state.verdict = await asyncio.shield(state.gathering)
+        return state.verdict
+
+    def _is_still_true(self, verdict: GatherOutcome, workspace: str) -> bool:
+        terms = self._configuration.find_budget_terms(workspace)
+        number = terms.configuration_number if terms else 0
+        age_seconds = self._clock.monotonic_seconds() - verdict.at_seconds
+        return number == verdict.configuration_number and age_seconds < VERDICT_SECONDS
+
+    async def _gather_once(self, workspace: str, state: BudgetState) -> GatherOutcome:
+        terms = self._configuration.find_budget_terms(workspace)
+        if terms is None:
+            terms = BudgetTerms(purchased=0, configuration_number=0)
+        started = self._clock.monotonic_seconds()
+        shortage = max(0, state.pool.waiting_tokens - state.pool.free)
+        opened = await self._draw(workspace, state, terms, needed=shortage)
+        available = opened.available if opened else 0
+        shortage = max(0, state.pool.waiting_tokens - state.pool.free)
+        peers_answered, held_by_peers = True, 0
+        if shortage:
+            peers_answered, held_by_peers = await self._borrow(workspace, state, shortage)
+        return GatherOutcome(
+            at_seconds=started,
+            configuration_number=terms.configuration_number,
+            store_answered=opened is not None,
+            peers_answered=peers_answered,
+            elsewhere=available + held_by_peers,
+        )
+
+    async def _draw(
+        self, workspace: str, state: BudgetState, terms: BudgetTerms, needed: int
+    ) -> GrantOpened | None:
+        """Draws a grant; after a failure the same draw is repeated, never a new one."""
+        # Two draws at once would both repeat the pending one and credit its grant twice.
+        async with state.draw_lock:
+            state.last_refill_seconds = self._clock.monotonic_seconds()
+            change = state.pending_draw
+            if change is None:
+                change = self._make_draw(workspace, state, terms, needed)
+                state.pending_draw = change
+            (result,) = await self._submitter.submit(workspace, [change])
+            if not isinstance(result, GrantOpened):
+                return None
+            state.pending_draw = None
+            self._metrics.count("budget.draws")
+            if result.amount:
+                state.pool.add_grant(change.grant_id, result.amount, own=True)
+            return result
+
+    def _make_draw(
+        self, workspace: str, state: BudgetState, terms: BudgetTerms, needed: int
+    ) -> OpenGrant:
+        sequence = state.next_sequence
+        state.next_sequence += 1
+        return OpenGrant(
+            workspace=workspace,
+            grant_id=f"{self._fleet.self_name}/{workspace}/{sequence}",
+            holder=self._fleet.self_name,
+            sequence=sequence,
+            needed=needed,
+            wanted=max(0, self._find_wanted(state) - state.pool.free),
+            share_divisor=2 * (1 + len(self._fleet.list_peers())),
+            configured=terms.purchased,
+            configuration_number=terms.configuration_number,
+        )
+
+    async def _borrow(self, workspace: str, state: BudgetState, shortage: int) -> tuple[bool, int]:
+        """Borrows unused tokens from peers, from the one that holds the most first.
+
+        Returns:
+            Whether all peers answered, and the tokens that are still free or reserved at them.
+        """
+        peers = self._fleet.list_peers()
+        offers = await asyncio.gather(
+            *(self._ask_peer(peer, workspace, 0, shortage) for peer in peers)
+        )
+        holding = {
+            peer: offer for peer, offer in zip(peers, offers, strict=True) if offer is not None
+        }
+        for peer in sorted(holding, key=lambda name: holding[name].free, reverse=True):
+            if shortage <= 0 or not holding[peer].free:
+                break
+            offer = await self._ask_peer(peer, workspace, shortage, shortage)
+            if offer is not None:
+                holding[peer] = offer
+                shortage -= self._credit(state, offer)
+        left = sum(offer.free + offer.reserved for offer in holding.values())
+        return len(holding) == len(peers), left
+
+    async def _ask_peer(
+        self, peer: str, workspace: str, tokens: int, shortage: int
+    ) -> TransferOffered | None:
+        self._transfer_sequence += 1
+        message = RequestTransfer(
+            workspace=workspace,
+            transfer_id=f"{self._fleet.self_name}/{self._transfer_sequence}",
+            borrower=self._fleet.self_name,
+            tokens=tokens,
+            shortage=shortage,
+        )
+        # A lost reply is asked for once more under the same id, so that the debit is not stranded.
+        for _ in range(2 if tokens else 1):
+            try:
+                reply = await self._fleet.call(peer, message, PEER_TIMEOUT_SECONDS)
+            except PeerError:
+                continue
+            return reply if isinstance(reply, TransferOffered) else None
+        if tokens:
+            self._metrics.count("budget.transfers_lost")
+        return None
+
+    def _credit(self, state: BudgetState, offer: TransferOffered) -> int:
+        credited = 0
+        for part in offer.parts:
+            if name_holder(part.grant_id) in self._fenced:
+                self._metrics.count("budget.transfers_fenced")
+                continue
+            state.pool.add_grant(part.grant_id, part.tokens, own=False)
+            credited += part.tokens
+        return credited
+
+    def _count_lendable(self, state: BudgetState, message: RequestTransfer) -> int:
+        """Returns how much may be lent while requests may be waiting here too.
+
+        Of two processes that both wait, the one with the smaller shortage is served first, so that
+        they do not swap the same tokens for ever.
+        """
+        own_shortage = max(0, state.pool.waiting_tokens - state.pool.free)
+        if not state.pool.waiting_tokens:
+            return state.pool.free
+        if (message.shortage, message.borrower) < (own_shortage, self._fleet.self_name):
+            return state.pool.free
+        return 0
+
+    def _start_refill_if_low(self, workspace: str, state: BudgetState) -> None:
+        """Draws in the background when half of the wanted tokens are gone."""
+        now = self._clock.monotonic_seconds()
+        if now - state.last_refill_seconds < REFILL_SECONDS:
+            return
+        if state.pool.free >= self._find_wanted(state) // 2:
+            return
+        terms = self._configuration.find_budget_terms(workspace)
+        if terms is None:
+            return
+        state.last_refill_seconds = now
+        self._keep(asyncio.create_task(self._draw(workspace, state, terms, needed=0)))
+
+    async def _return_tokens(self, workspace: str, state: BudgetState, keep: int) -> None:
+        raised = state.pool.take_back_free(keep)
+        changes = [
+            ReturnTokens(
+                workspace=workspace,
+                grant_id=grant.grant_id,
+                returner=self._fleet.self_name,
+                returned_total=grant.returned_total,
+            )
+            for grant in raised
+        ]
+        if not changes:
+            return
+        results = await self._submitter.submit(workspace, changes)
+        for grant, change, result in zip(raised, changes, results, strict=True):
+            if not isinstance(result, ChangeFailed):
+                grant.reported_total = max(grant.reported_total, change.returned_total)
+                self._metrics.count("budget.returns")
+        state.pool.drop_finished()
+
+    def _note_recorded_bill(self, bill: Bill, standing: Bill) -> None:
+        pool = self._get_state(bill.workspace).pool
+        if standing == bill:
+            pool.confirm(bill.charges)
+        else:
+            pool.refund(bill.charges)
+
+    def _keep(self, task: asyncio.Task) -> None:
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+
+def name_holder(grant_id: str) -> str:
+    """Returns the incarnation that drew a grant, which is the first part of its id."""
+    return grant_id.split("/", 1)[0]
--- /dev/null
+++ b/packages/router/laburnumpier_router/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: the numbered document, patches and distribution."""
--- /dev/null
+++ b/packages/router/laburnumpier_router/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet: membership, heartbeats, rendezvous homes and proofs of death."""
--- /dev/null
+++ b/packages/router/laburnumpier_router/fleet/peer_network.py
@@ -0,0 +1,121 @@
+"""The port between routers, and its adapter to pynng.
+
+A call carries bytes to the process that listens on an address and brings its reply back. A
+call that fails may have been processed all the same.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import pynng
+from laburnumpier_core.errors import PeerUnreachableError
+from laburnumpier_core.settings import Settings
+
+SERVER_CONTEXTS = 64
+MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+# The library repeats an unanswered request by itself after this time; the project never wants
+# that.
+NO_RESEND_MILLISECONDS = 2**31 - 1
+
+Handler = Callable[[bytes], Awaitable[bytes]]
+
+
+class PeerNetwork(Protocol):
+    """Carries requests and replies between routers."""
+
+    async def serve(self, handler: Handler) -> None:
+        """Starts answering requests on the own address."""
+
+    async def call(self, address: str, request: bytes, timeout_seconds: float) -> bytes:
+        """Returns the reply; raises `PeerUnreachableError` when none comes in time."""
+
+    async def close(self) -> None:
+        """Stops answering and frees connections."""
+
+
+class PynngPeerNetwork:
+    """Request and reply sockets of pynng, over TCP or over TLS with certificates on both sides."""
+
+    __slots__ = ("_dialers", "_listener", "_own_address", "_scheme", "_settings", "_tasks")
+
+    def __init__(self, *, settings: Settings):
+        """Creates the network; nothing is opened before `serve` or `call`."""
+        self._settings = settings
+        self._own_address = str(settings.peers_address)
+        self._scheme = "tls+tcp" if settings.tls_authority_file else "tcp"
+        self._listener: pynng.Rep0 | None = None
+        self._dialers: dict[str, pynng.Req0] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def serve(self, handler: Handler) -> None:
+        """Starts answering requests on the own address.
+
+        Raises:
+            pynng.AddressInUse: If another process listens there.
+        """
+        self._listener = pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES)
+        if self._scheme == "tls+tcp":
+            self._listener.tls_config = self._make_tls(pynng.TLSConfig.MODE_SERVER)
+        self._listener.listen(f"{self._scheme}://{self._own_address}")
+        for _ in range(SERVER_CONTEXTS):
+            self._tasks.append(asyncio.create_task(self._answer(self._listener, handler)))
+
+    async def call(self, address: str, request: bytes, timeout_seconds: float) -> bytes:
+        """Sends a request and returns its reply.
+
+        Raises:
+            PeerUnreachableError: If no reply comes in time.
+        """
+        socket = self._open_dialer(address)
+        context = socket.new_context()
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                await context.asend(request)
+                return await context.arecv()
+        except (TimeoutError, pynng.NNGException) as error:
+            raise PeerUnreachableError(f"{address}: {error!r}") from error
+        finally:
+            context.close()
+
+    async def close(self) -> None:
+        """Stops answering and closes all sockets."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._listener is not None:
+            self._listener.close()
+        for socket in self._dialers.values():
+            socket.close()
+
+    async def _answer(self, listener: pynng.Rep0, handler: Handler) -> None:
+        """Answers one request after another; several of these tasks run side by side."""
+        context = listener.new_context()
+        while True:
+            try:
+                request = await context.arecv()
+                await context.asend(await handler(request))
+            except pynng.Closed:
+                return
+            except pynng.NNGException:
+                continue
+
+    def _open_dialer(self, address: str) -> pynng.Req0:
+        if address not in self._dialers:
+            socket = pynng.Req0(
+                resend_time=NO_RESEND_MILLISECONDS, recv_max_size=MAX_MESSAGE_BYTES
+            )
+            if self._scheme == "tls+tcp":
+                socket.tls_config = self._make_tls(pynng.TLSConfig.MODE_CLIENT)
+            socket.dial(f"{self._scheme}://{address}", block=False)
+            self._dialers[address] = socket
+        return self._dialers[address]
+
+    def _make_tls(self, mode: int) -> pynng.TLSConfig:
+        """Returns the configuration that demands a certificate of the fleet's authority."""
+        return pynng.TLSConfig(
+            mode,
+            auth_mode=pynng.TLSConfig.AUTH_MODE_REQUIRED,
+            ca_files=[self._settings.tls_authority_file],
+            cert_key_file=self._settings.tls_key_file,
+        )
--- /dev/null
+++ b/packages/router/laburnumpier_router/fleet/registry.py
@@ -0,0 +1,157 @@
+"""Reads and writes the records of members in the store.
+
+All writes are compare-and-swap on the record of one VM, and each is idempotent, so a lost
+answer is settled by reading the record back and finding the change done.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+from laburnumpier_core.errors import StoreError, WriteOutcomeUnknownError
+
+from ..platform.key_value_service import KeyValueService, StoredValue, Write
+from .member import Departure, Member, MemberRecord
+
+MEMBER_PREFIX = "members/"
+ALIVE_PREFIX = "alive/"
+MAX_ATTEMPTS = 8
+PROOF_NEW_INCARNATION = "a new process started on the VM"
+
+
+class MemberRegistry:
+    """The member records of the whole fleet."""
+
+    __slots__ = ("_lease_id", "_lease_seconds", "_store")
+
+    def __init__(self, *, store: KeyValueService, lease_seconds: float):
+        """Creates the registry.
+
+        Args:
+            store: The platform's key-value service.
+            lease_seconds: Time to live of this process's lease.
+        """
+        self._store = store
+        self._lease_seconds = lease_seconds
+        self._lease_id = 0
+
+    async def register(self, member: Member) -> None:
+        """Records this process as the one that runs on its VM.
+
+        Any other process recorded there has ended, because this one holds its port.
+
+        Args:
+            member: This process.
+
+        Raises:
+            StoreError: If the store does not take the record.
+        """
+
+        def change(record: MemberRecord) -> MemberRecord:
+            previous = record.member
+            departed = record.departed
+            if previous is not None and previous.incarnation != member.incarnation:
+                departure = Departure(
+                    incarnation=previous.incarnation, clean=False, proof=PROOF_NEW_INCARNATION
+                )
+                departed = (*departed, departure)
+            return MemberRecord(member=member, departed=departed)
+
+        await self._update(member.vm, change)
+        await self.renew_lease(member)
+
+    async def renew_lease(self, member: Member) -> None:
+        """Renews the lease that shows other routers how lately this one reached the store.
+
+        Raises:
+            StoreError: If the store does not answer.
+        """
+        if self._lease_id and await self._store.keep_lease_alive(self._lease_id):
+            return
+        self._lease_id = await self._store.grant_lease(self._lease_seconds)
+        key = ALIVE_PREFIX + member.vm
+        write = Write(key=key, value=member.incarnation.encode(), lease_id=self._lease_id)
+        await self._store.commit({}, [write])
+
+    async def mark_departed(self, incarnation: str, vm: str, *, clean: bool, proof: str) -> None:
+        """Records that a process is proven to have ended.
+
+        Args:
+            incarnation: The process.
+            vm: Its VM.
+            clean: Whether it stopped gracefully.
+            proof: How its end was proven.
+
+        Raises:
+            StoreError: If the store does not take the record.
+        """
+
+        def change(record: MemberRecord) -> MemberRecord:
+            if record.member is None or record.member.incarnation != incarnation:
+                return record
+            departure = Departure(incarnation=incarnation, clean=clean, proof=proof)
+            return MemberRecord(member=None, departed=(*record.departed, departure))
+
+        await self._update(vm, change)
+
+    async def forget_departure(self, incarnation: str, vm: str) -> None:
+        """Drops a departed process after its grants are recovered.
+
+        Raises:
+            StoreError: If the store does not take the record.
+        """
+
+        def change(record: MemberRecord) -> MemberRecord:
+            kept = tuple(entry for entry in record.departed if entry.incarnation != incarnation)
+            return MemberRecord(member=record.member, departed=kept)
+
+        await self._update(vm, change)
+
+    async def list_records(self) -> dict[str, MemberRecord]:
+        """Returns the records of all VMs by VM.
+
+        Raises:
+            StoreError: If the store does not answer.
+        """
+        stored = await self._store.list_prefix(MEMBER_PREFIX)
+        return {value.key.removeprefix(MEMBER_PREFIX): _decode(value) for value in stored}
+
+    async def list_leased_vms(self) -> set[str]:
+        """Returns the VMs whose process renewed its lease lately.
+
+        Raises:
+            StoreError: If the store does not answer.
+        """
+        stored = await self._store.list_prefix(ALIVE_PREFIX)
+        return {value.key.removeprefix(ALIVE_PREFIX) for value in stored}
+
+    async def end_lease(self) -> None:
+        """Ends this process's lease, if it has one.
+
+        Raises:
+            StoreError: If the store does not answer; the lease then lapses by itself.
+        """
+        if self._lease_id:
+            await self._store.revoke_lease(self._lease_id)
+            self._lease_id = 0
+
+    async def _update(self, vm: str, change: Callable[[MemberRecord], MemberRecord]) -> None:
+        key = MEMBER_PREFIX + vm
+        for _ in range(MAX_ATTEMPTS):
+            stored = (await self._store.read([key])).get(key)
+            before = _decode(stored) if stored else MemberRecord(member=None)
+            after = change(before)
+            if after == before and stored is not None:
+                return
+            write = Write(key=key, value=msgspec.msgpack.encode(after))
+            try:
+                revision = stored.revision if stored else 0
+                outcome = await self._store.commit({key: revision}, [write])
+            except WriteOutcomeUnknownError:
+                continue
+            if outcome.committed:
+                return
+        raise StoreError(f"the record of VM {vm} kept changing")
+
+
+def _decode(stored: StoredValue) -> MemberRecord:
+    return msgspec.msgpack.decode(stored.value, type=MemberRecord)
--- /dev/null
+++ b/packages/router/laburnumpier_router/main.py
@@ -0,0 +1,159 @@
+"""The router's entry point: settings, sockets, signals and the event loop."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import ssl
+import sys
+import time
+
+import aiomisc
+import uvloop
+from absl import app, flags
+from aiohttp import web
+from laburnumpier_core.clock import SystemClock
+from laburnumpier_core.errors import SettingsError
+from laburnumpier_core.identity import Incarnation
+from laburnumpier_core.log import get_part_logger, set_up_logging
+from laburnumpier_core.metrics import Metrics
+from laburnumpier_core.settings import Address, Settings, load_settings
+
+from .application import Ports, RouterApplication
+from .backend.http_clients import HttpEngineClient, HttpServiceClient
+from .fleet.member import Member
+from .fleet.peer_network import PynngPeerNetwork
+from .platform.etcd_service import EtcdKeyValueService
+from .platform.vm_list import HttpVmList
+
+EXIT_OK = 0
+EXIT_SETTINGS = 2
+
+_SETTINGS = flags.DEFINE_string("settings", None, "Path of the INI settings file.")
+_CHECK = flags.DEFINE_bool("check", False, "Check the settings, print all mistakes, and exit.")
+
+_log = get_part_logger("app")
+
+
+class RouterService(aiomisc.Service):
+    """Runs the router application inside aiomisc's life cycle."""
+
+    settings: Settings
+
+    async def start(self) -> None:
+        """Opens the sockets and starts the application."""
+        settings = self.settings
+        self.application = make_application(settings)
+        await self.application.start()
+        tls = make_tls_context(settings)
+        self.runners = [
+            await _serve(self.application.callers.make_app(), settings.callers_address, tls),
+            await _serve(self.application.operators.make_app(), settings.operators_address, tls),
+        ]
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGUSR1, self.application.log_state)
+        self.start_event.set()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stops gracefully: work in progress ends first."""
+        await self.application.stop_gracefully()
+        for runner in self.runners:
+            await runner.cleanup()
+
+
+def make_application(settings: Settings) -> RouterApplication:
+    """Builds the application with the real adapters.
+
+    Args:
+        settings: Checked settings.
+
+    Returns:
+        The application, not started.
+    """
+    metrics = Metrics(host=settings.statsd_host, port=settings.statsd_port)
+    started_ns = time.time_ns()
+    member = Member(
+        incarnation=str(Incarnation(vm=settings.vm, started_ns=started_ns)),
+        vm=settings.vm,
+        data_centre=settings.data_centre,
+        peers_address=str(settings.peers_address),
+    )
+    ports = Ports(
+        store=EtcdKeyValueService(
+            url=settings.store_url,
+            timeout_seconds=settings.store_timeout_seconds,
+            metrics=metrics,
+        ),
+        vm_list=(
+            HttpVmList(url=settings.vm_list_url, timeout_seconds=settings.store_timeout_seconds)
+            if settings.vm_list_url
+            else None
+        ),
+        network=PynngPeerNetwork(settings=settings),
+        engines=HttpEngineClient(stall_seconds=settings.stall_seconds),
+        services=HttpServiceClient(),
+    )
+    return RouterApplication(
+        settings=settings,
+        member=member,
+        ports=ports,
+        fleet_token=_read_secret(settings.fleet_token_file),
+        operator_token=_read_secret(settings.operator_token_file),
+        clock=SystemClock(),
+        metrics=metrics,
+        seed=started_ns ^ os.getpid(),
+        seeds=list(settings.seed_addresses),
+    )
+
+
+def make_tls_context(settings: Settings) -> ssl.SSLContext | None:
+    """Returns the TLS context for callers and operators, or None without a certificate."""
+    if not settings.tls_certificate_file:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(settings.tls_certificate_file, settings.tls_key_file or None)
+    return context
+
+
+async def _serve(
+    app: web.Application, address: Address, tls: ssl.SSLContext | None
+) -> web.AppRunner:
+    runner = web.AppRunner(app, access_log=None, handler_cancellation=True, shutdown_timeout=1.0)
+    await runner.setup()
+    site = web.TCPSite(runner, address.host.strip("[]"), address.port, ssl_context=tls)
+    await site.start()
+    return runner
+
+
+def _read_secret(path: str) -> str:
+    return pathlib.Path(path).read_text(encoding="utf-8").strip()
+
+
+def _main(argv: list[str]) -> int:
+    if not _SETTINGS.value:
+        print("laburnumpier-router: --settings is required", file=sys.stderr)
+        return EXIT_SETTINGS
+    try:
+        settings = load_settings(_SETTINGS.value)
+    except SettingsError as error:
+        print(f"{len(error.problems)} mistakes in {_SETTINGS.value}:", file=sys.stderr)
+        print(error, file=sys.stderr)
+        return EXIT_SETTINGS
+    if _CHECK.value:
+        print(f"{_SETTINGS.value}: no mistakes")
+        return EXIT_OK
+    service = RouterService(settings=settings)
+    with aiomisc.entrypoint(
+        service,
+        loop_factory=uvloop.new_event_loop,
+        log_config=False,
+        shutdown_timeout=float("inf"),
+    ) as loop:
+        set_up_logging(settings.log_level)
+        loop.run_forever()
+    return EXIT_OK
+
+
+def run() -> None:
+    """Runs the router; installed as `laburnumpier-router`."""
+    app.run(_main)
--- /dev/null
+++ b/packages/router/laburnumpier_router/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP front for operators."""
--- /dev/null
+++ b/packages/router/laburnumpier_router/operators/front.py
@@ -0,0 +1,208 @@
+"""The HTTP front for operators: configuration, budgets, bills, fleet and state."""
+
+import hmac
+import json
+import uuid
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+from aiohttp import web
+from laburnumpier_core.errors import RequestError, StoreError
+from laburnumpier_core.log import get_part_logger
+from laburnumpier_core.result_codes import ResultCode
+
+from ..callers.answers import make_error_response
+from ..configuration.service import (
+    ConfigurationService,
+    InvalidPatchError,
+    PatchConflictError,
+)
+from .reports import OperatorReports
+
+MAX_PATCH_BYTES = 1024 * 1024
+AUTHOR_HEADER = "X-Operator"
+PATCH_ID_HEADER = "X-Patch-Id"
+
+_log = get_part_logger("operator")
+
+Handler = Callable[[web.Request], Awaitable[web.Response]]
+
+
+class OperatorsFront:
+    """Serves operators who know the token."""
+
+    __slots__ = ("_configuration", "_reports", "_token")
+
+    def __init__(
+        self, *, configuration: ConfigurationService, reports: OperatorReports, token: str
+    ):
+        """Creates the front.
+
+        Args:
+            configuration: Takes patches and top-ups.
+            reports: Reads what operators ask for.
+            token: Secret that every call must carry.
+        """
+        self._configuration = configuration
+        self._reports = reports
+        self._token = token
+
+    def make_app(self) -> web.Application:
+        """Returns the aiohttp application."""
+        app = web.Application(client_max_size=MAX_PATCH_BYTES)
+        add = app.router.add_route
+        add("GET", "/configuration", self._guard(self._show_configuration))
+        add("PATCH", "/configuration", self._guard(self._patch_configuration))
+        add("GET", "/configuration/history", self._guard(self._show_history))
+        add("GET", "/configuration/patches/{number:\\d+}", self._guard(self._show_patch))
+        add("GET", "/budgets", self._guard(self._list_budgets))
+        add("GET", "/budgets/{workspace}", self._guard(self._show_budget))
+        add("POST", "/budgets/{workspace}/top-ups", self._guard(self._top_up))
+        add("POST", "/budgets/{workspace}/release-in-doubt", self._guard(self._release_in_doubt))
+        add("GET", "/bills/{workspace}", self._guard(self._export_bills))
+        add("GET", "/requests/{workspace}/{request_id}", self._guard(self._explain_request))
+        add("GET", "/fleet", self._guard(self._show_fleet))
+        add("POST", "/fleet/declare-dead", self._guard(self._declare_dead))
+        add("GET", "/state", self._guard(self._dump_state))
+        add("*", "/{path:.*}", self._guard(self._refuse_path))
+        return app
+
+    def _guard(self, handler: Handler) -> Handler:
+        """Wraps a handler: checks the token and turns errors into numbered answers."""
+
+        async def handle(request: web.Request) -> web.Response:
+            request_id = f"o-{uuid.uuid4().hex}"
+            try:
+                self._check_token(request)
+                return await handler(request)
+            except RequestError as error:
+                return make_error_response(error, request_id)
+            except PatchConflictError as error:
+                refusal = RequestError(ResultCode.CONFLICT, detail=str(error))
+                response = make_error_response(refusal, request_id)
+                response.headers["ETag"] = f'"{error.current_number}"'
+                return response
+            except InvalidPatchError as error:
+                refusal = RequestError(ResultCode.INVALID_CONFIGURATION, detail=str(error))
+                return make_error_response(refusal, request_id)
+            except StoreError as error:
+                refusal = RequestError(
+                    ResultCode.STORE_UNAVAILABLE, detail=str(error), retry_after_seconds=2.0
+                )
+                return make_error_response(refusal, request_id)
+            except Exception:
+                _log.exception("operator call failed", fields={"request": request_id})
+                return make_error_response(RequestError(ResultCode.INTERNAL_ERROR), request_id)
+
+        return handle
+
+    def _check_token(self, request: web.Request) -> None:
+        scheme, _, token = request.headers.get("Authorization", "").partition(" ")
+        same = hmac.compare_digest(token.strip().encode(), self._token.encode())
+        if scheme.lower() != "bearer" or not same:
+            raise RequestError(ResultCode.OPERATOR_UNAUTHORIZED)
+
+    async def _refuse_path(self, request: web.Request) -> web.Response:
+        raise RequestError(ResultCode.NOT_FOUND)
+
+    async def _show_configuration(self, request: web.Request) -> web.Response:
+        record = self._configuration.record
+        headers = {"ETag": f'"{record.number}"'}
+        body = {"number": record.number, "document": record.document}
+        return web.json_response(body, headers=headers)
+
+    async def _patch_configuration(self, request: web.Request) -> web.Response:
+        expected = request.headers.get("If-Match", "").strip('"')
+        if not expected.isdecimal():
+            raise RequestError(
+                ResultCode.INVALID_FIELD, detail="If-Match must hold the number that was read"
+            )
+        patch = await _read_json(request)
+        record = await self._configuration.submit_patch(
+            patch, int(expected), _find_patch_id(request), _find_author(request)
+        )
+        headers = {"ETag": f'"{record.number}"'}
+        return web.json_response({"number": record.number}, headers=headers)
+
+    async def _show_history(self, request: web.Request) -> web.Response:
+        notes = self._configuration.record.notes
+        return web.json_response({"notes": msgspec.to_builtins(notes)})
+
+    async def _show_patch(self, request: web.Request) -> web.Response:
+        number = int(request.match_info["number"])
+        patch = await self._configuration.read_patch(number)
+        if patch is None:
+            raise RequestError(ResultCode.NOT_FOUND)
+        return web.json_response({"number": number, "patch": patch})
+
+    async def _list_budgets(self, request: web.Request) -> web.Response:
+        return web.json_response({"budgets": await self._reports.list_budgets()})
+
+    async def _show_budget(self, request: web.Request) -> web.Response:
+        report = await self._reports.show_budget(request.match_info["workspace"])
+        if report is None:
+            raise RequestError(ResultCode.NOT_FOUND, detail="there is no such workspace")
+        return web.json_response(report)
+
+    async def _top_up(self, request: web.Request) -> web.Response:
+        body = await _read_json(request)
+        tokens = body.get("tokens") if isinstance(body, dict) else None
+        if not isinstance(tokens, int) or isinstance(tokens, bool) or tokens == 0:
+            raise RequestError(
+                ResultCode.INVALID_FIELD, detail="tokens: must be a whole number other than 0"
+            )
+        top_up_id = body.get("id")
+        if not isinstance(top_up_id, str) or not top_up_id:
+            raise RequestError(ResultCode.INVALID_FIELD, detail="id: must be a text")
+        workspace = request.match_info["workspace"]
+        record = await self._configuration.top_up(
+            workspace, tokens, top_up_id, _find_author(request)
+        )
+        total = record.document["workspaces"][workspace]["budget_tokens"]
+        return web.json_response({"number": record.number, "budget_tokens": total})
+
+    async def _release_in_doubt(self, request: web.Request) -> web.Response:
+        released = await self._reports.release_in_doubt(request.match_info["workspace"])
+        return web.json_response({"released_tokens": released})
+
+    async def _export_bills(self, request: web.Request) -> web.Response:
+        bills = await self._reports.export_bills(request.match_info["workspace"])
+        return web.json_response({"bills": bills})
+
+    async def _explain_request(self, request: web.Request) -> web.Response:
+        report = await self._reports.explain_request(
+            request.match_info["workspace"], request.match_info["request_id"]
+        )
+        return web.json_response(report)
+
+    async def _show_fleet(self, request: web.Request) -> web.Response:
+        return web.json_response(await self._reports.show_fleet())
+
+    async def _declare_dead(self, request: web.Request) -> web.Response:
+        body = await _read_json(request)
+        incarnation = body.get("incarnation") if isinstance(body, dict) else None
+        if not isinstance(incarnation, str) or "@" not in incarnation:
+            raise RequestError(ResultCode.INVALID_FIELD, detail="incarnation: must be vm@started")
+        await self._reports.declare_dead(incarnation, _find_author(request))
+        return web.json_response({"declared_dead": incarnation})
+
+    async def _dump_state(self, request: web.Request) -> web.Response:
+        return web.json_response(self._reports.dump_state())
+
+
+async def _read_json(request: web.Request) -> Any:
+    try:
+        return json.loads(await request.read())
+    except web.HTTPRequestEntityTooLarge as error:
+        raise RequestError(ResultCode.BODY_TOO_LARGE) from error
+    except (ValueError, RecursionError) as error:
+        raise RequestError(ResultCode.BROKEN_JSON) from error
+
+
+def _find_patch_id(request: web.Request) -> str:
+    return request.headers.get(PATCH_ID_HEADER) or f"p-{uuid.uuid4().hex}"
+
+
+def _find_author(request: web.Request) -> str:
+    return request.headers.get(AUTHOR_HEADER, "operator")[:100]
--- /dev/null
+++ b/packages/router/laburnumpier_router/operators/reports.py
@@ -0,0 +1,270 @@
+"""Reads and decisions that operators ask for, across the aggregates."""
+
+from typing import Any
+
+import msgspec
+from laburnumpier_core.errors import RequestError
+from laburnumpier_core.hashing import choose_shard
+from laburnumpier_core.identity import parse_incarnation
+from laburnumpier_core.log import get_part_logger
+from laburnumpier_core.metrics import Metrics
+from laburnumpier_core.result_codes import ResultCode
+
+from ..backend.directory import BackendDirectory
+from ..backend.dispatcher import Dispatcher
+from ..budget.account import Account, ReleaseInDoubt
+from ..budget.service import BudgetService
+from ..budget.slot import Bill, Slot, name_slot_key, name_slot_prefix
+from ..budget.submitter import ChangeSubmitter
+from ..configuration.service import ConfigurationService
+from ..fleet.service import FleetService
+from ..platform.key_value_service import KeyValueService
+from ..request.call_service import CallService
+from ..request.chat_service import ChatService
+from ..request.home import RequestHome
+
+_log = get_part_logger("operator")
+
+
+class OperatorReports:
+    """Gathers what operators want to know."""
+
+    __slots__ = (
+        "_budget",
+        "_calls",
+        "_chats",
+        "_configuration",
+        "_directory",
+        "_dispatcher",
+        "_fleet",
+        "_home",
+        "_metrics",
+        "_store",
+        "_submitter",
+    )
+
+    def __init__(
+        self,
+        *,
+        store: KeyValueService,
+        configuration: ConfigurationService,
+        budget: BudgetService,
+        submitter: ChangeSubmitter,
+        chats: ChatService,
+        calls: CallService,
+        home: RequestHome,
+        directory: BackendDirectory,
+        dispatcher: Dispatcher,
+        fleet: FleetService,
+        metrics: Metrics,
+    ):
+        """Creates the reports over the aggregates of one process."""
+        self._store = store
+        self._configuration = configuration
+        self._budget = budget
+        self._submitter = submitter
+        self._chats = chats
+        self._calls = calls
+        self._home = home
+        self._directory = directory
+        self._dispatcher = dispatcher
+        self._fleet = fleet
+        self._metrics = metrics
+
+    async def show_budget(self, workspace: str) -> dict[str, Any] | None:
+        """Returns a budget's account as stored, or None when there is no such workspace.
+
+        Raises:
+            StoreError: If the store does not answer.
+        """
+        terms = self._configuration.find_budget_terms(workspace)
+        if terms is None:
+            return None
+        shard = choose_shard(workspace, self._submitter.shard_count)
+        accounts = (await self._submitter.get_writer(shard).read()).accounts
+        account = accounts.get(workspace, Account(configured=terms.purchased))
+        return _describe_account(workspace, account, terms.purchased)
+
+    async def list_budgets(self) -> list[dict[str, Any]]:
+        """Returns the accounts of all workspaces.
+
+        Raises:
+            StoreError: If the store does not answer.
+        """
+        reports = [
+            await self.show_budget(name) for name in self._configuration.configuration.workspaces
+        ]
+        return [report for report in reports if report is not None]
+
+    async def export_bills(self, workspace: str) -> list[dict[str, Any]]:
+        """Returns the durable bills of a workspace in the order in which they were stored.
+
+        Raises:
+            StoreError: If the store does not answer.
+        """
+        stored = await self._store.list_prefix(name_slot_prefix(workspace))
+        stored.sort(key=lambda value: value.revision)
+        slots = [msgspec.msgpack.decode(value.value, type=Slot) for value in stored]
+        return [_describe_bill(slot.bill) for slot in slots if slot.bill is not None]
+
+    async def release_in_doubt(self, workspace: str) -> int:
+        """Makes all in-doubt tokens of a workspace available again.
+
+        Returns:
+            How many tokens were released.
+
+        Raises:
+            StoreError: If the store does not answer.
+        """
+        shard = choose_shard(workspace, self._submitter.shard_count)
+        accounts = (await self._submitter.get_writer(shard).read()).accounts
+        account = accounts.get(workspace, Account())
+        changes = [
+            ReleaseInDoubt(workspace=workspace, grant_id=grant_id) for grant_id in account.in_doubt
+        ]
+        if not changes:
+            return 0
+        results = await self._submitter.submit(workspace, changes)
+        return sum(getattr(result, "tokens", 0) for result in results)
+
+    async def explain_request(self, workspace: str, request_id: str) -> dict[str, Any]:
+        """Returns all that is known of one request here and in the store.
+
+        Raises:
+            StoreError: If the store does not answer.
+        """
+        key = name_slot_key(workspace, request_id)
+        stored = (await self._store.read([key])).get(key)
+        slot = msgspec.msgpack.decode(stored.value, type=Slot) if stored else None
+        run = self._chats.runs.get((workspace, request_id))
+        report: dict[str, Any] = {"workspace": workspace, "request_id": request_id}
+        report["bill"] = _describe_bill(slot.bill) if slot and slot.bill else None
+        report["claimed_by"] = slot.claimed_by if slot else ""
+        report["home"] = self._fleet.find_home(f"request/{workspace}/{request_id}")
+        report["here"] = None
+        if run is not None:
+            failure = run.log.failure
+            report["here"] = {
+                "finished": run.log.finished,
+                "events": run.log.last_event_id,
+                "readers": run.log.readers,
+                "failure": msgspec.to_builtins(failure) if failure else None,
+            }
+        return report
+
+    async def show_fleet(self) -> dict[str, Any]:
+        """Returns the members as this process sees them."""
+        view = self._fleet.view
+        members = [
+            {
+                "incarnation": name,
+                "data_centre": known.member.data_centre,
+                "state": known.state.value,
+                "live": name in view.live,
+            }
+            for name, known in sorted(view.known.items())
+        ]
+        departed = [
+            msgspec.to_builtins(departure)
+            for record in self._fleet.records.values()
+            for departure in record.departed
+        ]
+        return {
+            "self": self._fleet.self_name,
+            "data_centre": self._fleet.member.data_centre,
+            "configuration_number": self._configuration.number,
+            "members": members,
+            "departed": departed,
+        }
+
+    async def declare_dead(self, incarnation: str, author: str) -> None:
+        """Records an operator's word that a process has ended.
+
+        Raises:
+            RequestError: If no such process is registered.
+            StoreError: If the store does not answer.
+        """
+        vm = parse_incarnation(incarnation).vm
+        await self._fleet.read_records()
+        record = self._fleet.records.get(vm)
+        if record is None or record.member is None or record.member.incarnation != incarnation:
+            raise RequestError(ResultCode.NOT_FOUND, detail="no such process is registered")
+        await self._fleet.registry.mark_departed(
+            incarnation, vm, clean=False, proof=f"declared dead by {author}"
+        )
+        _log.warning("router declared dead", fields={"router": incarnation, "author": author})
+
+    def dump_state(self) -> dict[str, Any]:
+        """Returns the state of this process; it holds no secrets."""
+        budgets = {
+            workspace: {
+                "free": state.pool.free,
+                "reserved": state.pool.reserved,
+                "waiting": state.pool.waiting_tokens,
+                "grants": {
+                    grant.grant_id: {
+                        "own": grant.own,
+                        "free": grant.free,
+                        "reserved": grant.reserved,
+                        "unsettled": grant.unsettled,
+                    }
+                    for grant in state.pool.grants.values()
+                },
+            }
+            for workspace, state in self._budget.states.items()
+        }
+        servers = {
+            name: {
+                "in_flight": server.in_flight,
+                "outstanding": server.outstanding,
+                "limit": round(server.limit, 1),
+                "first_token_ms": round(server.first_token_seconds * 1000, 1),
+                "leaving": self._directory.is_leaving(name),
+            }
+            for name, server in self._directory.states.items()
+        }
+        return {
+            "self": self._fleet.self_name,
+            "registered": self._fleet.is_registered,
+            "configuration_number": self._configuration.number,
+            "live_peers": self._fleet.view.live,
+            "budgets": budgets,
+            "pending_bills": self._budget.bills.pending_count,
+            "servers": servers,
+            "waiting_for_server": self._dispatcher.waiting_count,
+            "chats_active": self._chats.active_count,
+            "calls_active": self._calls.active_count,
+            "requests_at_home": self._home.entry_count,
+            "counters": self._metrics.counters,
+            "gauges": self._metrics.gauges,
+        }
+
+
+def _describe_account(workspace: str, account: Account, purchased: int) -> dict[str, Any]:
+    grants = {
+        grant_id: {"holder": grant.holder, "amount": grant.amount}
+        for grant_id, grant in account.grants.items()
+    }
+    return {
+        "workspace": workspace,
+        "purchased": purchased,
+        "settled": account.settled,
+        "granted": sum(grant.amount for grant in account.grants.values()),
+        "in_doubt": sum(account.in_doubt.values()),
+        "available": max(0, purchased - account.committed),
+        "written_off": account.written_off,
+        "configuration_number": account.configuration_number,
+        "grants": grants,
+    }
+
+
+def _describe_bill(bill: Bill) -> dict[str, Any]:
+    return {
+        "workspace": bill.workspace,
+        "request_id": bill.request_id,
+        "tokens": bill.tokens,
+        "target": bill.target,
+        "server": bill.server,
+        "router": bill.router,
+        "finished_at": bill.finished_at,
+    }
--- /dev/null
+++ b/packages/router/laburnumpier_router/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Ports to the platform and their adapters."""
--- /dev/null
+++ b/packages/router/laburnumpier_router/platform/etcd_service.py
@@ -0,0 +1,213 @@
+"""The key-value service over the published etcd v3 JSON gateway.
+
+Keys and values travel as base64 text, numbers as decimal strings. Every HTTP call is counted,
+and so is every waiting watch, because the platform's service counts them too.
+"""
+
+import asyncio
+import base64
+import json
+from typing import Any
+
+import aiohttp
+from laburnumpier_core.errors import StoreUnavailableError, WriteOutcomeUnknownError
+from laburnumpier_core.metrics import Metrics
+
+from .key_value_service import CommitOutcome, StoredValue, Write
+
+
+def _encode(data: str | bytes) -> str:
+    raw = data.encode() if isinstance(data, str) else data
+    return base64.b64encode(raw).decode()
+
+
+def _decode_pair(pair: dict[str, Any]) -> StoredValue:
+    return StoredValue(
+        key=base64.b64decode(pair["key"]).decode(),
+        value=base64.b64decode(pair.get("value", "")),
+        revision=int(pair["mod_revision"]),
+    )
+
+
+def _find_prefix_end(prefix: str) -> bytes:
+    """Returns the first key after all keys that start with a prefix."""
+    raw = prefix.encode()
+    return raw[:-1] + bytes([raw[-1] + 1])
+
+
+class EtcdKeyValueService:
+    """Adapter of `KeyValueService` to the etcd v3 JSON gateway."""
+
+    __slots__ = ("_metrics", "_session", "_timeout_seconds", "_url")
+
+    def __init__(self, *, url: str, timeout_seconds: float, metrics: Metrics):
+        """Creates the adapter; it connects at the first call.
+
+        Args:
+            url: Base URL of the gateway.
+            timeout_seconds: Longest time a single call may take.
+            metrics: Counters.
+        """
+        self._url = url
+        self._timeout_seconds = timeout_seconds
+        self._metrics = metrics
+        self._session: aiohttp.ClientSession | None = None
+
+    async def read(self, keys: list[str]) -> dict[str, StoredValue]:
+        """Returns the existing values among the given keys, in one call.
+
+        Raises:
+            StoreUnavailableError: If the service does not answer.
+        """
+        ranges = [{"request_range": {"key": _encode(key)}} for key in keys]
+        answer = await self._post("/v3/kv/txn", {"success": ranges}, writes=False)
+        return self._collect_found(answer)
+
+    async def list_prefix(self, prefix: str) -> list[StoredValue]:
+        """Returns all values whose key starts with a prefix, in key order.
+
+        Raises:
+            StoreUnavailableError: If the service does not answer.
+        """
+        body = {"key": _encode(prefix), "range_end": _encode(_find_prefix_end(prefix))}
+        answer = await self._post("/v3/kv/range", body, writes=False)
+        return [_decode_pair(pair) for pair in answer.get("kvs", [])]
+
+    async def commit(self, expected: dict[str, int], writes: list[Write]) -> CommitOutcome:
+        """Writes all values if every key of `expected` has the given revision; 0 means absent.
+
+        Raises:
+            StoreUnavailableError: If nothing was written.
+            WriteOutcomeUnknownError: If the answer was lost.
+        """
+        compare = [
+            {
+                "key": _encode(key),
+                "target": "MOD",
+                "result": "EQUAL",
+                "mod_revision": str(revision),
+            }
+            for key, revision in expected.items()
+        ]
+        puts = [
+            {
+                "request_put": {
+                    "key": _encode(write.key),
+                    "value": _encode(write.value),
+                    "lease": str(write.lease_id),
+                }
+            }
+            for write in writes
+        ]
+        ranges = [{"request_range": {"key": _encode(key)}} for key in expected]
+        body = {"compare": compare, "success": puts, "failure": ranges}
+        answer = await self._post("/v3/kv/txn", body, writes=True)
+        committed = bool(answer.get("succeeded", False))
+        return CommitOutcome(
+            committed=committed,
+            revision=int(answer["header"]["revision"]),
+            found={} if committed else self._collect_found(answer),
+        )
+
+    async def grant_lease(self, ttl_seconds: float) -> int:
+        """Returns the id of a new lease.
+
+        Raises:
+            StoreUnavailableError: If no lease was granted.
+            WriteOutcomeUnknownError: If the answer was lost; such a lease lapses unused.
+        """
+        body = {"TTL": str(max(1, round(ttl_seconds)))}
+        answer = await self._post("/v3/lease/grant", body, writes=True)
+        return int(answer["ID"])
+
+    async def keep_lease_alive(self, lease_id: int) -> bool:
+        """Renews a lease; returns False when it has lapsed.
+
+        Raises:
+            StoreUnavailableError: If the service does not answer.
+        """
+        body = {"ID": str(lease_id)}
+        answer = await self._post("/v3/lease/keepalive", body, writes=False)
+        return int(answer.get("result", {}).get("TTL", 0)) > 0
+
+    async def revoke_lease(self, lease_id: int) -> None:
+        """Ends a lease and deletes the keys bound to it.
+
+        Raises:
+            StoreUnavailableError: If the service does not answer.
+            WriteOutcomeUnknownError: If the answer was lost.
+        """
+        await self._post("/v3/lease/revoke", {"ID": str(lease_id)}, writes=True)
+
+    async def wait_for_change(
+        self, key: str, after_revision: int, timeout_seconds: float
+    ) -> StoredValue | None:
+        """Waits until a key has a revision above the given one; None when the time is up.
+
+        Raises:
+            StoreUnavailableError: If the watch cannot be held.
+        """
+        request = {"key": _encode(key), "start_revision": str(after_revision + 1)}
+        body = json.dumps({"create_request": request})
+        self._metrics.count("store.watches")
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                return await self._read_watch(body)
+        except TimeoutError:
+            return None
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            raise StoreUnavailableError(f"watch failed: {error!r}") from error
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def _read_watch(self, body: str) -> StoredValue | None:
+        """Reads the watch's stream of JSON lines up to the first event."""
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._timeout_seconds)
+        session = self._open_session()
+        async with session.post(self._url + "/v3/watch", data=body, timeout=timeout) as answer:
+            async for line in answer.content:
+                events = json.loads(line).get("result", {}).get("events", [])
+                for event in events:
+                    if event.get("type", "PUT") == "PUT":
+                        return _decode_pair(event["kv"])
+        raise aiohttp.ClientError("the watch ended")
+
+    def _collect_found(self, answer: dict[str, Any]) -> dict[str, StoredValue]:
+        found = {}
+        for response in answer.get("responses", []):
+            for pair in response.get("response_range", {}).get("kvs", []):
+                stored = _decode_pair(pair)
+                found[stored.key] = stored
+        return found
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        return self._session
+
+    async def _post(self, path: str, body: dict[str, Any], *, writes: bool) -> dict[str, Any]:
+        """Makes one call.
+
+        Raises:
+            StoreUnavailableError: If the call had no effect, or was a reading one.
+            WriteOutcomeUnknownError: If a writing call may have had an effect.
+        """
+        self._metrics.count("store.writes" if writes else "store.reads")
+        timeout = aiohttp.ClientTimeout(total=self._timeout_seconds)
+        try:
+            async with self._open_session().post(
+                self._url + path, json=body, timeout=timeout
+            ) as answer:
+                if answer.status == 200:
+                    return await answer.json(content_type=None)
+                text = (await answer.text())[:200]
+                raise StoreUnavailableError(f"{path}: status {answer.status}: {text}")
+        except aiohttp.ClientConnectorError as error:
+            raise StoreUnavailableError(f"{path}: not connected") from error
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            if writes:
+                raise WriteOutcomeUnknownError(f"{path}: {error!r}") from error
+            raise StoreUnavailableError(f"{path}: {error!r}") from error
--- /dev/null
+++ b/packages/router/laburnumpier_router/request/__init__.py
@@ -0,0 +1,1 @@
+"""Requests: one record for each request id, its events, its outcome."""
--- /dev/null
+++ b/packages/standins/laburnumpier_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of the platform, model engines and plain services."""
--- /dev/null
+++ b/packages/standins/laburnumpier_standins/memory_fleet.py
@@ -0,0 +1,286 @@
+"""Whole router applications over in-memory ports on one virtual clock."""
+
+import asyncio
+import dataclasses
+import json
+from typing import Any
+
+from laburnumpier_core.errors import RequestError
+from laburnumpier_core.hashing import hash_body
+from laburnumpier_core.metrics import Metrics
+from laburnumpier_core.settings import Settings, parse_settings
+from laburnumpier_router.application import Ports, RouterApplication
+from laburnumpier_router.backend.choice import ChoicePolicy
+from laburnumpier_router.backend.engine_port import ServiceAnswer, ServiceCall
+from laburnumpier_router.fleet.member import Member
+from laburnumpier_router.platform.vm_list import VmListing
+from laburnumpier_router.request.call_service import CallRequest
+from laburnumpier_router.request.chat_request import ChatRequest
+
+from .memory_backends import MemoryBackends, MemoryServer
+from .memory_network import MemoryPeerNetwork, NetworkHub
+from .memory_store import MemoryKeyValueService, StoreControl
+from .virtual_loop import VirtualClock
+
+
+class MemoryVmList:
+    """A VM list that tests set by hand."""
+
+    def __init__(self):
+        """Creates an empty list."""
+        self.vms: dict[str, str] = {}
+        self.serial = 1
+
+    def set(self, vms: dict[str, str]) -> None:
+        """Publishes a new list."""
+        self.vms = dict(vms)
+        self.serial += 1
+
+    async def read(self) -> VmListing:
+        """Returns the list."""
+        return VmListing(serial=self.serial, vms=dict(self.vms))
+
+    async def close(self) -> None:
+        """Does nothing."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class MemoryRouter:
+    """A running router and its place in the fakes."""
+
+    name: str
+    address: str
+    application: RouterApplication
+    alive: bool = True
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ChatOutcome:
+    """What a caller got.
+
+    Attributes:
+        content: The whole answer; empty when there was none.
+        error: How the request was refused or failed.
+        seconds: How long it took.
+        first_seconds: Time to the first event.
+    """
+
+    request_id: str
+    content: str = ""
+    error: RequestError | None = None
+    seconds: float = 0.0
+    first_seconds: float = 0.0
+
+
+def make_settings(overrides: dict[str, str] | None = None) -> Settings:
+    """Returns settings for routers on in-memory ports; overrides are `section.key`."""
+    sections: dict[str, dict[str, str]] = {
+        "router": {
+            "vm": "vm",
+            "data_centre": "dc",
+            "callers_address": "127.0.0.1:1",
+            "operators_address": "127.0.0.1:2",
+            "peers_address": "127.0.0.1:3",
+            "operator_token_file": "/dev/null",
+            "fleet_token_file": "/dev/null",
+        },
+        "platform": {"store_url": "http://store"},
+    }
+    for key, value in (overrides or {}).items():
+        section, _, name = key.partition(".")
+        sections.setdefault(section, {})[name] = value
+    lines = []
+    for section, values in sections.items():
+        lines.append(f"[{section}]")
+        lines.extend(f"{name} = {value}" for name, value in values.items())
+    return parse_settings("\n".join(lines).replace("/dev/null", __file__))
+
+
+class MemoryFleet:
+    """Routers, platform and backend servers in one process."""
+
+    def __init__(self, *, seed: int = 0, settings: dict[str, str] | None = None):
+        """Creates a fleet without routers."""
+        self.seed = seed
+        self.settings = make_settings(settings)
+        self.store = StoreControl(seed=seed)
+        self.hub = NetworkHub(seed=seed)
+        self.backends = MemoryBackends()
+        self.vm_list = MemoryVmList()
+        self.routers: dict[str, MemoryRouter] = {}
+        self._started = 0
+        self._request_sequence = 0
+
+    async def start_router(
+        self, name: str, data_centre: str = "dc-a", policy: ChoicePolicy | None = None
+    ) -> MemoryRouter:
+        """Starts a router on the VM of the given name."""
+        self._started += 1
+        address = f"{name}:{self._started}"
+        member = Member(
+            incarnation=f"{name}@{self._started}",
+            vm=name,
+            data_centre=data_centre,
+            peers_address=address,
+        )
+        ports = Ports(
+            store=MemoryKeyValueService(control=self.store, client=name),
+            network=MemoryPeerNetwork(hub=self.hub, address=address),
+            engines=self.backends,
+            services=self.backends,
+            vm_list=self.vm_list,
+        )
+        seeds = [router.address for router in self.routers.values() if router.alive]
+        application = RouterApplication(
+            settings=self.settings,
+            member=member,
+            ports=ports,
+            fleet_token="fleet",
+            operator_token="operator",
+            clock=VirtualClock(),
+            metrics=Metrics(),
+            seed=self.seed * 1000 + self._started,
+            seeds=seeds,
+            policy=policy,
+        )
+        router = MemoryRouter(name=name, address=address, application=application)
+        self.routers[name] = router
+        await application.start()
+        return router
+
+    async def kill(self, name: str) -> None:
+        """Ends a router at once, as a power cut does: nothing leaves it any more."""
+        router = self.routers[name]
+        router.alive = False
+        self.hub.isolated.add(router.address)
+        self.store.cut_off.add(name)
+        await router.application.close()
+        self.store.cut_off.discard(name)
+
+    async def stop(self, name: str) -> None:
+        """Stops a router gracefully."""
+        self.routers[name].alive = False
+        await self.routers[name].application.stop_gracefully()
+
+    async def close(self) -> None:
+        """Ends all routers."""
+        for router in self.routers.values():
+            if router.alive:
+                router.alive = False
+                await router.application.close()
+
+    def isolate(self, name: str, *, from_store: bool = True) -> None:
+        """Cuts a router off from all others, as a pause or a partition does."""
+        self.hub.isolated.add(self.routers[name].address)
+        if from_store:
+            self.store.cut_off.add(name)
+
+    def rejoin(self) -> None:
+        """Ends all cuts."""
+        self.hub.heal()
+        self.store.cut_off.clear()
+
+    async def configure(self, router: str, patch: dict[str, Any]) -> int:
+        """Applies a patch against the current number and returns the new number."""
+        service = self.routers[router].application.configuration
+        await service.refresh_from_store()
+        self._request_sequence += 1
+        record = await service.submit_patch(
+            patch, service.number, f"patch-{self._request_sequence}", "test"
+        )
+        return record.number
+
+    def add_server(self, server: MemoryServer) -> str:
+        """Adds a backend server and returns its URL."""
+        return self.backends.add(server)
+
+    async def chat(
+        self,
+        router: str,
+        workspace: str,
+        *,
+        prompt: str = "hello",
+        max_tokens: int = 20,
+        words: int | None = None,
+        key: str = "",
+        deadline: float = 60.0,
+        streamed: bool = True,
+    ) -> ChatOutcome:
+        """Sends a chat request to a router as its HTTP front does."""
+        self._request_sequence += 1
+        request_id = key or f"r{self._request_sequence}"
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        outcome = ChatOutcome(request_id=request_id)
+        application = self.routers[router].application
+        configuration = application.configuration.configuration
+        body = {
+            "model": "m",
+            "messages": [{"role": "user", "content": prompt}],
+            "max_tokens": max_tokens,
+            "words": words if words is not None else max_tokens,
+        }
+        request = ChatRequest(
+            workspace=workspace,
+            request_id=request_id,
+            key_supplied=bool(key),
+            body=body,
+            body_hash=hash_body(f"{prompt}-{max_tokens}".encode()),
+            model="m",
+            servers=configuration.models["m"].servers,
+            max_output_tokens=max_tokens,
+            prompt_bound_tokens=len(prompt) + 60,
+            prefix=prompt[:64],
+            priority=configuration.workspaces[workspace].priority,
+            deadline_seconds=started + deadline,
+        )
+        content: list[str] = []
+        try:
+            with application.chats.open(request) as log:
+                if streamed:
+                    async for event in log.read():
+                        outcome.first_seconds = outcome.first_seconds or loop.time() - started
+                        content.append(_read_content(event.data))
+                else:
+                    content.extend(_read_content(e.data) for e in await log.read_whole())
+            outcome.content = "".join(content)
+        except RequestError as error:
+            outcome.error = error
+        outcome.seconds = loop.time() - started
+        return outcome
+
+    async def call(
+        self,
+        router: str,
+        workspace: str,
+        *,
+        key: str = "",
+        body: bytes = b"{}",
+        method: str = "POST",
+        deadline: float = 10.0,
+    ) -> ServiceAnswer:
+        """Sends a call of the plain service `orders` to a router as its HTTP front does."""
+        self._request_sequence += 1
+        request_id = key or f"r{self._request_sequence}"
+        application = self.routers[router].application
+        service = application.configuration.configuration.services["orders"]
+        headers = {"Idempotency-Key": f"{workspace}/{request_id}"}
+        call = ServiceCall(method=method, path="bookings", query="", headers=headers, body=body)
+        request = CallRequest(
+            workspace=workspace,
+            request_id=request_id,
+            key_supplied=bool(key),
+            body_hash=f"{method}{body!r}",
+            service="orders",
+            servers=service.servers,
+            call=call,
+            idempotent=method in service.idempotent_methods,
+            price_tokens=service.price_tokens,
+            priority=5,
+            deadline_seconds=asyncio.get_running_loop().time() + deadline,
+        )
+        return await application.calls.call(request)
+
+
+def _read_content(data: bytes) -> str:
+    return json.loads(data)["choices"][0]["delta"].get("content") or ""
--- /dev/null
+++ b/packages/standins/laburnumpier_standins/process.py
@@ -0,0 +1,15 @@
+"""Runs a stand-in as a process on a loopback port."""
+
+from aiohttp import web
+
+
+def serve_on_loopback(app: web.Application, port: int) -> None:
+    """Serves an application until the process ends; closed connections cancel handlers."""
+    web.run_app(
+        app,
+        host="127.0.0.1",
+        port=port,
+        print=None,
+        access_log=None,
+        handler_cancellation=True,
+    )
