--- a/packages/measure/laburnumpier_measure/demo.py
+++ b/packages/measure/laburnumpier_measure/demo.py
@@ -161,8 +161,8 @@
                 if line.startswith(b"data: [DONE]"):
                     whole = True
                 elif line.startswith(b"data:"):
-                    delta = json.loads(line[5:])["choices"][0]["delta"]
-                    seen += 1 if delta.get("content") else 0
+                    choices = json.loads(line[5:])["choices"]
+                    seen += 1 if choices and choices[0]["delta"].get("content") else 0
         return seen, whole
 
     def _post_chat(self, index: int, workspace: str, words: int, *, stream: bool):
--- a/packages/standins/laburnumpier_standins/engine.py
+++ b/packages/standins/laburnumpier_standins/engine.py
@@ -118,12 +118,14 @@
                 break
             self._add_event(run, {"content": f"w{index} "}, None, index + 1)
         self._add_event(run, {}, "stop" if length < run.max_tokens else "length", length)
+        self._add_event(run, None, None, length)
         run.finished = True
         run.wake()
 
     def _add_event(
-        self, run: EngineRun, delta: dict[str, str], finish_reason: str | None, tokens: int
+        self, run: EngineRun, delta: dict[str, str] | None, finish_reason: str | None, tokens: int
     ) -> None:
+        """Adds a chunk; one without a delta carries the usage alone."""
         usage = {
             "prompt_tokens": run.prompt_tokens,
             "completion_tokens": tokens,
@@ -134,7 +136,9 @@
             "object": "chat.completion.chunk",
             "created": 0,
             "model": run.model,
-            "choices": [{"index": 0, "delta": delta, "finish_reason": finish_reason}],
+            "choices": [{"index": 0, "delta": delta, "finish_reason": finish_reason}]
+            if delta is not None
+            else [],
             "usage": usage,
         }
         run.events.append(json.dumps(chunk).encode())
@@ -186,7 +190,7 @@
 
     async def _ledger(self, request: web.Request) -> web.Response:
         runs = {
-            run_id: {"tokens": len(run.events) - 1, "cancelled": run.cancelled}
+            run_id: {"tokens": max(0, len(run.events) - 2), "cancelled": run.cancelled}
             for run_id, run in self.runs.items()
         }
         return web.json_response({"started": self.started, "runs": runs})
--- a/packages/standins/laburnumpier_standins/memory_backends.py
+++ b/packages/standins/laburnumpier_standins/memory_backends.py
@@ -97,6 +97,8 @@
                 done += step
                 reason = "stop" if done >= length else None
                 self._add(run, call, done, reason)
+            usage = {"total_tokens": run.prompt_tokens + done, "completion_tokens": done}
+            run.events.append({"id": call.run_id, "choices": [], "usage": usage})
         finally:
             run.finished = True
             run.changed.set()
--- a/packages/standins/laburnumpier_standins/memory_fleet.py
+++ b/packages/standins/laburnumpier_standins/memory_fleet.py
@@ -283,4 +283,5 @@
 
 
 def _read_content(data: bytes) -> str:
-    return json.loads(data)["choices"][0]["delta"].get("content") or ""
+    choices = json.loads(data)["choices"]
+    return choices[0]["delta"].get("content") or "" if choices else ""
