--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	$(VENV)/bin/ruff check --fix .
 
 test: lint
-	PYTHONHASHSEED=0 $(VENV)/bin/behave --no-capture --format progress features
+	PYTHONHASHSEED=0 PYTHONPATH=. $(VENV)/bin/behave --no-capture --format progress features
 
 demo: setup
 	$(PY) -m laburnumpier_measure.demo
