--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 	$(PY) -m laburnumpier_measure.bench
 
 measure: setup
-	$(PY) -m laburnumpier_measure.measure
+	$(PY) -m laburnumpier_measure.measure --page docs/MEASURES.md
 
 check-model: setup
 	$(PY) -m spec.check --large
--- a/packages/core/laburnumpier_core/settings.py
+++ b/packages/core/laburnumpier_core/settings.py
@@ -68,6 +68,7 @@
     bill_wait_seconds: float
     admission_wait_seconds: float
     in_doubt_policy: str
+    allocation: str
     default_deadline_seconds: float
     answer_retention_seconds: float
     stall_seconds: float
@@ -140,6 +141,15 @@
     return _parse_url(text) if text else ""
 
 
+def _parse_allocation(text: str) -> str:
+    name, _, routers = text.partition(":")
+    if name == "equal_split" and routers.isdecimal() and int(routers) > 0:
+        return text
+    if text not in ("grants", "write_per_request"):
+        raise ValueError(text)
+    return text
+
+
 def _make_number_parser(
     kind: Callable[[str], Any], low: float, high: float
 ) -> Callable[[str], Any]:
@@ -218,6 +228,13 @@
         "hold or release",
         "hold",
     ),
+    _text(
+        "budget",
+        "allocation",
+        _parse_allocation,
+        "grants, write_per_request or equal_split:<routers>",
+        "grants",
+    ),
     _number("request", "default_deadline_seconds", "300", float, 0.1, 86400),
     _number("request", "answer_retention_seconds", "600", float, 1, 86400),
     _number("request", "stall_seconds", "5", float, 0.05, 600),
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -18,6 +18,7 @@
 from .backend.dispatcher import Dispatcher
 from .backend.engine_port import EnginePort, ServicePort
 from .budget import peers as budget_messages
+from .budget.allocation import parse_allocation
 from .budget.recovery import GrantRecovery
 from .budget.service import BudgetLimits, BudgetService
 from .budget.submitter import ChangeSubmitter
@@ -345,6 +346,7 @@
                 grant_horizon_seconds=settings.grant_horizon_seconds,
                 admission_wait_seconds=settings.admission_wait_seconds,
                 bill_wait_seconds=settings.bill_wait_seconds,
+                allocation=parse_allocation(settings.allocation),
             ),
         )
         self._departures = DepartureWatch(
--- a/packages/router/laburnumpier_router/budget/service.py
+++ b/packages/router/laburnumpier_router/budget/service.py
@@ -18,6 +18,7 @@
 from laburnumpier_core.result_codes import ResultCode
 
 from .account import ChangeFailed, GrantOpened, OpenGrant, ReturnTokens
+from .allocation import Allocation, DemandGrants, EqualSplit, WritePerRequest
 from .bill_keeper import BillKeeper
 from .demand import DemandMeter
 from .grant_pool import GrantPool, Reservation
@@ -84,6 +85,7 @@
 class BudgetLimits:
     """Settings of the budget aggregate; amounts in tokens, durations in seconds."""
 
+    allocation: Allocation
     grant_minimum_tokens: int
     grant_horizon_seconds: float
     admission_wait_seconds: float
@@ -169,7 +171,8 @@
             RequestError: If the budget cannot pay, or its tokens cannot be reached in time.
         """
         state = self._get_state(workspace)
-        reservation = state.pool.reserve(amount)
+        per_request = isinstance(self._limits.allocation, WritePerRequest)
+        reservation = None if per_request else state.pool.reserve(amount)
         if reservation is None:
             reservation = await self._reserve_by_gathering(
                 workspace, state, amount, deadline_seconds
@@ -204,6 +207,8 @@
         tokens = sum(charge.tokens for charge in charges)
         state.demand.record(tokens, self._clock.monotonic_seconds())
         finished = msgspec.structs.replace(bill, tokens=tokens, charges=charges)
+        if isinstance(self._limits.allocation, WritePerRequest):
+            self.return_unspent(reservation.workspace)
         return await self._bills.record(finished, self._limits.bill_wait_seconds)
 
     def lend(self, message: RequestTransfer) -> TransferOffered:
@@ -259,9 +264,11 @@
             now = self._clock.monotonic_seconds()
             for workspace, state in list(self._states.items()):
                 state.pool.drop_finished()
+                if isinstance(self._limits.allocation, EqualSplit):
+                    continue
                 if now - state.demand.last_use_seconds > IDLE_RETURN_SECONDS:
                     await self._return_tokens(workspace, state, keep=0)
-                else:
+                elif isinstance(self._limits.allocation, DemandGrants):
                     excess_limit = 4 * self._find_wanted(state)
                     if state.pool.free > excess_limit:
                         await self._return_tokens(workspace, state, keep=excess_limit)
@@ -417,7 +424,7 @@
         available = opened.available if opened else 0
         shortage = max(0, state.pool.waiting_tokens - state.pool.free)
         peers_answered, held_by_peers = True, 0
-        if shortage:
+        if shortage and isinstance(self._limits.allocation, DemandGrants):
             peers_answered, held_by_peers = await self._borrow(workspace, state, shortage)
         return GatherOutcome(
             at_seconds=started,
@@ -452,13 +459,19 @@
     ) -> OpenGrant:
         sequence = state.next_sequence
         state.next_sequence += 1
+        wanted = max(0, self._find_wanted(state) - state.pool.free)
+        match self._limits.allocation:
+            case EqualSplit(routers=routers):
+                needed, wanted = terms.purchased // routers if sequence == 1 else 0, 0
+            case WritePerRequest():
+                wanted = 0
         return OpenGrant(
             workspace=workspace,
             grant_id=f"{self._fleet.self_name}/{workspace}/{sequence}",
             holder=self._fleet.self_name,
             sequence=sequence,
             needed=needed,
-            wanted=max(0, self._find_wanted(state) - state.pool.free),
+            wanted=wanted,
             share_divisor=2 * (1 + len(self._fleet.list_peers())),
             configured=terms.purchased,
             configuration_number=terms.configuration_number,
@@ -535,7 +548,8 @@
     def _start_refill_if_low(self, workspace: str, state: BudgetState) -> None:
         """Draws in the background when half of the wanted tokens are gone."""
         now = self._clock.monotonic_seconds()
-        if now - state.last_refill_seconds < REFILL_SECONDS:
+        grants = isinstance(self._limits.allocation, DemandGrants)
+        if not grants or now - state.last_refill_seconds < REFILL_SECONDS:
             return
         if state.pool.free >= self._find_wanted(state) // 2:
             return
--- a/packages/router/laburnumpier_router/budget/shard_writer.py
+++ b/packages/router/laburnumpier_router/budget/shard_writer.py
@@ -137,6 +137,9 @@
             except StoreError as error:
                 self._note_failure(error, batch)
                 continue
+            except asyncio.CancelledError:
+                self._waiting.extendleft(batch)
+                raise
             for entry, result in zip(batch, results, strict=True):
                 if not entry.result.done():
                     entry.result.set_result(result)
--- a/packages/router/laburnumpier_router/fleet/peer_network.py
+++ b/packages/router/laburnumpier_router/fleet/peer_network.py
@@ -14,6 +14,7 @@
 
 SERVER_CONTEXTS = 64
 FAULT_PAUSE_SECONDS = 0.01
+CANCEL_AGAIN_SECONDS = 0.05
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024
 # The library repeats an unanswered request by itself after this time; the project never wants
 # that.
@@ -38,7 +39,15 @@
 class PynngPeerNetwork:
     """Request and reply sockets of pynng, over TCP or over TLS with certificates on both sides."""
 
-    __slots__ = ("_dialers", "_listener", "_own_address", "_scheme", "_settings", "_tasks")
+    __slots__ = (
+        "_closing",
+        "_dialers",
+        "_listener",
+        "_own_address",
+        "_scheme",
+        "_settings",
+        "_tasks",
+    )
 
     def __init__(self, *, settings: Settings):
         """Creates the network; nothing is opened before `serve` or `call`."""
@@ -48,6 +57,7 @@
         self._listener: pynng.Rep0 | None = None
         self._dialers: dict[str, pynng.Req0] = {}
         self._tasks: list[asyncio.Task[None]] = []
+        self._closing = False
 
     async def serve(self, handler: Handler) -> None:
         """Starts answering requests on the own address.
@@ -68,22 +78,29 @@
         Raises:
             PeerUnreachableError: If no reply comes in time.
         """
-        socket = self._open_dialer(address)
-        context = socket.new_context()
+        exchange = asyncio.create_task(self._exchange(address, request, timeout_seconds))
+        # The library may swallow a cancellation that meets a completed operation. The exchange is
+        # therefore a task of its own, which this one stops waiting for in any case.
+        exchange.add_done_callback(_take_exception)
         try:
-            async with asyncio.timeout(timeout_seconds):
-                await context.asend(request)
-                return await context.arecv()
-        except (TimeoutError, pynng.NNGException) as error:
-            raise PeerUnreachableError(f"{address}: {error!r}") from error
+            done, _ = await asyncio.wait({exchange}, timeout=timeout_seconds)
         finally:
-            context.close()
+            exchange.cancel()
+        if not done:
+            raise PeerUnreachableError(f"{address}: no reply in time")
+        try:
+            return exchange.result()
+        except (asyncio.CancelledError, pynng.NNGException) as error:
+            raise PeerUnreachableError(f"{address}: {error!r}") from error
 
     async def close(self) -> None:
         """Stops answering and closes all sockets."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._closing = True
+        pending = set(self._tasks)
+        while pending:
+            for task in pending:
+                task.cancel()
+            _, pending = await asyncio.wait(pending, timeout=CANCEL_AGAIN_SECONDS)
         self._tasks.clear()
         if self._listener is not None:
             self._listener.close()
@@ -96,7 +113,7 @@
         """Answers one request after another; several of these tasks run side by side."""
         context = listener.new_context()
         try:
-            while True:
+            while not self._closing:
                 try:
                     request = await context.arecv()
                     await context.asend(await handler(request))
@@ -108,6 +125,15 @@
         finally:
             context.close()
 
+    async def _exchange(self, address: str, request: bytes, timeout_seconds: float) -> bytes:
+        context = self._open_dialer(address).new_context()
+        try:
+            context.send_timeout = context.recv_timeout = int(timeout_seconds * 1000) + 1
+            await context.asend(request)
+            return await context.arecv()
+        finally:
+            context.close()
+
     def _open_dialer(self, address: str) -> pynng.Req0:
         if address not in self._dialers:
             socket = pynng.Req0(
@@ -127,3 +153,9 @@
             ca_files=[self._settings.tls_authority_file],
             cert_key_file=self._settings.tls_key_file,
         )
+
+
+def _take_exception(exchange: asyncio.Task[bytes]) -> None:
+    """Marks the error of an exchange as seen, also when nobody waits for it any more."""
+    if not exchange.cancelled():
+        exchange.exception()
--- a/packages/standins/laburnumpier_standins/memory_backends.py
+++ b/packages/standins/laburnumpier_standins/memory_backends.py
@@ -29,6 +29,7 @@
     """One run at an engine."""
 
     prompt_tokens: int
+    max_tokens: int
     events: list[dict[str, Any]]
     finished: bool = False
     cancelled: bool = False
@@ -228,7 +229,11 @@
         return ServiceAnswer(status=201, content_type="text/plain", body=body.encode())
 
     def _start(self, server: MemoryServer, call: EngineCall) -> MemoryRun:
-        run = MemoryRun(prompt_tokens=count_prompt_tokens(call.body), events=[])
+        run = MemoryRun(
+            prompt_tokens=count_prompt_tokens(call.body),
+            max_tokens=int(call.body["max_tokens"]),
+            events=[],
+        )
         server.runs[call.run_id] = run
         server.started.append(call.run_id)
         task = asyncio.create_task(server.generate(run, call))
--- a/packages/standins/laburnumpier_standins/memory_fleet.py
+++ b/packages/standins/laburnumpier_standins/memory_fleet.py
@@ -8,6 +8,7 @@
 from laburnumpier_core.errors import RequestError
 from laburnumpier_core.hashing import hash_body
 from laburnumpier_core.metrics import Metrics
+from laburnumpier_core.result_codes import Ran, ResultCode
 from laburnumpier_core.settings import Settings, parse_settings
 from laburnumpier_router.application import Ports, RouterApplication
 from laburnumpier_router.backend.choice import ChoicePolicy
@@ -279,7 +280,13 @@
             priority=5,
             deadline_seconds=asyncio.get_running_loop().time() + deadline,
         )
-        return await application.calls.call(request)
+        try:
+            return await application.calls.call(request)
+        except asyncio.CancelledError:
+            if self.routers[router].application is application and self.routers[router].alive:
+                raise
+            # The router died; its caller sees the connection close.
+            raise RequestError(ResultCode.OUTCOME_UNKNOWN, ran=Ran.UNKNOWN) from None
 
 
 def _read_content(data: bytes) -> str:
