Judge an exhausted budget by the account, not by what peers happen to hold

Cause: a request was refused as exhausted when free and reserved tokens of all routers and the store's rest were too few, but tokens on their way (a draw waiting for its write, a return not yet taken, a transfer) are seen by nobody, and borrowed tokens could not be lent on. Ruled out: prompt bounds, the exact count was in use. Change: a draw also tells what the whole budget can still pay; a request is refused as exhausted only beyond that, waits a moment for tokens on their way, and borrowed tokens go back to their lender when a peer asks for them.

--- a/packages/router/laburnumpier_router/budget/account.py
+++ b/packages/router/laburnumpier_router/budget/account.py
@@ -165,11 +165,16 @@
 
 
 class GrantOpened(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Result of `OpenGrant`: the amount granted, and what is left to grant."""
+    """Result of `OpenGrant`.
+
+    Attributes:
+        amount: Tokens granted. available: Tokens that may still be granted. unspent: Tokens of
+        the whole budget that are neither billed nor in doubt, wherever they are.
+    """
 
     amount: int
     available: int
-    in_doubt: int
+    unspent: int
 
 
 class BillRecorded(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -237,25 +242,23 @@
             configured=change.configured,
             configuration_number=change.configuration_number,
         )
-    in_doubt = sum(account.in_doubt.values())
-
     # A draw that was seen before keeps its first outcome.
     if change.sequence <= account.last_sequences.get(change.holder, 0):
         grant = account.grants.get(change.grant_id)
         amount = grant.amount if grant else 0
-        return account, GrantOpened(amount=amount, available=account.available, in_doubt=in_doubt)
+        return account, _describe_grant(account, amount)
 
     share = account.available // max(1, change.share_divisor)
     amount = min(account.available, max(change.needed, min(change.wanted, share)))
     if amount <= 0:
-        return account, GrantOpened(amount=0, available=account.available, in_doubt=in_doubt)
+        return account, _describe_grant(account, 0)
     grant = Grant(holder=change.holder, amount=amount)
     account = msgspec.structs.replace(
         account,
         grants={**account.grants, change.grant_id: grant},
         last_sequences={**account.last_sequences, change.holder: change.sequence},
     )
-    return account, GrantOpened(amount=amount, available=account.available, in_doubt=in_doubt)
+    return account, _describe_grant(account, amount)
 
 
 def return_tokens(account: Account, change: ReturnTokens) -> tuple[Account, ChangeApplied]:
@@ -353,6 +356,11 @@
     return _replace_in_doubt(account, change.grant_id, 0), ChangeApplied(tokens=tokens)
 
 
+def _describe_grant(account: Account, amount: int) -> GrantOpened:
+    unspent = account.configured - account.settled - sum(account.in_doubt.values())
+    return GrantOpened(amount=amount, available=account.available, unspent=max(0, unspent))
+
+
 def _replace_grant(account: Account, grant_id: str, grant: Grant) -> Account:
     """Stores a changed grant; one with nothing open is dropped."""
     grants = dict(account.grants)
--- a/packages/router/laburnumpier_router/budget/grant_pool.py
+++ b/packages/router/laburnumpier_router/budget/grant_pool.py
@@ -98,6 +98,17 @@
         """Tokens set aside for requests in progress."""
         return sum(grant.reserved for grant in self._grants.values())
 
+    @property
+    def unsettled(self) -> int:
+        """Tokens spent whose bills are not known to be durable."""
+        return sum(grant.unsettled for grant in self._grants.values())
+
+    @property
+    def coming(self) -> int:
+        """Tokens that are reserved or on their way back, and may become free somewhere."""
+        returning = sum(g.returned_total - g.reported_total for g in self._grants.values())
+        return self.reserved + returning
+
     @property
     def waiting_tokens(self) -> int:
         """Tokens for which requests are waiting in this process."""
@@ -219,6 +230,23 @@
                 left -= taken
         return parts
 
+    def take_borrowed(self, lenders: set[str]) -> list[TransferPart]:
+        """Debits free tokens that were borrowed from the given lenders, to be given back.
+
+        Args:
+            lenders: Incarnations of lenders that can be reached.
+
+        Returns:
+            The debited parts.
+        """
+        parts = []
+        for grant in self._grants.values():
+            lender = grant.grant_id.split("/", 1)[0]
+            if not grant.own and grant.free and lender in lenders:
+                parts.append(TransferPart(grant_id=grant.grant_id, tokens=grant.free))
+                grant.free = 0
+        return parts
+
     def take_back_free(self, keep: int) -> list[HeldGrant]:
         """Counts free tokens beyond `keep` as returned, newest grants first.
 
--- a/packages/router/laburnumpier_router/budget/peers.py
+++ b/packages/router/laburnumpier_router/budget/peers.py
@@ -43,15 +43,25 @@
 
 
 class TransferOffered(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """The lender's reply; `parts` are already debited there."""
+    """The lender's reply.
+
+    Attributes:
+        parts: Tokens lent, already debited at the lender.
+        free: Tokens that are free there.
+        coming: Tokens there that are reserved or on their way back, and may become free.
+    """
 
     parts: list[TransferPart]
     free: int
-    reserved: int
+    coming: int
 
 
 class GiveTokens(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Gives a peer the unused tokens of a router that is stopping during a store outage."""
+    """Gives a peer tokens that it did not ask for.
+
+    A router that stops during a store outage gives away what it holds, and one that is asked for
+    tokens which it has itself borrowed gives them back to the router that drew them.
+    """
 
     workspace: str
     transfer_id: str
--- a/packages/router/laburnumpier_router/budget/service.py
+++ b/packages/router/laburnumpier_router/budget/service.py
@@ -21,7 +21,7 @@
 from .allocation import Allocation, DemandGrants, EqualSplit, WritePerRequest
 from .bill_keeper import BillKeeper
 from .demand import DemandMeter
-from .grant_pool import GrantPool, Reservation
+from .grant_pool import GrantPool, Reservation, TransferPart
 from .peers import (
     Acknowledged,
     BudgetConfiguration,
@@ -40,6 +40,7 @@
 REFILL_SECONDS = 10.0
 IDLE_RETURN_SECONDS = 60.0
 WAIT_STEP_SECONDS = 0.2
+TRANSIT_SECONDS = 1.0
 PEER_TIMEOUT_SECONDS = 0.5
 VERDICT_SECONDS = 0.5
 RETRY_AFTER_SECONDS = 2.0
@@ -55,16 +56,17 @@
     Attributes:
         at_seconds: Monotonic time of the round.
         configuration_number: Number of the configuration in force during the round.
-        store_answered: Whether the store took a decision on the draw.
         peers_answered: Whether every live peer answered.
-        elsewhere: Tokens free or reserved at peers, and those left in the store.
+        hoped: Tokens that are or may become free here, at peers or in the store.
+        unspent: Most tokens that the whole budget can still pay, as the store knows it; None while
+            the store does not answer.
     """
 
     at_seconds: float
     configuration_number: int
-    store_answered: bool
     peers_answered: bool
-    elsewhere: int
+    hoped: int
+    unspent: int | None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -224,9 +226,12 @@
             return self._transfers[message.transfer_id]
         state = self._states.get(message.workspace)
         if state is None:
-            return TransferOffered(parts=[], free=0, reserved=0)
+            return TransferOffered(parts=[], free=0, coming=0)
         parts = state.pool.lend(min(message.tokens, self._count_lendable(state, message)))
-        offer = TransferOffered(parts=parts, free=state.pool.free, reserved=state.pool.reserved)
+        offer = TransferOffered(parts=parts, free=state.pool.free, coming=state.pool.coming)
+        lent = sum(part.tokens for part in parts)
+        if lent < message.tokens and not state.pool.waiting_tokens:
+            self._give_back_borrowed(message.workspace, state)
         if parts:
             self._transfers[message.transfer_id] = offer
             while len(self._transfers) > MAX_REMEMBERED_TRANSFERS:
@@ -299,7 +304,7 @@
         """
         if message.transfer_id not in self._accepted:
             self._accepted.add(message.transfer_id)
-            offer = TransferOffered(parts=message.parts, free=0, reserved=0)
+            offer = TransferOffered(parts=message.parts, free=0, coming=0)
             self._credit(self._get_state(message.workspace), offer)
         return Acknowledged()
 
@@ -309,19 +314,32 @@
         parts = state.pool.lend(state.pool.free) if peers else []
         if not parts:
             return
+        await self._send_gift(peers[0], self._make_gift(workspace, parts))
+
+    def _give_back_borrowed(self, workspace: str, state: BudgetState) -> None:
+        """Starts to give borrowed tokens back, as only the router that drew them may lend them."""
+        by_lender: dict[str, list[TransferPart]] = {}
+        for part in state.pool.take_borrowed(set(self._fleet.list_peers())):
+            by_lender.setdefault(name_holder(part.grant_id), []).append(part)
+        for lender, parts in by_lender.items():
+            message = self._make_gift(workspace, parts)
+            self._keep(asyncio.create_task(self._send_gift(lender, message)))
+
+    def _make_gift(self, workspace: str, parts: list[TransferPart]) -> GiveTokens:
         self._transfer_sequence += 1
-        message = GiveTokens(
-            workspace=workspace,
-            transfer_id=f"{self._fleet.self_name}/{self._transfer_sequence}",
-            parts=parts,
-        )
+        transfer_id = f"{self._fleet.self_name}/{self._transfer_sequence}"
+        return GiveTokens(workspace=workspace, transfer_id=transfer_id, parts=parts)
+
+    async def _send_gift(self, peer: str, message: GiveTokens) -> None:
+        """Sends a gift; a lost reply is asked for once more under the same id."""
         for _ in range(2):
             try:
-                await self._fleet.call(peers[0], message, PEER_TIMEOUT_SECONDS)
+                await self._fleet.call(peer, message, PEER_TIMEOUT_SECONDS)
             except PeerError:
                 continue
             self._metrics.count("budget.tokens_given")
             return
+        self._metrics.count("budget.transfers_lost")
 
     async def close(self) -> None:
         """Stops background work."""
@@ -352,10 +370,8 @@
     ) -> Reservation:
         """Draws, borrows and waits for settlements until the amount is free or cannot be."""
         pool = state.pool
-        wait_until = min(
-            deadline_seconds,
-            self._clock.monotonic_seconds() + self._limits.admission_wait_seconds,
-        )
+        started = self._clock.monotonic_seconds()
+        wait_until = min(deadline_seconds, started + self._limits.admission_wait_seconds)
         pool.add_waiting(amount)
         try:
             while True:
@@ -363,44 +379,48 @@
                 reservation = pool.reserve(amount)
                 if reservation is not None:
                     return reservation
-                reachable = pool.free + pool.reserved + outcome.elsewhere
-                left_seconds = wait_until - self._clock.monotonic_seconds()
-                if reachable < amount or left_seconds <= 0:
-                    raise self._make_refusal(outcome, reachable, amount)
-                await pool.wait_for_change(min(WAIT_STEP_SECONDS, left_seconds))
+                now = self._clock.monotonic_seconds()
+                # Tokens that nobody reports may be on their way for a moment.
+                patience_until = wait_until
+                if outcome.hoped < amount:
+                    patience_until = min(wait_until, started + TRANSIT_SECONDS)
+                exhausted = outcome.unspent is not None and outcome.unspent < amount
+                if exhausted or now >= patience_until:
+                    raise self._make_refusal(outcome, amount)
+                await pool.wait_for_change(min(WAIT_STEP_SECONDS, patience_until - now))
                 reservation = pool.reserve(amount)
                 if reservation is not None:
                     return reservation
         finally:
             pool.add_waiting(-amount)
 
-    def _make_refusal(self, outcome: GatherOutcome, reachable: int, amount: int) -> RequestError:
-        if not (outcome.store_answered and outcome.peers_answered):
-            self._metrics.count("budget.refused_unreachable")
+    def _make_refusal(self, outcome: GatherOutcome, amount: int) -> RequestError:
+        """Tells a budget that is known to be exhausted from one that cannot be reached now."""
+        if outcome.unspent is not None and outcome.unspent < amount:
+            self._metrics.count("budget.refused_exhausted")
             return RequestError(
-                ResultCode.BUDGET_UNREACHABLE, retry_after_seconds=RETRY_AFTER_SECONDS
+                ResultCode.BUDGET_EXHAUSTED,
+                detail=f"the request may cost {amount} tokens and {outcome.unspent} are left",
             )
-        if reachable >= amount:
+        everyone = outcome.unspent is not None and outcome.peers_answered
+        if everyone and outcome.hoped >= amount:
             self._metrics.count("budget.refused_reserved")
-            return RequestError(
-                ResultCode.BUDGET_RESERVED, retry_after_seconds=RETRY_AFTER_SECONDS
-            )
-        self._metrics.count("budget.refused_exhausted")
-        return RequestError(
-            ResultCode.BUDGET_EXHAUSTED,
-            detail=f"the request may cost {amount} tokens and {reachable} are left",
-        )
+            code = ResultCode.BUDGET_RESERVED
+        else:
+            self._metrics.count("budget.refused_unreachable")
+            code = ResultCode.BUDGET_UNREACHABLE
+        return RequestError(code, retry_after_seconds=RETRY_AFTER_SECONDS)
 
     async def _gather(self, workspace: str, state: BudgetState, amount: int) -> GatherOutcome:
         """Joins the running round of drawing and borrowing, or starts one.
 
-        A fresh verdict is used again: what is left anywhere can only shrink until the
-        configuration changes, so a request that exceeded it a moment ago still does.
+        A fresh verdict is used again: what is unspent can only shrink until the configuration
+        changes, so a request that exceeded it a moment ago still does.
         """
         verdict = state.verdict
         if verdict is not None and self._is_still_true(verdict, workspace):
-            reachable = state.pool.free + state.pool.reserved + verdict.elsewhere
-            if reachable < amount:
+            exhausted = verdict.unspent is not None and verdict.unspent < amount
+            if exhausted:
                 return verdict
         if state.gathering is None or state.gathering.done():
             state.gathering = asyncio.create_task(self._gather_once(workspace, state))
@@ -419,6 +439,7 @@
         if terms is None:
             terms = BudgetTerms(purchased=0, configuration_number=0)
         started = self._clock.monotonic_seconds()
+        pool = state.pool
         shortage = max(0, state.pool.waiting_tokens - state.pool.free)
         opened = await self._draw(workspace, state, terms, needed=shortage)
         available = opened.available if opened else 0
@@ -429,9 +450,9 @@
         return GatherOutcome(
             at_seconds=started,
             configuration_number=terms.configuration_number,
-            store_answered=opened is not None,
             peers_answered=peers_answered,
-            elsewhere=available + held_by_peers,
+            hoped=pool.free + pool.coming + available + held_by_peers,
+            unspent=opened.unspent - pool.unsettled if opened else None,
         )
 
     async def _draw(
@@ -481,7 +502,7 @@
         """Borrows unused tokens from peers, from the one that holds the most first.
 
         Returns:
-            Whether all peers answered, and the tokens that are still free or reserved at them.
+            Whether all peers answered, and the tokens that are or may become free at them.
         """
         peers = self._fleet.list_peers()
         offers = await asyncio.gather(
@@ -497,7 +518,7 @@
             if offer is not None:
                 holding[peer] = offer
                 shortage -= self._credit(state, offer)
-        left = sum(offer.free + offer.reserved for offer in holding.values())
+        left = sum(offer.free + offer.coming for offer in holding.values())
         return len(holding) == len(peers), left
 
     async def _ask_peer(
@@ -528,7 +549,8 @@
             if name_holder(part.grant_id) in self._fenced:
                 self._metrics.count("budget.transfers_fenced")
                 continue
-            state.pool.add_grant(part.grant_id, part.tokens, own=False)
+            own = name_holder(part.grant_id) == self._fleet.self_name
+            state.pool.add_grant(part.grant_id, part.tokens, own=own)
             credited += part.tokens
         return credited
 
