Gather the last tokens of a budget in the store

Cause: the last 100 tokens lay in many routers, and several waiting requests each gathered a part. Change: once the rest would pay for only two requests of the largest size at each router, free tokens go back at once after each settlement and draws take only what is needed.

--- a/packages/router/laburnumpier_router/budget/service.py
+++ b/packages/router/laburnumpier_router/budget/service.py
@@ -40,7 +40,8 @@
 REFILL_SECONDS = 10.0
 IDLE_RETURN_SECONDS = 60.0
 WAIT_STEP_SECONDS = 0.2
-TRANSIT_SECONDS = 1.0
+TRANSIT_SECONDS = 2.0
+NEAR_END_REQUESTS = 2
 PEER_TIMEOUT_SECONDS = 0.5
 VERDICT_SECONDS = 0.5
 RETRY_AFTER_SECONDS = 2.0
@@ -81,6 +82,8 @@
     last_refill_seconds: float = float("-inf")
     gathering: asyncio.Task[GatherOutcome] | None = None
     verdict: GatherOutcome | None = None
+    largest_amount: int = 0
+    near_end: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -173,6 +176,7 @@
             RequestError: If the budget cannot pay, or its tokens cannot be reached in time.
         """
         state = self._get_state(workspace)
+        state.largest_amount = max(state.largest_amount, amount)
         per_request = isinstance(self._limits.allocation, WritePerRequest)
         reservation = None if per_request else state.pool.reserve(amount)
         if reservation is None:
@@ -188,7 +192,9 @@
 
     def release(self, reservation: Reservation) -> None:
         """Frees the reservation of a request that used nothing."""
-        self._get_state(reservation.workspace).pool.release(reservation)
+        state = self._get_state(reservation.workspace)
+        state.pool.release(reservation)
+        self._return_near_end(reservation.workspace, state)
 
     async def settle(self, reservation: Reservation, bill: Bill) -> Bill | None:
         """Bills the real usage of a request and frees the rest of its reservation.
@@ -208,6 +214,7 @@
         charges = state.pool.settle(reservation, bill.tokens)
         tokens = sum(charge.tokens for charge in charges)
         state.demand.record(tokens, self._clock.monotonic_seconds())
+        self._return_near_end(reservation.workspace, state)
         finished = msgspec.structs.replace(bill, tokens=tokens, charges=charges)
         if isinstance(self._limits.allocation, WritePerRequest):
             self.return_unspent(reservation.workspace)
@@ -470,11 +477,27 @@
             if not isinstance(result, GrantOpened):
                 return None
             state.pending_draw = None
+            state.near_end = self._is_near_end(state, result)
             self._metrics.count("budget.draws")
             if result.amount:
                 state.pool.add_grant(change.grant_id, result.amount, own=True)
             return result
 
+    def _is_near_end(self, state: BudgetState, opened: GrantOpened) -> bool:
+        """Whether the rest would pay for only a few requests at each router."""
+        routers = 1 + len(self._fleet.list_peers())
+        return opened.unspent < NEAR_END_REQUESTS * routers * max(1, state.largest_amount)
+
+    def _return_near_end(self, workspace: str, state: BudgetState) -> None:
+        """Hands free tokens back at once near the end of a budget.
+
+        The last tokens then lie in the store, where any router finds them with one draw,
+        instead of in many places none of which can pay for a request.
+        """
+        store_answers = state.verdict is None or state.verdict.unspent is not None
+        if state.near_end and store_answers and not state.pool.waiting_tokens:
+            self.return_unspent(workspace)
+
     def _make_draw(
         self, workspace: str, state: BudgetState, terms: BudgetTerms, needed: int
     ) -> OpenGrant:
@@ -486,6 +509,8 @@
                 needed, wanted = terms.purchased // routers if sequence == 1 else 0, 0
             case WritePerRequest():
                 wanted = 0
+            case DemandGrants():
+                wanted = 0 if state.near_end else wanted
         return OpenGrant(
             workspace=workspace,
             grant_id=f"{self._fleet.self_name}/{workspace}/{sequence}",
@@ -571,7 +596,7 @@
         """Draws in the background when half of the wanted tokens are gone."""
         now = self._clock.monotonic_seconds()
         grants = isinstance(self._limits.allocation, DemandGrants)
-        if not grants or now - state.last_refill_seconds < REFILL_SECONDS:
+        if not grants or state.near_end or now - state.last_refill_seconds < REFILL_SECONDS:
             return
         if state.pool.free >= self._find_wanted(state) // 2:
             return
