Hold enough tokens for an outage, and keep idle ones while the store does not answer

Ruled out: transfers, which found every free token. Change: tokens go back only while the store answers; a router wants to hold a floor share of the purchased total (a setting), and a grant is bounded by an equal part of what is left instead of half of it.

--- a/features/budget/budget.feature
+++ b/features/budget/budget.feature
@@ -34,6 +34,15 @@
     Then the budget holds
     And every served chat is billed once
 
+  Scenario: Idle tokens stay usable during a store outage
+    Given router 2 has served chats and holds tokens
+    And the store is down
+    When 200 seconds pass
+    And a chat of 20 tokens is sent to router 2
+    Then the chat is served whole
+    When a chat of 20 tokens is sent to router 1
+    Then the chat is served whole
+
   Scenario Outline: A store fault neither loses nor doubles a bill
     Given every router has served chats and holds tokens
     And the store <fault>
--- a/packages/core/laburnumpier_core/settings.py
+++ b/packages/core/laburnumpier_core/settings.py
@@ -65,6 +65,7 @@
     account_shards: int
     grant_minimum_tokens: int
     grant_horizon_seconds: float
+    grant_floor_share: float
     bill_wait_seconds: float
     admission_wait_seconds: float
     in_doubt_policy: str
@@ -219,6 +220,7 @@
     _number("budget", "account_shards", "4", int, 1, 65536),
     _number("budget", "grant_minimum_tokens", "2000", int, 1, 10**9),
     _number("budget", "grant_horizon_seconds", "600", float, 1, 86400),
+    _number("budget", "grant_floor_share", "0.05", float, 0, 1),
     _number("budget", "bill_wait_seconds", "0.25", float, 0, 60),
     _number("budget", "admission_wait_seconds", "5", float, 0, 600),
     _text(
--- a/packages/measure/laburnumpier_measure/scenario.py
+++ b/packages/measure/laburnumpier_measure/scenario.py
@@ -31,6 +31,7 @@
 
     name: str
     in_doubt_policy: str
+    grant_floor_share: float
     budgets: dict[str, int]
     booking_share: float
 
@@ -39,12 +40,14 @@
     "halib": Deployment(
         name="halib",
         in_doubt_policy="release",
+        grant_floor_share=0.1,
         budgets={"office": 400_000, "vans": 200_000, **{f"round{i}": 60_000 for i in range(8)}},
         booking_share=0.2,
     ),
     "instituto": Deployment(
         name="instituto",
         in_doubt_policy="hold",
+        grant_floor_share=0.05,
         budgets={"line": 400_000, "guides": 200_000, **{f"lodge{i}": 60_000 for i in range(8)}},
         booking_share=0.15,
     ),
@@ -133,6 +136,7 @@
         }
         settings = {
             "budget.in_doubt_policy": deployment.in_doubt_policy,
+            "budget.grant_floor_share": str(deployment.grant_floor_share),
             "budget.allocation": design,
         }
         self.fleet = MemoryFleet(seed=seed, settings=settings)
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -344,6 +344,7 @@
             limits=BudgetLimits(
                 grant_minimum_tokens=settings.grant_minimum_tokens,
                 grant_horizon_seconds=settings.grant_horizon_seconds,
+                grant_floor_share=settings.grant_floor_share,
                 admission_wait_seconds=settings.admission_wait_seconds,
                 bill_wait_seconds=settings.bill_wait_seconds,
                 allocation=parse_allocation(settings.allocation),
--- a/packages/router/laburnumpier_router/budget/service.py
+++ b/packages/router/laburnumpier_router/budget/service.py
@@ -88,11 +88,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class BudgetLimits:
-    """Settings of the budget aggregate; amounts in tokens, durations in seconds."""
+    """Settings of the budget aggregate; amounts in tokens, durations in seconds.
+
+    Attributes:
+        allocation: How tokens are brought to the routers.
+        grant_minimum_tokens: Least tokens that a router wants to hold of a budget in use.
+        grant_horizon_seconds: How long held tokens should last at the measured demand.
+        grant_floor_share: Share of the purchased total that a router wants to hold at least, so
+            that a store outage soon after the first request is survived.
+        admission_wait_seconds: Longest wait of a request for tokens.
+        bill_wait_seconds: Longest hold-up of an answer's end for its bill.
+    """
 
     allocation: Allocation
     grant_minimum_tokens: int
     grant_horizon_seconds: float
+    grant_floor_share: float
     admission_wait_seconds: float
     bill_wait_seconds: float
 
@@ -276,14 +287,28 @@
             now = self._clock.monotonic_seconds()
             for workspace, state in list(self._states.items()):
                 state.pool.drop_finished()
-                if isinstance(self._limits.allocation, EqualSplit):
-                    continue
-                if now - state.demand.last_use_seconds > IDLE_RETURN_SECONDS:
-                    await self._return_tokens(workspace, state, keep=0)
-                elif isinstance(self._limits.allocation, DemandGrants):
-                    excess_limit = 4 * self._find_wanted(state)
-                    if state.pool.free > excess_limit:
-                        await self._return_tokens(workspace, state, keep=excess_limit)
+                keep = self._find_tokens_to_keep(workspace, state, now)
+                if keep is not None and await self._submitter.can_reach_store():
+                    await self._return_tokens(workspace, state, keep=keep)
+
+    def _find_tokens_to_keep(
+        self, workspace: str, state: BudgetState, now_seconds: float
+    ) -> int | None:
+        """Returns how many free tokens may stay here, or None when there is nothing to return.
+
+        Tokens on their way to a store that does not answer can be used by nobody, so the
+        caller makes sure first that it does.
+        """
+        if isinstance(self._limits.allocation, EqualSplit):
+            return None
+        idle_seconds = now_seconds - state.demand.last_use_seconds
+        keep = 4 * self._find_wanted(workspace, state)
+        if idle_seconds > IDLE_RETURN_SECONDS:
+            keep = 0
+        unreported = any(
+            grant.returned_total > grant.reported_total for grant in state.pool.grants.values()
+        )
+        return keep if state.pool.free > keep or unreported else None
 
     async def hand_back_all(self) -> None:
         """Gives away all free tokens and pending bills, before the process stops.
@@ -365,11 +390,19 @@
             )
         return self._states[workspace]
 
-    def _find_wanted(self, state: BudgetState) -> int:
-        """Returns the tokens that the measured demand would use over the grant horizon."""
+    def _find_wanted(self, workspace: str, state: BudgetState) -> int:
+        """Returns the tokens that this process wants to hold free.
+
+        These are what the measured demand would use over the grant horizon, or the floor share
+        of the purchased total if that is more.
+        """
         rate = state.demand.get_tokens_per_second(self._clock.monotonic_seconds())
+        terms = self._configuration.find_budget_terms(workspace)
+        purchased = terms.purchased if terms else 0
         return max(
-            self._limits.grant_minimum_tokens, int(rate * self._limits.grant_horizon_seconds)
+            self._limits.grant_minimum_tokens,
+            int(rate * self._limits.grant_horizon_seconds),
+            int(purchased * self._limits.grant_floor_share),
         )
 
     async def _reserve_by_gathering(
@@ -494,7 +527,7 @@
         The last tokens then lie in the store, where any router finds them with one draw,
         instead of in many places none of which can pay for a request.
         """
-        store_answers = state.verdict is None or state.verdict.unspent is not None
+        store_answers = not self._submitter.failed_lately
         if state.near_end and store_answers and not state.pool.waiting_tokens:
             self.return_unspent(workspace)
 
@@ -503,7 +536,7 @@
     ) -> OpenGrant:
         sequence = state.next_sequence
         state.next_sequence += 1
-        wanted = max(0, self._find_wanted(state) - state.pool.free)
+        wanted = max(0, self._find_wanted(workspace, state) - state.pool.free)
         match self._limits.allocation:
             case EqualSplit(routers=routers):
                 needed, wanted = terms.purchased // routers if sequence == 1 else 0, 0
@@ -518,7 +551,7 @@
             sequence=sequence,
             needed=needed,
             wanted=wanted,
-            share_divisor=2 * (1 + len(self._fleet.list_peers())),
+            share_divisor=1 + len(self._fleet.list_peers()),
             configured=terms.purchased,
             configuration_number=terms.configuration_number,
         )
@@ -598,7 +631,7 @@
         grants = isinstance(self._limits.allocation, DemandGrants)
         if not grants or state.near_end or now - state.last_refill_seconds < REFILL_SECONDS:
             return
-        if state.pool.free >= self._find_wanted(state) // 2:
+        if state.pool.free >= self._find_wanted(workspace, state) // 2:
             return
         terms = self._configuration.find_budget_terms(workspace)
         if terms is None:
--- a/packages/router/laburnumpier_router/budget/submitter.py
+++ b/packages/router/laburnumpier_router/budget/submitter.py
@@ -14,6 +14,7 @@
 from .write_pacer import WritePacer
 
 HOME_TIMEOUT_SECONDS = 2.0
+FAILURE_MEMORY_SECONDS = 5.0
 
 
 class ChangeSubmitter:
@@ -22,6 +23,7 @@
     __slots__ = (
         "_clock",
         "_fleet",
+        "_last_failure_seconds",
         "_metrics",
         "_pacer",
         "_random",
@@ -49,6 +51,7 @@
         self._metrics = metrics
         self._random = random_source
         self._shard_count = shard_count
+        self._last_failure_seconds = float("-inf")
         self._writers: dict[int, ShardWriter] = {}
 
     @property
@@ -84,7 +87,10 @@
 
     async def submit_here(self, shard: int, changes: list[Change]) -> list[ChangeResult]:
         """Writes changes from this process, batched with others of the same shard."""
-        return await self.get_writer(shard).submit(changes)
+        results = await self.get_writer(shard).submit(changes)
+        if any(isinstance(result, ChangeFailed) for result in results):
+            self._last_failure_seconds = self._clock.monotonic_seconds()
+        return results
 
     def get_writer(self, shard: int) -> ShardWriter:
         """Returns this process's writer of a shard."""
@@ -99,6 +105,12 @@
             )
         return self._writers[shard]
 
+    @property
+    def failed_lately(self) -> bool:
+        """Whether the store took no decision on a change a short while ago."""
+        elapsed = self._clock.monotonic_seconds() - self._last_failure_seconds
+        return elapsed < FAILURE_MEMORY_SECONDS
+
     async def can_reach_store(self) -> bool:
         """Returns whether a read of the store succeeds now."""
         try:
