--- a/packages/router/laburnumpier_router/backend/engine_port.py
+++ b/packages/router/laburnumpier_router/backend/engine_port.py
@@ -46,11 +46,13 @@
 
     Attributes:
         event_id: Position in the stream, from 1.
-        data: The chunk as the engine sent it; None for the end of the stream.
+        data: The decoded chunk; None for the end of the stream.
+        raw: The chunk as the engine sent it, where the client keeps it.
     """
 
     event_id: int
     data: dict[str, Any] | None
+    raw: bytes = b""
 
 
 class EnginePort(Protocol):
--- a/packages/router/laburnumpier_router/backend/http_clients.py
+++ b/packages/router/laburnumpier_router/backend/http_clients.py
@@ -1,6 +1,5 @@
 """HTTP clients of model engines and plain services."""
 
-import json
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -17,7 +16,7 @@
 CONNECT_SECONDS = 1.0
 CONTROL_SECONDS = 1.0
 MAX_LINE_BYTES = 1024 * 1024
-END_OF_STREAM = "[DONE]"
+END_OF_STREAM = b"[DONE]"
 
 
 class HttpEngineClient:
@@ -98,9 +97,7 @@
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             connector = aiohttp.TCPConnector(limit=0)
-            self._session = aiohttp.ClientSession(
-                connector=connector, read_bufsize=MAX_LINE_BYTES, auto_decompress=False
-            )
+            self._session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
         return self._session
 
     async def _post(self, url: str, body: dict[str, Any]) -> dict[str, Any]:
@@ -117,16 +114,20 @@
         ServerBrokeOffError: If the stream ends without its end event.
     """
     event_id = 0
-    async for raw in content:
-        line = raw.decode().rstrip("\r\n")
-        if line.startswith("id:"):
-            event_id = int(line[3:])
-        elif line.startswith("data:"):
-            data = line[5:].strip()
-            if data == END_OF_STREAM:
-                yield EngineEvent(event_id=event_id, data=None)
-                return
-            yield EngineEvent(event_id=event_id, data=json.loads(data))
+    rest = b""
+    async for part in content.iter_any():
+        *lines, rest = (rest + part).split(b"\n")
+        if len(rest) > MAX_LINE_BYTES:
+            raise ServerBrokeOffError("an event is larger than the limit")
+        for line in lines:
+            if line.startswith(b"id:"):
+                event_id = int(line[3:])
+            elif line.startswith(b"data:"):
+                data = line[5:].strip()
+                if data == END_OF_STREAM:
+                    yield EngineEvent(event_id=event_id, data=None)
+                    return
+                yield EngineEvent(event_id=event_id, data=msgspec.json.decode(data), raw=data)
     raise ServerBrokeOffError("the stream ended without its end event")
 
 
--- a/packages/router/laburnumpier_router/callers/answers.py
+++ b/packages/router/laburnumpier_router/callers/answers.py
@@ -1,9 +1,9 @@
 """Builds the HTTP answers that callers get."""
 
-import json
 import math
 from typing import Any
 
+import msgspec
 from aiohttp import web
 from laburnumpier_core.errors import RequestError
 from laburnumpier_core.result_codes import RESULT_CODE_TABLE
@@ -58,14 +58,14 @@
         The bytes of the event; empty for a usage event that was not asked for. The event keeps
         its id either way, so that ids stay those of the engine.
     """
-    chunk = json.loads(event.data)
+    chunk = msgspec.json.decode(event.data)
     if is_usage_only(chunk):
         if not with_usage:
             return b""
         return b"id: %d\ndata: %b\n\n" % (event.event_id, event.data)
     if "usage" in chunk:
         del chunk["usage"]
-    data = json.dumps(chunk, separators=(",", ":")).encode()
+    data = msgspec.json.encode(chunk)
     return b"id: %d\ndata: %b\n\n" % (event.event_id, data)
 
 
@@ -85,7 +85,7 @@
     usage = None
     first: dict[str, Any] = {}
     for event in events:
-        chunk = json.loads(event.data)
+        chunk = msgspec.json.decode(event.data)
         first = first or chunk
         usage = chunk.get("usage") or usage
         for choice in chunk.get("choices") or []:
--- a/packages/router/laburnumpier_router/platform/etcd_service.py
+++ b/packages/router/laburnumpier_router/platform/etcd_service.py
@@ -6,10 +6,10 @@
 
 import asyncio
 import base64
-import json
 from typing import Any
 
 import aiohttp
+import msgspec
 from laburnumpier_core.errors import StoreUnavailableError, WriteOutcomeUnknownError
 from laburnumpier_core.metrics import Metrics
 
@@ -148,7 +148,7 @@
             StoreUnavailableError: If the watch cannot be held.
         """
         request = {"key": _encode(key), "start_revision": str(after_revision + 1)}
-        body = json.dumps({"create_request": request})
+        body = msgspec.json.encode({"create_request": request})
         self._metrics.count("store.watches")
         try:
             async with asyncio.timeout(timeout_seconds):
@@ -169,7 +169,7 @@
         session = self._open_session()
         async with session.post(self._url + "/v3/watch", data=body, timeout=timeout) as answer:
             async for line in answer.content:
-                events = json.loads(line).get("result", {}).get("events", [])
+                events = msgspec.json.decode(line).get("result", {}).get("events", [])
                 for event in events:
                     if event.get("type", "PUT") == "PUT":
                         return _decode_pair(event["kv"])
@@ -199,15 +199,15 @@
         timeout = aiohttp.ClientTimeout(total=self._timeout_seconds)
         try:
             async with self._open_session().post(
-                self._url + path, json=body, timeout=timeout
+                self._url + path, data=msgspec.json.encode(body), timeout=timeout
             ) as answer:
                 if answer.status == 200:
-                    return await answer.json(content_type=None)
+                    return msgspec.json.decode(await answer.read())
                 text = (await answer.text())[:200]
                 raise StoreUnavailableError(f"{path}: status {answer.status}: {text}")
         except aiohttp.ClientConnectorError as error:
             raise StoreUnavailableError(f"{path}: not connected") from error
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as error:
             if writes:
                 raise WriteOutcomeUnknownError(f"{path}: {error!r}") from error
             raise StoreUnavailableError(f"{path}: {error!r}") from error
--- a/packages/router/laburnumpier_router/request/answer.py
+++ b/packages/router/laburnumpier_router/request/answer.py
@@ -1,7 +1,6 @@
 """The events of one answer, written by one task and read by any number of callers."""
 
 import asyncio
-import json
 from collections.abc import AsyncIterator
 
 from .messages import AnswerEvent, Failure
@@ -60,9 +59,8 @@
         """Total size of the events."""
         return sum(len(event.data) for event in self._events)
 
-    def append(self, chunk: dict) -> None:
-        """Adds the next event."""
-        data = json.dumps(chunk, separators=(",", ":")).encode()
+    def append(self, data: bytes) -> None:
+        """Adds the next event, given as the JSON text of its chunk."""
         self.append_event(AnswerEvent(event_id=len(self._events) + 1, data=data))
 
     def append_event(self, event: AnswerEvent) -> None:
--- a/packages/router/laburnumpier_router/request/chat_run.py
+++ b/packages/router/laburnumpier_router/request/chat_run.py
@@ -8,6 +8,7 @@
 import dataclasses
 from typing import Any
 
+import msgspec
 from laburnumpier_core.clock import Clock
 from laburnumpier_core.errors import (
     RequestError,
@@ -187,7 +188,7 @@
             if log.last_event_id == 0 and first_at == 0:
                 server.record_first_token(self._clock.monotonic_seconds() - sent_at)
             self._count_usage(progress, event.data)
-            log.append(event.data)
+            log.append(event.raw or msgspec.json.encode(event.data))
             if progress.used_tokens > progress.limit_tokens and not _is_last(event.data):
                 await self._cut(progress, server, event.data)
                 return
@@ -207,7 +208,8 @@
         self._metrics.count("request.cut_at_reservation")
         await self._engines.cancel(server.url, progress.request.run_id)
         choice = {"index": 0, "delta": {}, "finish_reason": "length"}
-        progress.log.append({**data, "choices": [choice], "usage": None})
+        last = {**data, "choices": [choice], "usage": None}
+        progress.log.append(msgspec.json.encode(last))
         progress.used_tokens = progress.limit_tokens
         progress.ended = True
 
--- a/packages/standins/laburnumpier_standins/process.py
+++ b/packages/standins/laburnumpier_standins/process.py
@@ -1,5 +1,6 @@
 """Runs a stand-in as a process on a loopback port."""
 
+import uvloop
 from aiohttp import web
 
 
@@ -12,4 +13,5 @@
         print=None,
         access_log=None,
         handler_cancellation=True,
+        loop=uvloop.new_event_loop(),
     )
