Play faults of engines, services, routers and the store against requests; make heartbeats small

Found: closing a router left its calls of plain services running, so a killed router went on in the test; calls are now stopped with it. Ruled out: the claim, which was recorded before the call was sent. Heartbeats: at 27 routers each sent 29.6 KB a second, limit 7 KB, because 17 entries with field names went to 16 partners. Entries are now arrays, three in a message, to six partners, and a large fleet allows more time before it suspects a member. Replies are counted as sent bytes too.

--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -309,6 +309,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._chats.close()
+        await self._calls.close()
         await self._budget.close()
         await self._submitter.close()
         await self._link.close()
--- a/packages/router/laburnumpier_router/fleet/member.py
+++ b/packages/router/laburnumpier_router/fleet/member.py
@@ -17,7 +17,7 @@
     STOPPING = "stopping"
 
 
-class Member(msgspec.Struct, frozen=True, kw_only=True):
+class Member(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """One router process.
 
     Attributes:
@@ -59,7 +59,7 @@
     departed: tuple[Departure, ...] = ()
 
 
-class GossipEntry(msgspec.Struct, frozen=True, kw_only=True):
+class GossipEntry(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """What one router tells of another.
 
     Attributes:
--- a/packages/router/laburnumpier_router/fleet/peer_link.py
+++ b/packages/router/laburnumpier_router/fleet/peer_link.py
@@ -26,7 +26,7 @@
     reason: str
 
 
-class Envelope(msgspec.Struct, frozen=True, kw_only=True):
+class Envelope(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Frame of every message between routers.
 
     Attributes:
@@ -131,7 +131,12 @@
 
     async def _answer(self, request: bytes) -> bytes:
         """Handles one request; whatever arrives, a reply is returned and nothing is raised."""
-        self._metrics.count("peer.messages_received")
+        reply = await self._make_reply(request)
+        self._metrics.count("peer.replies_sent")
+        self._metrics.count("peer.bytes_sent", len(reply))
+        return reply
+
+    async def _make_reply(self, request: bytes) -> bytes:
         try:
             envelope = msgspec.msgpack.decode(request, type=Envelope)
             if not hmac.compare_digest(envelope.token.encode(), self._token.encode()):
--- a/packages/router/laburnumpier_router/fleet/service.py
+++ b/packages/router/laburnumpier_router/fleet/service.py
@@ -20,10 +20,12 @@
 from .registry import MemberRegistry
 from .view import FleetView
 
-NEAR_PARTNERS = 8
-FAR_PARTNERS = 8
-GOSSIP_ENTRIES = 16
+NEAR_PARTNERS = 4
+FAR_PARTNERS = 2
+GOSSIP_ENTRIES = 3
 SUSPECT_HEARTBEATS = 5
+# Heartbeats sent and answered in one interval, each of which carries gossip.
+GOSSIP_MESSAGES = 2 * (NEAR_PARTNERS + FAR_PARTNERS)
 STORE_POLL_SECONDS = 5.0
 
 _log = get_part_logger("fleet")
@@ -208,6 +210,7 @@
         """Keeps one heartbeat task for each partner; runs until cancelled."""
         try:
             while True:
+                self._view.suspect_seconds = self._find_suspect_seconds()
                 self._view.refresh(self._clock.monotonic_seconds())
                 self._metrics.record_gauge("fleet.live_members", 1 + len(self._view.live))
                 self._adjust_partners()
@@ -226,6 +229,11 @@
             *(self._beat(name) for name in list(self._partners)), return_exceptions=True
         )
 
+    def _find_suspect_seconds(self) -> float:
+        """Returns how long a member may be silent; a large fleet hears of each more rarely."""
+        rounds = len(self._view.known) / (GOSSIP_MESSAGES * GOSSIP_ENTRIES)
+        return SUSPECT_HEARTBEATS * self._heartbeat_seconds * max(1.0, rounds)
+
     def _adjust_partners(self) -> None:
         known = self._view.known
         own = self._member.data_centre
--- a/packages/router/laburnumpier_router/fleet/view.py
+++ b/packages/router/laburnumpier_router/fleet/view.py
@@ -30,7 +30,7 @@
 class FleetView:
     """Members heard of, and the placement of keys on the live ones."""
 
-    __slots__ = ("_departed", "_homes", "_known", "_live", "_self", "_suspect_seconds")
+    __slots__ = ("_departed", "_homes", "_known", "_live", "_self", "suspect_seconds")
 
     def __init__(self, *, self_member: Member, suspect_seconds: float):
         """Creates a view that holds only this process.
@@ -40,7 +40,7 @@
             suspect_seconds: A member silent for longer does not count as live.
         """
         self._self = self_member
-        self._suspect_seconds = suspect_seconds
+        self.suspect_seconds = suspect_seconds
         self._known: dict[str, KnownMember] = {}
         self._departed: set[str] = set()
         self._live: list[str] = []
@@ -95,7 +95,7 @@
         live = [
             known
             for known in self._known.values()
-            if now_seconds - known.heard_seconds <= self._suspect_seconds
+            if now_seconds - known.heard_seconds <= self.suspect_seconds
             and known.state is MemberState.SERVING
         ]
         own = self._self.data_centre
--- a/packages/router/laburnumpier_router/request/call_service.py
+++ b/packages/router/laburnumpier_router/request/call_service.py
@@ -211,6 +211,13 @@
         while self._active:
             await asyncio.sleep(0.05)
 
+    async def close(self) -> None:
+        """Stops all calls; those that were sent have an unknown outcome."""
+        tasks = [running.task for running in self._calls.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     async def _join_or_run(self, request: CallRequest) -> ServiceAnswer:
         """Runs a keyed call in a task of its own, which a caller's hanging up does not stop."""
         running = self._calls.get(request.key)
--- a/packages/standins/laburnumpier_standins/memory_backends.py
+++ b/packages/standins/laburnumpier_standins/memory_backends.py
@@ -50,6 +50,9 @@
         break_after: Closes each next stream behind this event, once.
         stall_after: Goes silent behind this event, once.
         skip_event: Leaves this event out, once.
+        refuse_next, down_next, silent_next: Meet this many next streams with the fault.
+        end_behind: Ends for good, with all its runs, when a stream has sent this event.
+        shared_end: Servers of which only one may end for good.
         report_lag_seconds: Age of the load it reports.
     """
 
@@ -67,6 +70,11 @@
     break_after: int = 0
     stall_after: int = 0
     skip_event: int = 0
+    refuse_next: int = 0
+    down_next: int = 0
+    silent_next: int = 0
+    end_behind: int = 0
+    shared_end: list["MemoryServer"] = dataclasses.field(default_factory=list)
     report_lag_seconds: float = 0.0
     runs: dict[str, MemoryRun] = dataclasses.field(default_factory=dict)
     started: list[str] = dataclasses.field(default_factory=list)
@@ -105,6 +113,18 @@
             run.changed.set()
             self._free_slot()
 
+    def take(self, fault: str) -> bool:
+        """Uses up one of the next streams that a fault is set for."""
+        left = getattr(self, fault)
+        setattr(self, fault, max(0, left - 1))
+        return left > 0
+
+    def end_for_good(self) -> None:
+        """Goes down for ever; its runs are lost."""
+        self.down = True
+        for other in self.shared_end:
+            other.end_behind = 0
+
     def report(self, now: float) -> LoadReport:
         """Returns the load as it was some time ago."""
         self._reports.append((now, self._busy, len(self._queue)))
@@ -163,11 +183,11 @@
         """Starts or resumes a run."""
         await asyncio.sleep(CONNECT_SECONDS)
         server = self.servers[url]
-        if server.down:
+        if server.down or server.take("down_next"):
             raise ServerNotReachedError("down")
-        if server.refuse:
+        if server.refuse or server.take("refuse_next"):
             raise ServerRefusedError(503, "busy")
-        if server.silent:
+        if server.silent or server.take("silent_next"):
             await asyncio.sleep(STALL_SECONDS)
             raise ServerBrokeOffError("silent")
         run = server.runs.get(call.run_id)
@@ -184,6 +204,8 @@
                 position += 1
                 if position != skip:
                     yield EngineEvent(event_id=position, data=run.events[position - 1])
+                if position == server.end_behind:
+                    server.end_for_good()
                 if position == break_after or server.down:
                     raise ServerBrokeOffError("connection reset")
                 if position == stall_after:
