Prove membership, configuration and leaving servers under partitions, races and restarts

The only fault found was the stand-in's: a watch held open before a cut went on delivering after it; it now breaks as a real one does.

--- /dev/null
+++ b/features/backend/leaving.feature
@@ -0,0 +1,36 @@
+Feature: Leaving servers
+  A backend server that is leaving receives no new work after a few seconds, whoever says so first.
+
+  Background:
+    Given a fleet of 3 routers, 2 model servers and a budget of 90000 tokens
+
+  Scenario Outline: No new work after 3 seconds
+    Given <obstacle>
+    When server s0 is said to be leaving by <source>
+    And 3 seconds pass
+    And 60 chats of 20 tokens are sent to all routers at once
+    Then no chat was sent to server s0 after that
+    And every chat is served whole or refused as not run
+
+    Examples:
+      | obstacle                   | source            |
+      | nothing is wrong           | the server itself |
+      | the store is down          | the server itself |
+      | nothing is wrong           | the configuration |
+      | nothing is wrong           | the VM list       |
+      | the store is down          | the VM list       |
+      | the VM list lags           | the server itself |
+
+  Scenario: A server that stops answering probes gets no new work
+    When server s0 stops answering
+    And 5 seconds pass
+    And 20 chats of 20 tokens are sent to all routers at once
+    Then no chat was sent to server s0 after that
+
+  Scenario: A server that returns gets work again
+    When server s0 stops answering
+    And 5 seconds pass
+    And server s0 answers again
+    And 15 seconds pass
+    And 60 chats of 20 tokens are sent to all routers at once
+    Then server s0 was sent chats again
--- /dev/null
+++ b/features/fleet/membership.feature
@@ -0,0 +1,53 @@
+Feature: Membership
+  Views converge, homes follow them, and a wrong view costs time only.
+
+  Background:
+    Given a fleet of 6 routers, 2 model servers and a budget of 9000 tokens
+
+  Scenario: All routers see each other
+    Then every router sees 5 live peers
+    And all routers agree on the home of 100 keys
+
+  Scenario: A partition splits the views, and its end joins them
+    When router 1 and the store are cut off from the other routers
+    And 60 seconds pass
+    Then router 1 sees 0 live peers
+    When the partition heals
+    And 20 seconds pass
+    Then every router sees 5 live peers
+    And all routers agree on the home of 100 keys
+
+  Scenario: A stopping router gets no new homes
+    When router 3 stops gracefully
+    And 10 seconds pass
+    Then every router sees 4 live peers
+
+  Scenario: Removing a router moves only its own homes
+    When the homes of 300 keys are noted
+    And router 4 is killed
+    And 30 seconds pass
+    Then only keys that were placed on router 4 have moved
+
+  Scenario: All VMs are replaced one after the other under load
+    When every router is replaced gracefully while chats go on
+    And 60 seconds pass
+    Then every chat is served whole or refused as not run
+    And at least 60 chats were served whole
+    And every served chat is billed once
+    And the budget holds
+    And no grant of a dead router is open
+
+  Scenario: Everything restarts at once
+    When all routers are killed and started again
+    And 60 seconds pass
+    Then every router sees 5 live peers
+    When chats of 100 tokens are sent to router 1 until one is refused
+    Then the budget holds
+    And no grant of a dead router is open
+
+  Scenario: A router that starts during a store outage takes the newest configuration from its peers
+    Given the configuration was patched 3 times
+    And the store is down
+    When router 7 starts
+    And 20 seconds pass
+    Then router 7 has the same configuration number as the others
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -66,7 +66,9 @@
     }
     orders = fleet.add_server(MemoryServer(name="orders-1", models=[]))
     document = {
-        "servers": {name: {"url": url} for name, url in {**urls, "o1": orders}.items()},
+        "servers": {
+            name: {"url": url, "vm": f"vm-{name}"} for name, url in {**urls, "o1": orders}.items()
+        },
         "models": {"m": {"servers": list(urls)}},
         "services": {"orders": {"servers": ["o1"], "price_tokens": 5}},
         "workspaces": {
@@ -164,6 +166,7 @@
         control.loss_share = 0.5
         return
     control.fault = {
+        "works": StoreFault.NONE,
         "is down": StoreFault.DOWN,
         "is slow": StoreFault.SLOW,
         "loses every answer": StoreFault.ANSWER_LOST,
--- /dev/null
+++ b/features/steps/membership_steps.py
@@ -0,0 +1,295 @@
+"""Steps about membership, configuration and leaving servers."""
+
+import asyncio
+
+import msgspec
+from behave import given, then, when
+from fleet_steps import DATA_CENTRES, router_name, run
+from laburnumpier_core.errors import StoreError
+from laburnumpier_router.configuration.record import CONFIGURATION_KEY, ConfigurationRecord
+from laburnumpier_router.configuration.service import InvalidPatchError, PatchConflictError
+from laburnumpier_standins.store_state import Entry
+
+
+def live(context):
+    return [router for router in context.fleet.routers.values() if router.alive]
+
+
+def find_homes(router, count):
+    return [router.application.fleet.find_home(f"key-{i}") for i in range(count)]
+
+
+@then("every router sees {count:d} live peers")
+def check_peers(context, count):
+    for router in live(context):
+        seen = router.application.fleet.view.live
+        assert len(seen) == count, (router.name, seen)
+
+
+@then("router {number:d} sees {count:d} live peers")
+def check_peers_of(context, number, count):
+    view = context.fleet.routers[router_name(number)].application.fleet.view
+    assert len(view.live) == count, view.live
+
+
+@then("all routers agree on the home of {count:d} keys")
+def check_homes(context, count):
+    homes = {tuple(find_homes(router, count)) for router in live(context)}
+    assert len(homes) == 1
+
+
+@when("router 1 and the store are cut off from the other routers")
+def cut_one(context):
+    addresses = [router.address for router in context.fleet.routers.values()]
+    context.fleet.hub.cut(addresses[:1], addresses[1:])
+    context.fleet.store.cut_off.update(list(context.fleet.routers)[1:])
+
+
+@when("the homes of {count:d} keys are noted")
+def note_homes(context, count):
+    context.homes = find_homes(context.fleet.routers["vm-1"], count)
+
+
+@then("only keys that were placed on router {number:d} have moved")
+def check_moved(context, number):
+    after = find_homes(context.fleet.routers["vm-1"], len(context.homes))
+    pairs = list(zip(context.homes, after, strict=True))
+    assert all((old != new) == old.startswith(router_name(number)) for old, new in pairs)
+    assert any(old != new for old, new in pairs)
+
+
+@when("every router is replaced gracefully while chats go on")
+def replace_all(context):
+    async def send(stopped):
+        index = 0
+        chats = []
+        while not stopped.is_set():
+            names = [router.name for router in live(context)]
+            index += 1
+            chat = context.fleet.chat(names[index % len(names)], "w", max_tokens=20)
+            chats.append(asyncio.create_task(chat))
+            await asyncio.sleep(0.1)
+        return await asyncio.gather(*chats)
+
+    async def play():
+        stopped = asyncio.Event()
+        sending = asyncio.create_task(send(stopped))
+        for index, name in enumerate(list(context.fleet.routers)):
+            await asyncio.sleep(2)
+            await context.fleet.stop(name)
+            await context.fleet.start_router(name, DATA_CENTRES[index % 3])
+        stopped.set()
+        return await sending
+
+    context.outcomes.extend(run(context, play()))
+
+
+@when("all routers are killed and started again")
+def restart_all(context):
+    async def play():
+        names = list(context.fleet.routers)
+        for name in names:
+            await context.fleet.kill(name)
+        await asyncio.gather(
+            *(
+                context.fleet.start_router(name, DATA_CENTRES[index % 3])
+                for index, name in enumerate(names)
+            )
+        )
+
+    run(context, play())
+
+
+async def patch_once(context, router="vm-1", priority=3):
+    patch = {"workspaces": {"w": {"priority": priority}}}
+    context.number = await context.fleet.configure(router, patch)
+
+
+@given("the configuration was patched {count:d} times")
+def patch_times(context, count):
+    for index in range(count):
+        run(context, patch_once(context, priority=index))
+    run(context, asyncio.sleep(5))
+
+
+@when("the configuration is patched")
+def patch(context):
+    run(context, patch_once(context))
+
+
+@when("router {number:d} starts")
+def start(context, number):
+    run(context, context.fleet.start_router(router_name(number), "dc-a"))
+
+
+@then("router {number:d} has the same configuration number as the others")
+def check_same_number(context, number):
+    numbers = {router.application.configuration.number for router in live(context)}
+    assert len(numbers) == 1, numbers
+
+
+@when("operators at all routers patch the same number at once")
+def race(context):
+    async def submit(router, index):
+        service = router.application.configuration
+        patch = {"workspaces": {"w": {"priority": index % 10}}}
+        try:
+            record = await service.submit_patch(patch, 1, f"race-{index}", f"operator {index}")
+        except (PatchConflictError, InvalidPatchError, StoreError):
+            return None
+        return record.find_note(f"race-{index}")
+
+    async def play():
+        return await asyncio.gather(
+            *(submit(router, index) for index, router in enumerate(live(context)))
+        )
+
+    context.accepted = [note for note in run(context, play()) if note is not None]
+
+
+def read_stored(context):
+    entry = context.fleet.store.state.entries[CONFIGURATION_KEY]
+    return msgspec.json.decode(entry.value, type=ConfigurationRecord)
+
+
+@then("exactly one patch was accepted")
+def check_one_accepted(context):
+    assert len(context.accepted) == 1, context.accepted
+    assert read_stored(context).number == 2
+
+
+@then("the accepted patch is in force on every router")
+def check_in_force(context):
+    (note,) = context.accepted
+    for router in live(context):
+        record = router.application.configuration.record
+        assert record.find_note(note.patch_id) == note, router.name
+
+
+@when("an operator sends the same patch {count:d} times with one id")
+def repeat_patch(context, count):
+    async def play():
+        service = context.fleet.routers["vm-2"].application.configuration
+        for _ in range(count):
+            try:
+                await service.submit_patch(
+                    {"workspaces": {"w": {"priority": 2}}}, 1, "patch-once", "test"
+                )
+            except StoreError:
+                continue
+
+    run(context, play())
+
+
+@then("the number has risen by 1 in the store")
+def check_risen(context):
+    assert read_stored(context).number == 2
+
+
+@then("it is in force on every router within {seconds:d} seconds")
+def check_within(context, seconds):
+    async def play():
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        while loop.time() <= end:
+            numbers = [router.application.configuration.number for router in live(context)]
+            if min(numbers) >= context.number:
+                return True
+            await asyncio.sleep(0.05)
+        return False
+
+    assert run(context, play())
+
+
+@then("it is in force on every router")
+def check_everywhere(context):
+    for router in live(context):
+        assert router.application.configuration.number == context.number, router.name
+
+
+@then("at most {count:d} routers of each data centre watch the store")
+def check_watchers(context, count):
+    watchers = {}
+    for router in live(context):
+        if router.application.watches_store():
+            data_centre = router.application.fleet.member.data_centre
+            watchers[data_centre] = watchers.get(data_centre, 0) + 1
+    assert all(1 <= number <= count for number in watchers.values()), watchers
+
+
+@given("routers 5 and 6 are cut off from the store only")
+def cut_from_store(context):
+    context.fleet.store.cut_off.update({"vm-5", "vm-6"})
+
+
+@when("the store gives the oldest configuration to every reader")
+def give_oldest(context):
+    state = context.fleet.store.state
+    old = msgspec.json.encode(ConfigurationRecord(number=1, document={}))
+    present = state.entries[CONFIGURATION_KEY]
+    state.entries[CONFIGURATION_KEY] = Entry(
+        value=old, revision=present.revision + 1000, lease_id=0
+    )
+
+
+@then("no router has gone back")
+def check_not_reverted(context):
+    for router in live(context):
+        assert router.application.configuration.number >= context.number
+
+
+@then("only router 1 has it in force")
+def check_only_first(context):
+    for router in live(context):
+        number = router.application.configuration.number
+        assert (number == context.number) == (router.name == "vm-1"), router.name
+
+
+def get_server(context, name):
+    return context.fleet.backends.servers[f"http://{name}"]
+
+
+@given("nothing is wrong")
+def nothing(context):
+    """Nothing is broken in this row of the table."""
+
+
+@given("the VM list lags")
+def lag(context):
+    context.fleet.vm_list.set({"vm-s0": "live"})
+
+
+@when("server {name} is said to be leaving by {source}")
+def say_leaving(context, name, source):
+    async def play():
+        if source == "the server itself":
+            get_server(context, name).leaving = True
+        elif source == "the configuration":
+            await context.fleet.configure("vm-1", {"servers": {name: {"leaving": True}}})
+        else:
+            context.fleet.vm_list.set({f"vm-{name}": "leaving"})
+
+    run(context, play())
+    context.leaving_since = len(get_server(context, name).started)
+
+
+@then("no chat was sent to server {name} after that")
+def check_no_work(context, name):
+    started = get_server(context, name).started
+    assert len(started) == context.leaving_since, len(started) - context.leaving_since
+
+
+@when("server {name} stops answering")
+def stop_answering(context, name):
+    get_server(context, name).silent = True
+    context.leaving_since = len(get_server(context, name).started)
+
+
+@when("server {name} answers again")
+def answer_again(context, name):
+    get_server(context, name).silent = False
+
+
+@then("server {name} was sent chats again")
+def check_work(context, name):
+    assert len(get_server(context, name).started) > context.leaving_since
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -154,7 +154,7 @@
             clock=clock,
             metrics=metrics,
             random_source=self._random,
-            is_watcher=self._is_watcher,
+            is_watcher=self.watches_store,
             on_change=self._take_configuration,
         )
         self._build_budget()
@@ -471,7 +471,7 @@
             name: entry.budget_tokens for name, entry in configuration.workspaces.items()
         }
 
-    def _is_watcher(self) -> bool:
+    def watches_store(self) -> bool:
         """Whether this process is one of the few of its data centre that watch the store."""
         view = self._fleet.view
         own = self._fleet.member
--- a/packages/standins/laburnumpier_standins/memory_store.py
+++ b/packages/standins/laburnumpier_standins/memory_store.py
@@ -104,6 +104,8 @@
         try:
             async with asyncio.timeout(timeout_seconds):
                 while True:
+                    if self._is_unreachable():
+                        raise StoreUnavailableError("the watch was cut off")
                     entry = self._control.state.get(key)
                     if entry is not None and entry.revision > after_revision:
                         await self._return(writes=False)
@@ -124,10 +126,13 @@
             await asyncio.sleep(CLIENT_TIMEOUT_SECONDS)
             raise StoreUnavailableError("the service is slow")
         await asyncio.sleep(CALL_SECONDS / 2)
-        if self._control.fault is StoreFault.DOWN or self._client in self._control.cut_off:
+        if self._is_unreachable():
             raise StoreUnavailableError("the service is down")
         self._control.state.expire_leases(self._now())
 
+    def _is_unreachable(self) -> bool:
+        return self._control.fault is StoreFault.DOWN or self._client in self._control.cut_off
+
     async def _return(self, *, writes: bool) -> None:
         await asyncio.sleep(CALL_SECONDS / 2)
         lost = self._control.fault is StoreFault.ANSWER_LOST
