--- a/packages/router/laburnumpier_router/backend/dispatcher.py
+++ b/packages/router/laburnumpier_router/backend/dispatcher.py
@@ -16,7 +16,7 @@
 from laburnumpier_core.metrics import Metrics
 from laburnumpier_core.result_codes import ResultCode
 
-from .choice import ChoicePolicy, choose_server
+from .choice import ChoicePolicy, ExpectedWait, choose_server
 from .directory import BackendDirectory
 from .server_state import ServerState
 
@@ -37,7 +37,7 @@
         model: Model that must be loaded; None for a plain service.
         prefix: Hash of the prompt's first part; may be empty.
         cost: Tokens that it may use, the measure of fairness.
-        start_before_seconds: Monotonic time by which it must start.
+        deadline_seconds: Monotonic time by which it must have ended.
         exclude: Servers that failed it before.
     """
 
@@ -47,7 +47,7 @@
     prefix: str
     priority: int
     cost: int
-    start_before_seconds: float
+    deadline_seconds: float
     exclude: frozenset[str] = frozenset()
 
 
@@ -183,7 +183,7 @@
             key=lambda entry: (
                 -entry.item.priority,
                 self._served[entry.item.workspace],
-                entry.item.start_before_seconds,
+                entry.item.deadline_seconds,
             )
         )
         for entry in list(self._waiting):
@@ -197,11 +197,20 @@
     def _choose(self, item: WorkItem) -> ServerState | None:
         eligible = self._directory.list_eligible(item.servers, item.model)
         fresh = [server for server in eligible if server.name not in item.exclude]
-        with_room = [server for server in (fresh or eligible) if server.has_room]
+        now = self._clock.monotonic_seconds()
+        with_room = [
+            server
+            for server in (fresh or eligible)
+            if self._may_start(server) and now + server.run_seconds <= item.deadline_seconds
+        ]
         if not with_room:
             return None
         return choose_server(self._policy, with_room, item.prefix, self._random)
 
+    def _may_start(self, server: ServerState) -> bool:
+        """Whether a server has room; the simple ways of choosing know no limit."""
+        return server.has_room or not isinstance(self._policy, ExpectedWait)
+
     def _start(self, item: WorkItem, server: ServerState) -> ServerState:
         server.start_run()
         self._served[item.workspace] += item.cost
@@ -209,8 +218,10 @@
         return server
 
     def _cannot_start(self, item: WorkItem, now: float, ahead: int) -> bool:
-        """Whether the deadline is over, or the queue ahead will take longer than is left."""
-        left_seconds = item.start_before_seconds - now
+        """Whether too little time is left for the queue ahead and a run on the fastest server."""
+        eligible = self._directory.list_eligible(item.servers, item.model)
+        run_seconds = min((server.run_seconds for server in eligible), default=0.0)
+        left_seconds = item.deadline_seconds - now - run_seconds
         if left_seconds <= 0:
             return True
         if len(self._start_times) < self._start_times.maxlen:
--- a/packages/router/laburnumpier_router/backend/server_state.py
+++ b/packages/router/laburnumpier_router/backend/server_state.py
@@ -5,11 +5,13 @@
 from .engine_port import LoadReport
 
 SMOOTHING = 0.2
-START_LIMIT = 16.0
+START_LIMIT = 8.0
 MINIMUM_LIMIT = 1.0
 LIMIT_STEP = 1.0
-LIMIT_CUT = 0.7
-SLOW_FACTOR = 3.0
+LIMIT_CUT = 0.85
+SLOW_FACTOR = 2.0
+USED_SHARE = 0.8
+BEST_FORGETTING = 1.001
 START_FIRST_TOKEN_SECONDS = 0.2
 MINIMUM_SAMPLES = 8
 
@@ -27,6 +29,8 @@
         sent_since_report: Runs that this process started since the report.
         first_token_seconds: Smoothed time to the first event.
         best_first_token_seconds: Smallest smoothed time seen, slowly forgotten.
+        run_seconds: Smoothed time of a whole run; 0 before the first.
+        next_adjustment_seconds: The limit stays as it is until this monotonic time.
         limit: Most runs that this process keeps in flight there.
         samples: Number of first-token times taken in.
         failures: Failed attempts since the last success.
@@ -41,6 +45,8 @@
     sent_since_report: int = 0
     first_token_seconds: float = START_FIRST_TOKEN_SECONDS
     best_first_token_seconds: float = START_FIRST_TOKEN_SECONDS
+    run_seconds: float = 0.0
+    next_adjustment_seconds: float = float("-inf")
     limit: float = START_LIMIT
     samples: int = 0
     failures: int = 0
@@ -81,25 +87,37 @@
         if self.sent_since_report > self.in_flight:
             self.sent_since_report = self.in_flight
 
-    def record_first_token(self, seconds: float) -> None:
+    def record_first_token(self, seconds: float, now_seconds: float) -> None:
         """Adapts speed and concurrency limit to the time that a first event took.
 
-        The limit grows by a step while latency stays near the best seen, and is cut when it is far
-        above it.
+        Once in each such time, the limit grows by a step while it is used and latency stays
+        near the best seen, and is cut when latency is far above it, which means that requests
+        wait inside the server.
+
+        Args:
+            seconds: Time from sending the request to its first event.
+            now_seconds: Monotonic time.
         """
         self.failures = 0
         self.samples += 1
         weight = max(SMOOTHING, 1.0 / self.samples)
         self.first_token_seconds += weight * (seconds - self.first_token_seconds)
-        forgotten = self.best_first_token_seconds * 1.001
+        forgotten = self.best_first_token_seconds * BEST_FORGETTING
         self.best_first_token_seconds = min(forgotten, self.first_token_seconds)
-        if self.samples < MINIMUM_SAMPLES:
+        if self.samples < MINIMUM_SAMPLES or now_seconds < self.next_adjustment_seconds:
             return
+        self.next_adjustment_seconds = now_seconds + self.first_token_seconds
         if self.first_token_seconds > SLOW_FACTOR * self.best_first_token_seconds:
             self.limit = max(MINIMUM_LIMIT, self.limit * LIMIT_CUT)
-        elif self.in_flight >= self.limit / 2:
+        elif self.in_flight >= USED_SHARE * self.limit:
             self.limit += LIMIT_STEP
 
+    def record_run(self, seconds: float) -> None:
+        """Takes in how long a whole run took."""
+        if self.run_seconds == 0.0:
+            self.run_seconds = seconds
+        self.run_seconds += SMOOTHING * (seconds - self.run_seconds)
+
     def record_failure(self, now_seconds: float) -> None:
         """Keeps new work away for a while that doubles with each failure in a row."""
         self.failures += 1
--- a/packages/router/laburnumpier_router/request/call_service.py
+++ b/packages/router/laburnumpier_router/request/call_service.py
@@ -479,6 +479,6 @@
         prefix="",
         priority=request.priority,
         cost=request.price_tokens,
-        start_before_seconds=request.deadline_seconds,
+        deadline_seconds=request.deadline_seconds,
         exclude=frozenset(failed_servers),
     )
--- a/packages/router/laburnumpier_router/request/chat_run.py
+++ b/packages/router/laburnumpier_router/request/chat_run.py
@@ -178,6 +178,8 @@
             progress.started = True
             if event.data is None:
                 progress.ended = True
+                if first_at == 0:
+                    server.record_run(self._clock.monotonic_seconds() - sent_at)
                 return
             event_id = event.event_id or log.last_event_id + 1
             if event_id <= log.last_event_id:
@@ -186,7 +188,8 @@
             if event_id > log.last_event_id + 1:
                 raise ServerBrokeOffError(f"events are missing before {event_id}")
             if log.last_event_id == 0 and first_at == 0:
-                server.record_first_token(self._clock.monotonic_seconds() - sent_at)
+                now = self._clock.monotonic_seconds()
+                server.record_first_token(now - sent_at, now)
             self._count_usage(progress, event.data)
             log.append(event.raw or msgspec.json.encode(event.data))
             if progress.used_tokens > progress.limit_tokens and not _is_last(event.data):
@@ -235,7 +238,7 @@
             prefix=request.prefix,
             priority=request.priority,
             cost=request.prompt_bound_tokens + request.max_output_tokens,
-            start_before_seconds=request.deadline_seconds,
+            deadline_seconds=request.deadline_seconds,
             exclude=frozenset(failed_servers),
         )
 
