--- a/packages/router/laburnumpier_router/backend/choice.py
+++ b/packages/router/laburnumpier_router/backend/choice.py
@@ -17,6 +17,8 @@
 
 PREFIX_SAVING_SHARE = 0.5
 PREFIX_LOAD_BOUND = 1.25
+CANDIDATES = 4
+BUSY_WEIGHT = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -97,19 +99,19 @@
 
 
 def estimate_wait_seconds(server: ServerState) -> float:
-    """Returns the expected time to the first token of a request sent to a server now."""
-    load = (server.outstanding + 1) / server.capacity
-    # Below capacity a server starts a request at once; beyond it, a request waits for others
-    # to end.
-    return (
-        server.first_token_seconds * max(1.0, load) + 0.1 * server.best_first_token_seconds * load
-    )
+    """Returns the expected time to the first token of a request sent to a server now.
+
+    The adaptive limit is this process's share of the server, so runs in flight against the
+    limit tell how busy it is without any report.
+    """
+    busy = (server.in_flight + 1) / server.limit
+    return server.first_token_seconds * (1.0 + busy) + server.run_seconds * busy * BUSY_WEIGHT
 
 
 def _choose_by_expected_wait(
     servers: list[ServerState], prefix: str, source: random.Random
 ) -> ServerState:
-    candidates = source.sample(servers, min(2, len(servers)))
+    candidates = source.sample(servers, min(CANDIDATES, len(servers)))
     preferred = _find_prefix_server(servers, prefix)
     if preferred is not None and preferred not in candidates:
         candidates.append(preferred)
