Try TLS between routers and to callers; give arbitrary input to the parsers

Found: routers with certificates of one authority could not reach each other. Cause: the library checks the certificate against the host part of the address, and IP numbers in certificates are not compared. Ruled out: the authority and the key files, which the callers' port accepted. Before: the first router's call was unreachable. After: routers check one fixed DNS name, and the four scenarios pass; a router with another authority or without TLS gets no reply.

--- /dev/null
+++ b/features/fleet/peer_tls.feature
@@ -0,0 +1,18 @@
+Feature: TLS
+  With certificates set, a router or caller without the right one gets nothing.
+
+  Scenario Outline: Routers demand a certificate of their authority of each other
+    Given two routers with certificates of one authority
+    When <who> calls the second router
+    Then the call <outcome>
+
+    Examples:
+      | who                                   | outcome        |
+      | the first router                      | is answered    |
+      | a router with another authority       | is unreachable |
+      | a stranger without TLS                | is unreachable |
+
+  Scenario: The callers' port speaks TLS when it has a certificate
+    Given a callers' port with a certificate
+    Then a client that trusts the authority is answered
+    And a client that does not is not
--- /dev/null
+++ b/features/steps/fuzz_steps.py
@@ -0,0 +1,282 @@
+"""Steps that give arbitrary input to parsers, and steps about TLS."""
+
+import asyncio
+import json
+import pathlib
+import ssl
+import tempfile
+
+import aiohttp
+import trustme
+from aiohttp import web
+from behave import given, then, when
+from contract_steps import make_link, run
+from hypothesis import given as for_all
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies
+from laburnumpier_core.errors import PeerUnreachableError, RequestError, SettingsError
+from laburnumpier_core.settings import parse_settings
+from laburnumpier_measure.local_fleet import find_free_port
+from laburnumpier_router.callers import chat_body
+from laburnumpier_router.configuration.record import (
+    ConfigurationRecord,
+    decode_document,
+    merge_patch,
+)
+from laburnumpier_router.configuration.service import ConfigurationFetched, FetchConfiguration
+from laburnumpier_router.fleet.peer_network import FLEET_TLS_NAME, PynngPeerNetwork
+from laburnumpier_router.main import make_tls_context
+from laburnumpier_standins.memory_fleet import make_settings
+from laburnumpier_standins.memory_network import MemoryPeerNetwork, NetworkHub
+
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats(allow_nan=False, allow_infinity=False)
+    | strategies.text(max_size=20),
+    lambda inner: (
+        strategies.lists(inner, max_size=4)
+        | strategies.dictionaries(strategies.text(max_size=8), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+CHAT_FIELDS = ("model", "messages", "max_tokens", "stream", "n", "stream_options", "tools")
+CHAT_BODIES = strategies.dictionaries(strategies.sampled_from(CHAT_FIELDS), JSON)
+SECTIONS = ("workspaces", "models", "services", "servers")
+DOCUMENTS = strategies.dictionaries(strategies.sampled_from(SECTIONS), JSON)
+
+
+def check_many(count, strategy, check):
+    hypothesis_settings(max_examples=count, deadline=None, derandomize=True, database=None)(
+        for_all(strategy)(check)
+    )()
+
+
+def read_chat(raw):
+    try:
+        body = chat_body.decode_body(raw)
+        chat_body.find_model(body)
+        chat_body.check_messages(body)
+        chat_body.check_options(body)
+        tokens = chat_body.find_max_tokens(body, 100)
+        assert chat_body.bound_prompt_tokens(body) > 0
+        chat_body.hash_prefix(body)
+        chat_body.make_engine_body(body, tokens)
+        chat_body.wants_usage(body)
+    except RequestError as error:
+        assert error.ran == "no"
+
+
+def read_key(text):
+    try:
+        key = chat_body.parse_idempotency_key(text)
+        assert 1 <= len(key) <= 200
+    except RequestError:
+        return
+
+
+def read_deadline(text):
+    try:
+        assert 0 < chat_body.parse_deadline(text, 5.0) <= 86400
+    except RequestError:
+        return
+
+
+def read_settings(text):
+    try:
+        parse_settings(text)
+    except SettingsError as error:
+        assert error.problems
+
+
+PARSERS = {
+    "chat body": (
+        strategies.one_of(
+            strategies.binary(max_size=60), CHAT_BODIES.map(lambda body: json.dumps(body).encode())
+        ),
+        read_chat,
+    ),
+    "idempotency key": (strategies.text(max_size=300), read_key),
+    "deadline": (strategies.text(max_size=30), read_deadline),
+    "configuration document": (DOCUMENTS, decode_document),
+    "settings file": (strategies.text(max_size=200), read_settings),
+}
+
+
+@then("{count:d} arbitrary inputs to the {parser} are accepted or refused with a result code")
+def check_parser(context, count, parser):
+    strategy, check = PARSERS[parser]
+
+    def call(value):
+        check(value)
+
+    check_many(count, strategy, call)
+
+
+@then("{count:d} arbitrary messages to a router each get a reply")
+def check_peer_bytes(context, count):
+    hub = NetworkHub()
+    network = MemoryPeerNetwork(hub=hub, address="b")
+
+    async def start():
+        await make_link(network, "b@2").start()
+
+    run(context, start())
+
+    def call(message):
+        assert run(context, hub.handlers["b"](message))
+
+    check_many(count, strategies.binary(max_size=200), call)
+
+
+def apply_reference(target, patch):
+    """Merges as RFC 7396 words it: null removes a member, anything else replaces or merges."""
+    if not isinstance(patch, dict):
+        return patch
+    result = target.copy() if isinstance(target, dict) else {}
+    for name in patch:
+        if patch[name] is None:
+            if name in result:
+                del result[name]
+        else:
+            result[name] = apply_reference(result.get(name), patch[name])
+    return result
+
+
+@then("for {count:d} arbitrary pairs of documents a merge patch removes nulls and keeps the rest")
+def check_merge(context, count):
+    def call(pair):
+        target, patch = pair
+        before = json.dumps(target)
+        assert merge_patch(target, patch) == apply_reference(target, patch)
+        assert json.dumps(target) == before
+
+    check_many(count, strategies.tuples(JSON, JSON), call)
+
+
+@then("the example {name} is valid")
+def check_example(context, name):
+    text = pathlib.Path("examples", name).read_text()
+    if name.endswith(".json"):
+        _, problems = decode_document(json.loads(text))
+        assert not problems, problems
+        return
+    text = text.replace("/etc/laburnumpier/operator.token", __file__)
+    parse_settings(text.replace("/etc/laburnumpier/fleet.token", __file__))
+
+
+def write_certificate(folder, name, authority):
+    """Writes a key with its certificate, and the authority's certificate, as files."""
+    certificate = authority.issue_cert("127.0.0.1", FLEET_TLS_NAME)
+    key_path = pathlib.Path(folder, f"{name}.pem")
+    certificate.private_key_and_cert_chain_pem.write_to_path(str(key_path))
+    authority_path = pathlib.Path(folder, f"{name}-authority.pem")
+    authority.cert_pem.write_to_path(str(authority_path))
+    return {
+        "tls.tls_certificate_file": str(key_path),
+        "tls.tls_key_file": str(key_path),
+        "tls.tls_authority_file": str(authority_path),
+    }
+
+
+def make_folder(context):
+    folder = tempfile.TemporaryDirectory()
+
+    async def remove():
+        folder.cleanup()
+
+    context.cleanups.append((context.real, remove))
+    return folder.name
+
+
+@given("two routers with certificates of one authority")
+def make_tls_routers(context):
+    context.folder = make_folder(context)
+    authority = trustme.CA()
+    context.certificates = write_certificate(context.folder, "router", authority)
+    context.address = f"127.0.0.1:{find_free_port()}"
+    settings = make_settings({"router.peers_address": context.address, **context.certificates})
+    context.second = make_link(PynngPeerNetwork(settings=settings), "b@2")
+
+    async def answer(sender, message):
+        return ConfigurationFetched(record=ConfigurationRecord(number=7))
+
+    async def start():
+        context.second.handle(FetchConfiguration, answer)
+        await context.second.start()
+
+    run(context, start())
+    context.cleanups.append((context.real, context.second.close))
+
+
+@when("{who} calls the second router")
+def call_over_tls(context, who):
+    certificates = {
+        "the first router": context.certificates,
+        "a router with another authority": write_certificate(
+            context.folder, "other", trustme.CA()
+        ),
+        "a stranger without TLS": {},
+    }[who]
+    link = make_link(PynngPeerNetwork(settings=make_settings(certificates)), "a@7")
+
+    async def call():
+        try:
+            return await link.call(context.address, "b@2", FetchConfiguration(), 2.0)
+        except PeerUnreachableError:
+            return None
+        finally:
+            await link.close()
+
+    context.reply = run(context, call())
+
+
+@given("a callers' port with a certificate")
+def make_tls_port(context):
+    folder = make_folder(context)
+    authority = trustme.CA()
+    settings = make_settings(write_certificate(folder, "port", authority))
+    context.trusting = ssl.create_default_context()
+    authority.configure_trust(context.trusting)
+    context.port = find_free_port()
+
+    async def answer(request):
+        return web.Response(text="ok")
+
+    async def start():
+        app = web.Application()
+        app.router.add_get("/healthz", answer)
+        context.runner = web.AppRunner(app)
+        await context.runner.setup()
+        tls = make_tls_context(settings)
+        await web.TCPSite(context.runner, "127.0.0.1", context.port, ssl_context=tls).start()
+
+    async def stop():
+        await context.runner.cleanup()
+
+    run(context, start())
+    context.cleanups.append((context.real, stop))
+
+
+def get_over_tls(context, tls):
+    async def get():
+        url = f"https://127.0.0.1:{context.port}/healthz"
+        async with aiohttp.ClientSession() as session, session.get(url, ssl=tls) as answer:
+            return answer.status
+
+    return run(context, asyncio.wait_for(get(), 20))
+
+
+@then("a client that trusts the authority is answered")
+def check_trusting(context):
+    assert get_over_tls(context, context.trusting) == 200
+
+
+@then("a client that does not is not")
+def check_distrusting(context):
+    try:
+        get_over_tls(context, ssl.create_default_context())
+    except aiohttp.ClientConnectorCertificateError:
+        return
+    raise AssertionError("an unknown authority was trusted")
--- a/packages/router/laburnumpier_router/fleet/peer_network.py
+++ b/packages/router/laburnumpier_router/fleet/peer_network.py
@@ -13,6 +13,8 @@
 from laburnumpier_core.settings import Settings
 
 SERVER_CONTEXTS = 64
+# VMs and their addresses change, so the certificates of all routers carry this one DNS name.
+FLEET_TLS_NAME = "laburnumpier-router"
 FAULT_PAUSE_SECONDS = 0.01
 CANCEL_AGAIN_SECONDS = 0.05
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024
@@ -147,8 +149,10 @@
 
     def _make_tls(self, mode: int) -> pynng.TLSConfig:
         """Returns the configuration that demands a certificate of the fleet's authority."""
+        is_client = mode == pynng.TLSConfig.MODE_CLIENT
         return pynng.TLSConfig(
             mode,
+            server_name=FLEET_TLS_NAME if is_client else None,
             auth_mode=pynng.TLSConfig.AUTH_MODE_REQUIRED,
             ca_files=[self._settings.tls_authority_file],
             cert_key_file=self._settings.tls_key_file,
