Wake fewer tasks for each event of an answer

Cause: each event woke the task that watches for the last reader and the one that tells the home, which need readers and placement only.

--- a/packages/router/laburnumpier_router/request/answer.py
+++ b/packages/router/laburnumpier_router/request/answer.py
@@ -13,7 +13,15 @@
     is known that no event is missing.
     """
 
-    __slots__ = ("_changed", "_events", "_failure", "_finished", "_readers", "_was_read")
+    __slots__ = (
+        "_changed",
+        "_events",
+        "_failure",
+        "_finished",
+        "_readers",
+        "_readers_changed",
+        "_was_read",
+    )
 
     def __init__(self):
         """Creates an empty log."""
@@ -21,6 +29,7 @@
         self._finished = False
         self._failure: Failure | None = None
         self._changed = asyncio.Event()
+        self._readers_changed = asyncio.Event()
         self._readers = 0
         self._was_read = False
 
@@ -87,14 +96,23 @@
     def add_reader(self) -> None:
         """Counts a reader."""
         self._readers += 1
+        self._wake_watchers()
 
     def remove_reader(self) -> None:
-        """Counts the end of a reader and tells whoever watches for the last one."""
+        """Counts the end of a reader."""
         self._readers -= 1
-        self._wake()
+        self._wake_watchers()
+
+    async def wait_for_readers(self, timeout_seconds: float | None = None) -> None:
+        """Waits until a reader comes or goes, or until the timeout."""
+        changed = self._readers_changed
+        try:
+            await asyncio.wait_for(changed.wait(), timeout_seconds)
+        except TimeoutError:
+            return
 
     async def wait_for_change(self, timeout_seconds: float | None = None) -> None:
-        """Waits until an event, the end or a reader's end arrives, or until the timeout."""
+        """Waits until an event or the end arrives, or until the timeout."""
         changed = self._changed
         try:
             await asyncio.wait_for(changed.wait(), timeout_seconds)
@@ -134,3 +152,7 @@
     def _wake(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
+
+    def _wake_watchers(self) -> None:
+        self._readers_changed.set()
+        self._readers_changed = asyncio.Event()
--- a/packages/router/laburnumpier_router/request/chat_service.py
+++ b/packages/router/laburnumpier_router/request/chat_service.py
@@ -375,7 +375,9 @@
         )
 
     async def _tell_home_when_placed(self, progress: RunProgress) -> None:
-        """Tells the home each server that the run moves to."""
+        """Tells the home each server that the run moves to, if a retry may ask there."""
+        if not progress.request.key_supplied:
+            return
         told = ""
         while not progress.ended:
             if progress.server != told:
@@ -388,8 +390,8 @@
         grace = ABANDON_GRACE_SECONDS if run.request.key_supplied else 0.1
         while True:
             while run.log.readers:
-                await run.log.wait_for_change()
-            await run.log.wait_for_change(grace)
+                await run.log.wait_for_readers()
+            await run.log.wait_for_readers(grace)
             if not run.log.readers:
                 self._metrics.count("request.abandoned")
                 return
