Give orders to engines by one controller for each data centre

A lease with a fencing number that is only ever raised; loads planned so that each configured model has a server with the fewest loads, at most one in each weight-store interval. Left: roles, adapters and versions as further orders.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PY := $(VENV)/bin/python
 PACKAGES := core router operator standins measure
 
-.PHONY: setup test lint format demo measure bench check-model slopes
+.PHONY: setup test lint format demo measure balance bench check-model slopes
 
 $(VENV)/.installed: requirements.txt $(wildcard packages/*/pyproject.toml)
 	python3 -m venv $(VENV)
@@ -32,6 +32,10 @@
 
 measure: setup
 	$(PY) -m laburnumpier_measure.measure --page docs/MEASURES.md
+	$(PY) -m laburnumpier_measure.balance
+
+balance: setup
+	$(PY) -m laburnumpier_measure.balance
 
 check-model: setup
 	$(PY) -m spec.check --large
--- a/features/backend/engine_contract.feature
+++ b/features/backend/engine_contract.feature
@@ -36,6 +36,12 @@
     And the engine counts a prompt exactly
     And a cancelled run stops producing
 
+  Scenario: Orders carry their fencing number
+    When an order with number 5 is sent
+    Then the order is taken and its model is loaded
+    When an order with number 4 is sent
+    Then the order ends with ServerRefusedError
+
   Scenario Outline: A plain service's call
     Given a stand-in order service over HTTP
     When the service will <fault>
--- a/features/steps/contract_steps.py
+++ b/features/steps/contract_steps.py
@@ -12,7 +12,7 @@
 )
 from laburnumpier_core.metrics import Metrics
 from laburnumpier_measure.local_fleet import find_free_port
-from laburnumpier_router.backend.engine_port import EngineCall, ServiceCall
+from laburnumpier_router.backend.engine_port import EngineCall, EngineOrder, ServiceCall
 from laburnumpier_router.backend.http_clients import HttpEngineClient, HttpServiceClient
 from laburnumpier_router.configuration.record import ConfigurationRecord
 from laburnumpier_router.configuration.service import ConfigurationFetched, FetchConfiguration
@@ -287,6 +287,32 @@
     assert run(context, play()) < 400
 
 
+@when("an order with number {number:d} is sent")
+def send_order(context, number):
+    order = EngineOrder(action="load", model=f"model-{number}", fencing_number=number)
+
+    async def send():
+        try:
+            await context.client.order(context.url, order, 5.0)
+        except ServerError as error:
+            return error
+        return None
+
+    context.order_error = run(context, send())
+
+
+@then("the order is taken and its model is loaded")
+def check_order_taken(context):
+    assert context.order_error is None, context.order_error
+    assert "model-5" in context.engine.models
+
+
+@then("the order ends with {error}")
+def check_order_error(context, error):
+    assert type(context.order_error).__name__ == error, context.order_error
+    assert "model-4" not in context.engine.models
+
+
 @given("a stand-in order service over HTTP")
 def make_order_service(context):
     context.orders = StandInOrderService()
--- a/packages/core/laburnumpier_core/settings.py
+++ b/packages/core/laburnumpier_core/settings.py
@@ -76,6 +76,8 @@
     max_body_bytes: int
     probe_seconds: float
     probe_freshness_seconds: float
+    give_engine_orders: bool
+    load_interval_seconds: float
     statsd_host: str
     statsd_port: int
     log_level: str
@@ -151,6 +153,12 @@
     return text
 
 
+def _parse_yes_no(text: str) -> bool:
+    if text not in ("yes", "no"):
+        raise ValueError(text)
+    return text == "yes"
+
+
 def _make_number_parser(
     kind: Callable[[str], Any], low: float, high: float
 ) -> Callable[[str], Any]:
@@ -243,6 +251,8 @@
     _number("request", "max_body_bytes", "1048576", int, 1024, 2**30),
     _number("backend", "probe_seconds", "1", float, 0.05, 60),
     _number("backend", "probe_freshness_seconds", "3", float, 0.1, 600),
+    _text("backend", "give_engine_orders", _parse_yes_no, "yes or no", "no"),
+    _number("backend", "load_interval_seconds", "30", float, 0.1, 86400),
     _text("metrics", "statsd_host", str, "a host, or nothing", ""),
     _number("metrics", "statsd_port", "8125", int, 1, 65535),
     _text("log", "log_level", _make_choice_parser(*_LEVELS), ", ".join(_LEVELS), "INFO"),
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -39,6 +39,8 @@
 from .fleet.service import FleetService
 from .operators.front import OperatorsFront
 from .operators.reports import OperatorReports
+from .orders.controller import EngineController
+from .orders.lease import ControllerLease
 from .platform.key_value_service import KeyValueService
 from .platform.vm_list import VmList
 from .request import messages as request_messages
@@ -160,6 +162,7 @@
         self._build_budget()
         self._build_backend(policy or ExpectedWait())
         self._build_requests()
+        self._build_controller()
         self._reports = OperatorReports(
             store=ports.store,
             configuration=self._configuration,
@@ -275,6 +278,8 @@
         self._run_in_background(self._calls.flush_periodically())
         self._run_in_background(self._chats.reap_periodically())
         self._run_in_background(self._departures.watch_periodically())
+        if self._settings.give_engine_orders:
+            self._run_in_background(self._controller.control_periodically())
         _log.info("router started", fields={"router": self._fleet.self_name})
 
     async def stop_gracefully(self) -> None:
@@ -291,6 +296,7 @@
         await self._calls.wait_until_idle()
         await self._calls.flush_releases()
         await self._budget.hand_back_all()
+        await self._controller.release()
         clean = not self._budget.bills.owned_bills
         try:
             member = self._fleet.member
@@ -414,6 +420,26 @@
             retention_seconds=retention,
         )
 
+    def _build_controller(self) -> None:
+        member = self._fleet.member
+        self._controller = EngineController(
+            lease=ControllerLease(
+                store=self._ports.store,
+                clock=self._clock,
+                data_centre=member.data_centre,
+                self_name=member.incarnation,
+            ),
+            engines=self._ports.engines,
+            directory=self._directory,
+            dispatcher=self._dispatcher,
+            configuration=self._configuration,
+            clock=self._clock,
+            metrics=self._metrics,
+            random_source=self._random,
+            data_centre=member.data_centre,
+            load_interval_seconds=self._settings.load_interval_seconds,
+        )
+
     def _register_handlers(self) -> None:
         """Connects each request message to the aggregate that answers it."""
         handle = self._link.handle
--- a/packages/router/laburnumpier_router/backend/directory.py
+++ b/packages/router/laburnumpier_router/backend/directory.py
@@ -101,6 +101,14 @@
             if name in self._states and self._is_eligible(name, model, now)
         ]
 
+    def is_fresh(self, name: str) -> bool:
+        """Returns whether a server answered a probe lately."""
+        state = self._states.get(name)
+        if state is None or state.report is None:
+            return False
+        age_seconds = self._clock.monotonic_seconds() - state.reported_at_seconds
+        return age_seconds <= self._freshness_seconds
+
     def is_leaving(self, name: str) -> bool:
         """Returns whether a server is known to be leaving, from any source."""
         server = self._configured.get(name)
@@ -174,7 +182,7 @@
         state = self._states[name]
         if self.is_leaving(name) or now < state.blocked_until_seconds:
             return False
-        if now - state.reported_at_seconds > self._freshness_seconds or state.report is None:
+        if not self.is_fresh(name):
             return False
         return model is None or model in state.report.models
 
--- a/packages/router/laburnumpier_router/backend/dispatcher.py
+++ b/packages/router/laburnumpier_router/backend/dispatcher.py
@@ -73,6 +73,7 @@
         "_served_at_seconds",
         "_start_times",
         "_waiting",
+        "_wanting",
     )
 
     def __init__(
@@ -95,6 +96,7 @@
         self._served_at_seconds = 0.0
         self._retry_tokens = RETRY_BURST
         self._start_times: collections.deque[float] = collections.deque(maxlen=64)
+        self._wanting: set[str] = set()
         self._pump: asyncio.Task[None] | None = None
 
     @property
@@ -125,6 +127,11 @@
                 return self._start(item, server)
         return await self._wait(item)
 
+    def take_wanting_models(self) -> set[str]:
+        """Returns the models whose requests found no room since the last call."""
+        wanting, self._wanting = self._wanting, set()
+        return wanting
+
     def finish(self, server: ServerState) -> None:
         """Counts the end of a run and lets the next waiting request start."""
         server.finish_run()
@@ -146,6 +153,8 @@
             item=item, chosen=asyncio.get_running_loop().create_future(), since_seconds=now
         )
         self._waiting.append(entry)
+        if item.model is not None:
+            self._wanting.add(item.model)
         if self._pump is None or self._pump.done():
             self._pump = asyncio.create_task(self._check_waiting())
         try:
--- a/packages/router/laburnumpier_router/backend/engine_port.py
+++ b/packages/router/laburnumpier_router/backend/engine_port.py
@@ -55,6 +55,20 @@
     raw: bytes = b""
 
 
+class EngineOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """An order of a data centre's controller.
+
+    Attributes:
+        action: What to do; `load` loads a model.
+        model: Name of the model.
+        fencing_number: Number of the controller's term; engines that check it refuse lower ones.
+    """
+
+    action: str
+    model: str
+    fencing_number: int
+
+
 class EnginePort(Protocol):
     """The calls that the routers make to model engines."""
 
@@ -76,6 +90,15 @@
     async def probe(self, url: str) -> LoadReport | None:
         """Returns the server's load report, or None when it does not answer."""
 
+    async def order(self, url: str, order: EngineOrder, timeout_seconds: float) -> None:
+        """Sends an order.
+
+        Raises:
+            ServerNotReachedError: If nothing was sent.
+            ServerRefusedError: If the engine refused it, for an old fencing number for example.
+            ServerBrokeOffError: If the outcome is unknown.
+        """
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ServiceCall:
--- a/packages/router/laburnumpier_router/backend/http_clients.py
+++ b/packages/router/laburnumpier_router/backend/http_clients.py
@@ -11,7 +11,14 @@
     ServerRefusedError,
 )
 
-from .engine_port import EngineCall, EngineEvent, LoadReport, ServiceAnswer, ServiceCall
+from .engine_port import (
+    EngineCall,
+    EngineEvent,
+    EngineOrder,
+    LoadReport,
+    ServiceAnswer,
+    ServiceCall,
+)
 
 CONNECT_SECONDS = 1.0
 CONTROL_SECONDS = 1.0
@@ -89,6 +96,26 @@
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
             return None
 
+    async def order(self, url: str, order: EngineOrder, timeout_seconds: float) -> None:
+        """Sends an order.
+
+        Raises:
+            ServerNotReachedError: If nothing was sent.
+            ServerRefusedError: If the engine refused it.
+            ServerBrokeOffError: If the outcome is unknown.
+        """
+        timeout = aiohttp.ClientTimeout(total=timeout_seconds, sock_connect=CONNECT_SECONDS)
+        try:
+            async with self._open_session().post(
+                url + "/orders", data=msgspec.json.encode(order), timeout=timeout
+            ) as answer:
+                if answer.status >= 400:
+                    raise ServerRefusedError(answer.status, (await answer.text())[:200])
+        except aiohttp.ClientConnectorError as error:
+            raise ServerNotReachedError(str(error)) from error
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise ServerBrokeOffError(repr(error)) from error
+
     async def close(self) -> None:
         """Closes the connections."""
         if self._session is not None:
--- a/packages/standins/laburnumpier_standins/engine.py
+++ b/packages/standins/laburnumpier_standins/engine.py
@@ -62,6 +62,7 @@
         self.capacity = capacity
         self.words = words
         self.leaving = False
+        self.fencing_number = 0
         self.runs: dict[str, EngineRun] = {}
         self.started: list[str] = []
         self.faults: dict[str, int] = {}
@@ -75,6 +76,7 @@
         app.router.add_post("/cancel", self._cancel)
         app.router.add_get("/load", self._load)
         app.router.add_get("/ledger", self._ledger)
+        app.router.add_post("/orders", self._take_order)
         app.router.add_post("/faults", self._set_faults)
         app.router.add_post("/leaving", self._set_leaving)
         return app
@@ -177,6 +179,15 @@
             run.cancelled = True
         return web.json_response({})
 
+    async def _take_order(self, request: web.Request) -> web.Response:
+        order = await request.json()
+        if order["fencing_number"] < self.fencing_number:
+            return web.json_response({"error": "old fencing number"}, status=412)
+        self.fencing_number = order["fencing_number"]
+        if order["model"] not in self.models:
+            self.models.append(order["model"])
+        return web.json_response({})
+
     async def _load(self, request: web.Request) -> web.Response:
         running = sum(not run.finished for run in self.runs.values())
         report = {
--- a/packages/standins/laburnumpier_standins/memory_backends.py
+++ b/packages/standins/laburnumpier_standins/memory_backends.py
@@ -13,6 +13,7 @@
 from laburnumpier_router.backend.engine_port import (
     EngineCall,
     EngineEvent,
+    EngineOrder,
     LoadReport,
     ServiceAnswer,
     ServiceCall,
@@ -81,6 +82,10 @@
     calls: list[str] = dataclasses.field(default_factory=list)
     cached_prefixes: dict[str, None] = dataclasses.field(default_factory=dict)
     prefix_hits: int = 0
+    checks_fencing: bool = False
+    fencing_number: int = 0
+    order_seconds: float = 0.1
+    orders: list[tuple[int, str]] = dataclasses.field(default_factory=list)
     _busy: int = 0
     _queue: list[tuple[int, int, asyncio.Future[None]]] = dataclasses.field(default_factory=list)
     _reports: list[tuple[float, int, int]] = dataclasses.field(default_factory=list)
@@ -233,6 +238,17 @@
             return None
         return server.report(asyncio.get_running_loop().time())
 
+    async def order(self, url: str, order: EngineOrder, timeout_seconds: float) -> None:
+        """Loads a model; a checking engine refuses an order of a former controller."""
+        server = self.servers[url]
+        await asyncio.sleep(server.order_seconds)
+        if server.checks_fencing and order.fencing_number < server.fencing_number:
+            raise ServerRefusedError(412, "old fencing number")
+        server.orders.append((order.fencing_number, order.model))
+        server.fencing_number = max(server.fencing_number, order.fencing_number)
+        if order.model not in server.models:
+            server.models = [*server.models, order.model]
+
     async def call(self, url: str, call: ServiceCall, timeout_seconds: float) -> ServiceAnswer:
         """Runs one call of a plain service."""
         await asyncio.sleep(CONNECT_SECONDS)
