End waits that are too short to be told from nothing

Ruled out: the write pacer, which had the same fault in a lesser form and is mended too, but did not cause this. Conclusion: a rest under a millisecond counts as over; the pacer sleeps a millisecond at least.

--- a/features/budget/budget.feature
+++ b/features/budget/budget.feature
@@ -82,3 +82,12 @@
     And 20 seconds pass
     Then the budget holds
     And every served chat is billed once
+
+  Scenario Outline: Waiting for a turn to write never becomes a busy loop
+    Then <writers> writers that share <rate> writes a second take their turns in time
+
+    Examples:
+      | writers | rate     |
+      | 20      | 6        |
+      | 20      | 7.000001 |
+      | 100     | 333.333  |
--- a/packages/router/laburnumpier_router/budget/service.py
+++ b/packages/router/laburnumpier_router/budget/service.py
@@ -40,6 +40,7 @@
 REFILL_SECONDS = 10.0
 IDLE_RETURN_SECONDS = 60.0
 WAIT_STEP_SECONDS = 0.2
+SHORTEST_WAIT_SECONDS = 0.001
 TRANSIT_SECONDS = 2.0
 NEAR_END_REQUESTS = 2
 PEER_TIMEOUT_SECONDS = 0.5
@@ -425,7 +426,8 @@
                 if outcome.hoped < amount:
                     patience_until = min(wait_until, started + TRANSIT_SECONDS)
                 exhausted = outcome.unspent is not None and outcome.unspent < amount
-                if exhausted or now >= patience_until:
+                # A rest too short to wait for counts as over.
+                if exhausted or patience_until - now < SHORTEST_WAIT_SECONDS:
                     raise self._make_refusal(outcome, amount)
                 await pool.wait_for_change(min(WAIT_STEP_SECONDS, patience_until - now))
                 reservation = pool.reserve(amount)
--- a/packages/router/laburnumpier_router/budget/write_pacer.py
+++ b/packages/router/laburnumpier_router/budget/write_pacer.py
@@ -12,6 +12,7 @@
 
 BURST_SECONDS = 1.0
 MINIMUM_BURST_WRITES = 4.0
+MINIMUM_SLEEP_SECONDS = 0.001
 
 
 class WritePacer:
@@ -45,7 +46,9 @@
         """Waits until one write may be made."""
         self._refill()
         while self._saved_writes < 1.0:
-            await asyncio.sleep((1.0 - self._saved_writes) / self.writes_per_second)
+            missing = 1.0 - self._saved_writes
+            # A shorter sleep than the clock can tell would turn the wait into a busy loop.
+            await asyncio.sleep(max(MINIMUM_SLEEP_SECONDS, missing / self.writes_per_second))
             self._refill()
         self._saved_writes -= 1.0
 
@@ -54,6 +57,5 @@
         rate = self.writes_per_second
         limit = max(MINIMUM_BURST_WRITES, rate * BURST_SECONDS)
         earned = (now - self._last_seconds) * rate
-        # A tolerance keeps rounding from asking for an endless chain of tiny sleeps.
-        self._saved_writes = min(limit, self._saved_writes + earned + 1e-9)
+        self._saved_writes = min(limit, self._saved_writes + earned)
         self._last_seconds = now
