Part lending and budget state from the budget service

The service had grown to 678 lines: drawing and admission, lending between routers, and the data that both share. They are three modules now (470, 226 and 67 lines); the name of a grant's holder is read in one place. The virtual loop ends a busy loop with an error, so that such a fault fails instead of hanging.

--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -20,7 +20,8 @@
 from .budget import peers as budget_messages
 from .budget.allocation import parse_allocation
 from .budget.recovery import GrantRecovery
-from .budget.service import BudgetLimits, BudgetService
+from .budget.service import BudgetService
+from .budget.state import BudgetLimits
 from .budget.submitter import ChangeSubmitter
 from .budget.write_pacer import WritePacer
 from .callers.front import CallersFront
--- a/packages/router/laburnumpier_router/budget/grant_pool.py
+++ b/packages/router/laburnumpier_router/budget/grant_pool.py
@@ -241,8 +241,7 @@
         """
         parts = []
         for grant in self._grants.values():
-            lender = grant.grant_id.split("/", 1)[0]
-            if not grant.own and grant.free and lender in lenders:
+            if not grant.own and grant.free and name_holder(grant.grant_id) in lenders:
                 parts.append(TransferPart(grant_id=grant.grant_id, tokens=grant.free))
                 grant.free = 0
         return parts
@@ -271,3 +270,8 @@
         """Forgets grants of which nothing is held and nothing is left to report."""
         for grant_id in [key for key, grant in self._grants.items() if grant.is_finished]:
             del self._grants[grant_id]
+
+
+def name_holder(grant_id: str) -> str:
+    """Returns the incarnation that drew a grant, which is the first part of its id."""
+    return grant_id.split("/", 1)[0]
--- a/packages/router/laburnumpier_router/budget/service.py
+++ b/packages/router/laburnumpier_router/budget/service.py
@@ -7,21 +7,21 @@
 """
 
 import asyncio
-import dataclasses
 import random
 
 import msgspec
 from laburnumpier_core.clock import Clock
-from laburnumpier_core.errors import PeerError, RequestError
+from laburnumpier_core.errors import RequestError
 from laburnumpier_core.log import get_part_logger
 from laburnumpier_core.metrics import Metrics
 from laburnumpier_core.result_codes import ResultCode
 
 from .account import ChangeFailed, GrantOpened, OpenGrant, ReturnTokens
-from .allocation import Allocation, DemandGrants, EqualSplit, WritePerRequest
+from .allocation import DemandGrants, EqualSplit, WritePerRequest
 from .bill_keeper import BillKeeper
 from .demand import DemandMeter
-from .grant_pool import GrantPool, Reservation, TransferPart
+from .grant_pool import GrantPool, Reservation
+from .lending import TokenLending
 from .peers import (
     Acknowledged,
     BudgetConfiguration,
@@ -34,6 +34,7 @@
     TransferOffered,
 )
 from .slot import Bill
+from .state import BudgetLimits, BudgetState, GatherOutcome
 from .submitter import ChangeSubmitter
 
 DEMAND_WINDOW_SECONDS = 30.0
@@ -43,90 +44,27 @@
 SHORTEST_WAIT_SECONDS = 0.001
 TRANSIT_SECONDS = 2.0
 NEAR_END_REQUESTS = 2
-PEER_TIMEOUT_SECONDS = 0.5
 VERDICT_SECONDS = 0.5
 RETRY_AFTER_SECONDS = 2.0
-MAX_REMEMBERED_TRANSFERS = 1000
 
 _log = get_part_logger("budget")
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class GatherOutcome:
-    """What one round of drawing and borrowing found.
-
-    Attributes:
-        at_seconds: Monotonic time of the round.
-        configuration_number: Number of the configuration in force during the round.
-        peers_answered: Whether every live peer answered.
-        hoped: Tokens that are or may become free here, at peers or in the store.
-        unspent: Most tokens that the whole budget can still pay, as the store knows it; None while
-            the store does not answer.
-    """
-
-    at_seconds: float
-    configuration_number: int
-    peers_answered: bool
-    hoped: int
-    unspent: int | None
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class BudgetState:
-    """All that this process knows of one workspace's budget."""
-
-    pool: GrantPool
-    demand: DemandMeter
-    draw_lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
-    pending_draw: OpenGrant | None = None
-    next_sequence: int = 1
-    last_refill_seconds: float = float("-inf")
-    gathering: asyncio.Task[GatherOutcome] | None = None
-    verdict: GatherOutcome | None = None
-    largest_amount: int = 0
-    near_end: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class BudgetLimits:
-    """Settings of the budget aggregate; amounts in tokens, durations in seconds.
-
-    Attributes:
-        allocation: How tokens are brought to the routers.
-        grant_minimum_tokens: Least tokens that a router wants to hold of a budget in use.
-        grant_horizon_seconds: How long held tokens should last at the measured demand.
-        grant_floor_share: Share of the purchased total that a router wants to hold at least, so
-            that a store outage soon after the first request is survived.
-        admission_wait_seconds: Longest wait of a request for tokens.
-        bill_wait_seconds: Longest hold-up of an answer's end for its bill.
-    """
-
-    allocation: Allocation
-    grant_minimum_tokens: int
-    grant_horizon_seconds: float
-    grant_floor_share: float
-    admission_wait_seconds: float
-    bill_wait_seconds: float
-
-
 class BudgetService:
     """Reserves, settles and hands back tokens for all workspaces served here."""
 
     __slots__ = (
-        "_accepted",
         "_background",
         "_bills",
         "_clock",
         "_configuration",
-        "_fenced",
         "_fleet",
+        "_lending",
         "_limits",
         "_metrics",
         "_random",
         "_states",
         "_submitter",
-        "_transfer_sequence",
-        "_transfers",
     )
 
     def __init__(
@@ -149,10 +87,7 @@
         self._random = random_source
         self._limits = limits
         self._states: dict[str, BudgetState] = {}
-        self._transfers: dict[str, TransferOffered] = {}
-        self._transfer_sequence = 0
-        self._fenced: set[str] = set()
-        self._accepted: set[str] = set()
+        self._lending = TokenLending(states=self._states, fleet=fleet, metrics=metrics)
         self._background: set[asyncio.Task] = set()
         self._bills = BillKeeper(
             submitter=submitter,
@@ -233,36 +168,13 @@
         return await self._bills.record(finished, self._limits.bill_wait_seconds)
 
     def lend(self, message: RequestTransfer) -> TransferOffered:
-        """Answers a peer's request for tokens; asked twice, it gives the same answer.
-
-        Args:
-            message: The request.
+        """Answers a peer's request for tokens; see `TokenLending.lend`."""
+        return self._lending.lend(message)
 
-        Returns:
-            The debited parts and what is left here.
-        """
-        if message.transfer_id in self._transfers:
-            return self._transfers[message.transfer_id]
-        state = self._states.get(message.workspace)
-        if state is None:
-            return TransferOffered(parts=[], free=0, coming=0)
-        parts = state.pool.lend(min(message.tokens, self._count_lendable(state, message)))
-        offer = TransferOffered(parts=parts, free=state.pool.free, coming=state.pool.coming)
-        lent = sum(part.tokens for part in parts)
-        if lent < message.tokens and not state.pool.waiting_tokens:
-            self._give_back_borrowed(message.workspace, state)
-        if parts:
-            self._transfers[message.transfer_id] = offer
-            while len(self._transfers) > MAX_REMEMBERED_TRANSFERS:
-                self._transfers.pop(next(iter(self._transfers)))
-            self._metrics.count("budget.transfers_lent")
-        return offer
-
-    def return_unspent(self, workspace: str) -> None:
-        """Starts to hand back all free tokens of a workspace, whose budget was lowered."""
-        state = self._states.get(workspace)
-        if state is not None and state.pool.free:
-            self._keep(asyncio.create_task(self._return_tokens(workspace, state, keep=0)))
+    def accept_tokens(self, message: GiveTokens) -> Acknowledged:
+        """Credits tokens that a peer gives, once, and returns an empty reply."""
+        self._lending.accept(self._get_state(message.workspace), message)
+        return Acknowledged()
 
     def collect_holdings(self, message: CollectHoldings) -> HoldingsCollected:
         """Tells what is held of a dead process's grants; later credit from it is refused.
@@ -273,14 +185,15 @@
         Returns:
             Tokens held here by grant id, and copies of its bills.
         """
-        self._fenced.add(message.dead)
-        held: dict[str, int] = {}
-        for state in self._states.values():
-            for grant in state.pool.grants.values():
-                if not grant.own and name_holder(grant.grant_id) == message.dead:
-                    held[grant.grant_id] = grant.held
+        held = self._lending.count_holdings(message.dead)
         return HoldingsCollected(held=held, bills=self._bills.list_bills_of(message.dead))
 
+    def return_unspent(self, workspace: str) -> None:
+        """Starts to hand back all free tokens of a workspace, whose budget was lowered."""
+        state = self._states.get(workspace)
+        if state is not None and state.pool.free:
+            self._keep(asyncio.create_task(self._return_tokens(workspace, state, keep=0)))
+
     async def maintain_periodically(self) -> None:
         """Hands back idle tokens again and again; runs until cancelled."""
         while True:
@@ -323,62 +236,15 @@
             if store_works:
                 await self._return_tokens(workspace, state, keep=0)
             else:
-                await self._give_to_peer(workspace, state)
+                await self._lending.give_to_peer(workspace, state)
         await self._bills.hand_over()
 
-    def accept_tokens(self, message: GiveTokens) -> Acknowledged:
-        """Credits tokens that a stopping router gives away; the same gift counts once.
-
-        Args:
-            message: The gift.
-
-        Returns:
-            An empty reply.
-        """
-        if message.transfer_id not in self._accepted:
-            self._accepted.add(message.transfer_id)
-            offer = TransferOffered(parts=message.parts, free=0, coming=0)
-            self._credit(self._get_state(message.workspace), offer)
-        return Acknowledged()
-
-    async def _give_to_peer(self, workspace: str, state: BudgetState) -> None:
-        """Sends free own tokens to the nearest peer only, as a lost reply proves nothing."""
-        peers = self._fleet.list_peers()
-        parts = state.pool.lend(state.pool.free) if peers else []
-        if not parts:
-            return
-        await self._send_gift(peers[0], self._make_gift(workspace, parts))
-
-    def _give_back_borrowed(self, workspace: str, state: BudgetState) -> None:
-        """Starts to give borrowed tokens back, as only the router that drew them may lend them."""
-        by_lender: dict[str, list[TransferPart]] = {}
-        for part in state.pool.take_borrowed(set(self._fleet.list_peers())):
-            by_lender.setdefault(name_holder(part.grant_id), []).append(part)
-        for lender, parts in by_lender.items():
-            message = self._make_gift(workspace, parts)
-            self._keep(asyncio.create_task(self._send_gift(lender, message)))
-
-    def _make_gift(self, workspace: str, parts: list[TransferPart]) -> GiveTokens:
-        self._transfer_sequence += 1
-        transfer_id = f"{self._fleet.self_name}/{self._transfer_sequence}"
-        return GiveTokens(workspace=workspace, transfer_id=transfer_id, parts=parts)
-
-    async def _send_gift(self, peer: str, message: GiveTokens) -> None:
-        """Sends a gift; a lost reply is asked for once more under the same id."""
-        for _ in range(2):
-            try:
-                await self._fleet.call(peer, message, PEER_TIMEOUT_SECONDS)
-            except PeerError:
-                continue
-            self._metrics.count("budget.tokens_given")
-            return
-        self._metrics.count("budget.transfers_lost")
-
     async def close(self) -> None:
         """Stops background work."""
         for task in list(self._background):
             task.cancel()
         await asyncio.gather(*self._background, return_exceptions=True)
+        await self._lending.close()
 
     def _get_state(self, workspace: str) -> BudgetState:
         if workspace not in self._states:
@@ -488,7 +354,7 @@
         shortage = max(0, state.pool.waiting_tokens - state.pool.free)
         peers_answered, held_by_peers = True, 0
         if shortage and isinstance(self._limits.allocation, DemandGrants):
-            peers_answered, held_by_peers = await self._borrow(workspace, state, shortage)
+            peers_answered, held_by_peers = await self._lending.borrow(workspace, state, shortage)
         return GatherOutcome(
             at_seconds=started,
             configuration_number=terms.configuration_number,
@@ -558,75 +424,6 @@
             configuration_number=terms.configuration_number,
         )
 
-    async def _borrow(self, workspace: str, state: BudgetState, shortage: int) -> tuple[bool, int]:
-        """Borrows unused tokens from peers, from the one that holds the most first.
-
-        Returns:
-            Whether all peers answered, and the tokens that are or may become free at them.
-        """
-        peers = self._fleet.list_peers()
-        offers = await asyncio.gather(
-            *(self._ask_peer(peer, workspace, 0, shortage) for peer in peers)
-        )
-        holding = {
-            peer: offer for peer, offer in zip(peers, offers, strict=True) if offer is not None
-        }
-        for peer in sorted(holding, key=lambda name: holding[name].free, reverse=True):
-            if shortage <= 0 or not holding[peer].free:
-                break
-            offer = await self._ask_peer(peer, workspace, shortage, shortage)
-            if offer is not None:
-                holding[peer] = offer
-                shortage -= self._credit(state, offer)
-        left = sum(offer.free + offer.coming for offer in holding.values())
-        return len(holding) == len(peers), left
-
-    async def _ask_peer(
-        self, peer: str, workspace: str, tokens: int, shortage: int
-    ) -> TransferOffered | None:
-        self._transfer_sequence += 1
-        message = RequestTransfer(
-            workspace=workspace,
-            transfer_id=f"{self._fleet.self_name}/{self._transfer_sequence}",
-            borrower=self._fleet.self_name,
-            tokens=tokens,
-            shortage=shortage,
-        )
-        # A lost reply is asked for once more under the same id, so that the debit is not stranded.
-        for _ in range(2 if tokens else 1):
-            try:
-                reply = await self._fleet.call(peer, message, PEER_TIMEOUT_SECONDS)
-            except PeerError:
-                continue
-            return reply if isinstance(reply, TransferOffered) else None
-        if tokens:
-            self._metrics.count("budget.transfers_lost")
-        return None
-
-    def _credit(self, state: BudgetState, offer: TransferOffered) -> int:
-        credited = 0
-        for part in offer.parts:
-            if name_holder(part.grant_id) in self._fenced:
-                self._metrics.count("budget.transfers_fenced")
-                continue
-            own = name_holder(part.grant_id) == self._fleet.self_name
-            state.pool.add_grant(part.grant_id, part.tokens, own=own)
-            credited += part.tokens
-        return credited
-
-    def _count_lendable(self, state: BudgetState, message: RequestTransfer) -> int:
-        """Returns how much may be lent while requests may be waiting here too.
-
-        Of two processes that both wait, the one with the smaller shortage is served first, so that
-        they do not swap the same tokens for ever.
-        """
-        own_shortage = max(0, state.pool.waiting_tokens - state.pool.free)
-        if not state.pool.waiting_tokens:
-            return state.pool.free
-        if (message.shortage, message.borrower) < (own_shortage, self._fleet.self_name):
-            return state.pool.free
-        return 0
-
     def _start_refill_if_low(self, workspace: str, state: BudgetState) -> None:
         """Draws in the background when half of the wanted tokens are gone."""
         now = self._clock.monotonic_seconds()
@@ -671,8 +468,3 @@
     def _keep(self, task: asyncio.Task) -> None:
         self._background.add(task)
         task.add_done_callback(self._background.discard)
-
-
-def name_holder(grant_id: str) -> str:
-    """Returns the incarnation that drew a grant, which is the first part of its id."""
-    return grant_id.split("/", 1)[0]
--- /dev/null
+++ b/packages/router/laburnumpier_router/budget/state.py
@@ -0,0 +1,67 @@
+"""What a process knows of one budget, and the settings of the budget aggregate."""
+
+import asyncio
+import dataclasses
+
+from .account import OpenGrant
+from .allocation import Allocation
+from .demand import DemandMeter
+from .grant_pool import GrantPool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class GatherOutcome:
+    """What one round of drawing and borrowing found.
+
+    Attributes:
+        at_seconds: Monotonic time of the round.
+        configuration_number: Number of the configuration in force during the round.
+        peers_answered: Whether every live peer answered.
+        hoped: Tokens that are or may become free here, at peers or in the store.
+        unspent: Most tokens that the whole budget can still pay, as the store knows it; None while
+            the store does not answer.
+    """
+
+    at_seconds: float
+    configuration_number: int
+    peers_answered: bool
+    hoped: int
+    unspent: int | None
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class BudgetState:
+    """All that this process knows of one workspace's budget."""
+
+    pool: GrantPool
+    demand: DemandMeter
+    draw_lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
+    pending_draw: OpenGrant | None = None
+    next_sequence: int = 1
+    last_refill_seconds: float = float("-inf")
+    gathering: asyncio.Task[GatherOutcome] | None = None
+    verdict: GatherOutcome | None = None
+    largest_amount: int = 0
+    near_end: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BudgetLimits:
+    """Settings of the budget aggregate; amounts in tokens, durations in seconds.
+
+    Attributes:
+        allocation: How tokens are brought to the routers.
+        grant_minimum_tokens: Least tokens that a router wants to hold of a budget in use.
+        grant_horizon_seconds: How long held tokens should last at the measured demand.
+        grant_floor_share: Share of the purchased total that a router wants to hold at least, so
+            that a store outage soon after the first request is survived.
+        admission_wait_seconds: Longest wait of a request for tokens.
+        bill_wait_seconds: Longest hold-up of an answer's end for its bill.
+    """
+
+    allocation: Allocation
+    grant_minimum_tokens: int
+    grant_horizon_seconds: float
+    grant_floor_share: float
+    admission_wait_seconds: float
+    bill_wait_seconds: float
--- a/packages/standins/laburnumpier_standins/virtual_loop.py
+++ b/packages/standins/laburnumpier_standins/virtual_loop.py
@@ -10,6 +10,8 @@
 from collections.abc import Coroutine
 from typing import Any
 
+MAX_ROUNDS_WITHOUT_TIME = 200_000
+
 
 class _TimeJumpSelector(selectors.DefaultSelector):
     """Never waits: the time that the loop would wait is added to the virtual clock."""
@@ -17,11 +19,17 @@
     def __init__(self):
         super().__init__()
         self.now_seconds = 0.0
+        self._rounds_without_time = 0
 
     def select(self, timeout: float | None = None) -> list:
         """Returns at once after moving the clock."""
         if timeout is None:
             raise RuntimeError("all tasks wait for something that no timer will bring")
+        self._rounds_without_time += 1
+        if timeout > 0:
+            self._rounds_without_time = 0
+        if self._rounds_without_time > MAX_ROUNDS_WITHOUT_TIME:
+            raise RuntimeError("a task waits in a busy loop: time does not go on")
         self.now_seconds += max(0.0, timeout)
         return super().select(0)
 
