--- a/packages/core/laburnumpier_core/hashing.py
+++ b/packages/core/laburnumpier_core/hashing.py
@@ -35,17 +35,19 @@
     return xxhash.xxh3_64_intdigest(workspace.encode()) % shard_count
 
 
-def rank_by_rendezvous(key: str, nodes: Iterable[str]) -> list[str]:
-    """Orders nodes for a key by rendezvous hashing.
+def rank_by_rendezvous(key: str, candidates: Iterable[str]) -> list[str]:
+    """Orders candidates for a key by rendezvous hashing.
 
     Args:
         key: What is placed.
-        nodes: Names of the candidates.
+        candidates: Names to choose from.
 
     Returns:
-        All nodes, the preferred one first. Removing a node leaves the order of the others as
+        All candidates, the preferred one first. Removing one leaves the order of the others as
         it is.
     """
-    return sorted(
-        nodes, key=lambda node: xxhash.xxh3_64_intdigest(f"{key}\x00{node}".encode()), reverse=True
-    )
+
+    def score(candidate: str) -> int:
+        return xxhash.xxh3_64_intdigest(f"{key}\x00{candidate}".encode())
+
+    return sorted(candidates, key=score, reverse=True)
--- a/packages/router/laburnumpier_router/budget/lending.py
+++ b/packages/router/laburnumpier_router/budget/lending.py
@@ -17,6 +17,7 @@
 
 PEER_TIMEOUT_SECONDS = 0.5
 MAX_REMEMBERED_TRANSFERS = 1000
+MAX_REMEMBERED_GIFTS = 10_000
 
 
 class TokenLending:
@@ -47,7 +48,7 @@
         self._transfers: dict[str, TransferOffered] = {}
         self._transfer_sequence = 0
         self._fenced: set[str] = set()
-        self._accepted: set[str] = set()
+        self._accepted: dict[str, None] = {}
         self._gifts: set[asyncio.Task[None]] = set()
 
     def lend(self, message: RequestTransfer) -> TransferOffered:
@@ -84,7 +85,9 @@
             message: The gift.
         """
         if message.transfer_id not in self._accepted:
-            self._accepted.add(message.transfer_id)
+            self._accepted[message.transfer_id] = None
+            while len(self._accepted) > MAX_REMEMBERED_GIFTS:
+                self._accepted.pop(next(iter(self._accepted)))
             offer = TransferOffered(parts=message.parts, free=0, coming=0)
             self._credit(state, offer)
 
--- a/packages/router/laburnumpier_router/callers/front.py
+++ b/packages/router/laburnumpier_router/callers/front.py
@@ -32,6 +32,7 @@
 
 DEADLINE_HEADER = "X-Deadline-Seconds"
 BODY_SECONDS = 30.0
+WRITE_SECONDS = 60.0
 FORWARDED_HEADERS = ("Content-Type", "Accept", "Accept-Language")
 
 _log = get_part_logger("callers")
@@ -159,7 +160,8 @@
         chat = self._make_chat(request, workspace, request_id, body)
         with self._chats.open(chat) as log:
             if body.get("stream", False):
-                return await self._stream_answer(request, chat, log)
+                with_usage = chat_body.wants_usage(body)
+                return await self._stream_answer(request, chat, log, with_usage=with_usage)
             events = await log.read_whole()
         self._metrics.count("callers.chats_served")
         return web.json_response(join_chunks(events), headers=_make_headers(request_id))
@@ -202,10 +204,9 @@
         )
 
     async def _stream_answer(
-        self, request: web.Request, chat: ChatRequest, log: AnswerLog
+        self, request: web.Request, chat: ChatRequest, log: AnswerLog, *, with_usage: bool
     ) -> web.StreamResponse:
         """Sends events as they come, and the end only after the engine's own end."""
-        with_usage = chat_body.wants_usage(await request.json())
         after = _parse_last_event_id(request.headers.get("Last-Event-ID"))
         response = web.StreamResponse(headers=_make_headers(chat.request_id))
         response.content_type = "text/event-stream"
@@ -215,13 +216,18 @@
                     await response.prepare(request)
                 data = format_event(event, with_usage=with_usage)
                 if data:
-                    await response.write(data)
+                    # A caller that takes nothing for so long is treated as gone.
+                    async with asyncio.timeout(WRITE_SECONDS):
+                        await response.write(data)
         except RequestError as error:
             if not response.prepared:
                 raise
             self._metrics.count(f"callers.broken_off.{int(error.code)}")
             await self._send_error_event(response, error, chat.request_id)
             return response
+        except TimeoutError:
+            self._metrics.count("callers.too_slow")
+            return response
         if not response.prepared:
             await response.prepare(request)
         await response.write(b"data: [DONE]\n\n")
--- a/packages/router/laburnumpier_router/configuration/document.py
+++ b/packages/router/laburnumpier_router/configuration/document.py
@@ -16,7 +16,7 @@
 
 
 class Workspace(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """A customer's workspace.
+    """A workspace: its budget, its keys and what it may reach.
 
     Attributes:
         budget_tokens: Purchased total, an absolute figure.
