Return tokens that come back to a forgotten grant; draw the last ones whole or not at all

Change: near the end a draw is granted only if it can serve the smallest waiting request; totals of returns outlive the grant's state.

--- a/Makefile
+++ b/Makefile
@@ -31,12 +31,16 @@
 	$(PY) -m laburnumpier_measure.bench
 
 measure: setup
-	$(PY) -m laburnumpier_measure.measure --page docs/MEASURES.md
-	$(PY) -m laburnumpier_measure.balance
+	$(PY) -m laburnumpier_measure.measure | tee docs/measures.txt
+	$(PY) -m laburnumpier_measure.balance | tee -a docs/measures.txt
+	$(PY) -m laburnumpier_measure.page docs/measures.txt > docs/MEASURES.md
 
 balance: setup
 	$(PY) -m laburnumpier_measure.balance
 
+bench: setup
+	$(PY) -m laburnumpier_measure.bench
+
 check-model: setup
 	$(PY) -m spec.check --large
 
--- a/features/budget/budget.feature
+++ b/features/budget/budget.feature
@@ -83,6 +83,10 @@
     Then the budget holds
     And every served chat is billed once
 
+  Scenario: Tokens of a grant that was forgotten can be returned when they come again
+    When 40 of 100 tokens of a grant are returned, 60 are spent and 30 come back
+    Then all 30 can be returned to the account
+
   Scenario Outline: Waiting for a turn to write never becomes a busy loop
     Then <writers> writers that share <rate> writes a second take their turns in time
 
--- a/packages/measure/laburnumpier_measure/measure.py
+++ b/packages/measure/laburnumpier_measure/measure.py
@@ -8,7 +8,6 @@
 import concurrent.futures
 import dataclasses
 import logging
-import pathlib
 import sys
 
 from laburnumpier_standins.virtual_loop import run_virtual
@@ -90,47 +89,6 @@
     return f"{start} seeds={seeds} {pairs}"
 
 
-def format_page(rows: list[tuple[str, str, str, dict]], seeds: int) -> str:
-    """Returns the text of docs/MEASURES.md."""
-    columns = (
-        "requests",
-        "overspent_tokens",
-        "false_refusals",
-        "false_refusal_share",
-        "double_runs",
-        "unbilled",
-        "billed_twice",
-        "stranded_tokens",
-        "store_calls_per_s",
-        "first_token_p95_ms",
-    )
-    lines = [
-        "# Measures",
-        "",
-        f"Made by `make measure`: {ROUTERS} routers over the in-memory stand-ins on a virtual",
-        f"clock, {seeds} seeds a line, counts added up over the seeds. Verdicts come from the",
-        "servers' own ledgers and the stored records. A refusal is false when the budget could",
-        "still pay the request's greatest cost at that moment, runs in progress counted at",
-        "their cap.",
-        "",
-        "| scenario | deployment | design | " + " | ".join(columns) + " |",
-        "| --- | --- | --- | " + " | ".join("---" for _ in columns) + " |",
-    ]
-    for scenario, deployment, design, merged in rows:
-        cells = " | ".join(str(merged[column]) for column in columns)
-        lines.append(f"| {scenario} | {deployment} | {design} | {cells} |")
-    lines.append("")
-    lines.append("Lost or mixed answers and false refusals as not run were 0 in every line but:")
-    named = [
-        f"{scenario} {deployment} {design}: {key} {merged[key]}"
-        for scenario, deployment, design, merged in rows
-        for key in ("lost_answers", "mixed_answers", "false_not_run")
-        if merged[key]
-    ]
-    lines.extend(f"- {line}" for line in named or ["none"])
-    return "\n".join(lines) + "\n"
-
-
 def main() -> int:
     """Plays the chosen scenarios; the exit code is 1 if our design broke a promise."""
     parser = argparse.ArgumentParser(description=main.__doc__)
@@ -139,13 +97,11 @@
     parser.add_argument("--scenario", action="append", help="name of a scenario; default all")
     parser.add_argument("--design", action="append", help="name of a design; default all")
     parser.add_argument("--deployment", action="append", help="halib or instituto; default both")
-    parser.add_argument("--page", help="write the table to this file")
     arguments = parser.parse_args()
     scenarios = [s for s in SCENARIOS if not arguments.scenario or s.name in arguments.scenario]
     designs = arguments.design or list(DESIGNS)
     deployments = arguments.deployment or list(DEPLOYMENTS)
     groups = [(s, d, g) for s in scenarios for d in deployments for g in designs]
-    rows = []
     broken = False
     with concurrent.futures.ProcessPoolExecutor(arguments.workers) as pool:
         pending = [
@@ -160,14 +116,10 @@
         ]
         for (scenario, deployment, design), futures in zip(groups, pending, strict=True):
             merged = merge_verdicts([future.result() for future in futures])
-            rows.append((scenario.name, deployment, design, merged))
             print(
                 format_line(scenario.name, design, deployment, arguments.seeds, merged),
                 flush=True,
             )
-            if arguments.page:
-                text = format_page(rows, arguments.seeds)
-                pathlib.Path(arguments.page).write_text(text)
             if design == "ours":
                 broken = broken or any(merged[name] for name in MUST_BE_ZERO)
     return 1 if broken else 0
--- a/packages/router/laburnumpier_router/budget/account.py
+++ b/packages/router/laburnumpier_router/budget/account.py
@@ -81,6 +81,7 @@
     Attributes:
         sequence: Number of this draw among the holder's draws on the workspace, rising.
         needed: Tokens without which the holder cannot admit its waiting requests.
+        least: With fewer tokens available nothing is granted, because they would serve no request.
         wanted: Tokens that the holder's measured demand would use over the grant horizon.
         share_divisor: A grant beyond `needed` takes at most this fraction of what is available.
         configured: Purchased total in the holder's configuration.
@@ -92,6 +93,7 @@
     holder: str
     sequence: int
     needed: int
+    least: int
     wanted: int
     share_divisor: int
     configured: int
@@ -250,7 +252,7 @@
 
     share = account.available // max(1, change.share_divisor)
     amount = min(account.available, max(change.needed, min(change.wanted, share)))
-    if amount <= 0:
+    if amount <= 0 or amount < change.least:
         return account, _describe_grant(account, 0)
     grant = Grant(holder=change.holder, amount=amount)
     account = msgspec.structs.replace(
--- a/packages/router/laburnumpier_router/budget/grant_pool.py
+++ b/packages/router/laburnumpier_router/budget/grant_pool.py
@@ -16,6 +16,8 @@
 
 from .slot import Charge
 
+MAX_PAST_RETURNS = 1000
+
 
 class TransferPart(msgspec.Struct, frozen=True, kw_only=True):
     """Tokens of one grant that move from a lender to a borrower."""
@@ -74,14 +76,15 @@
 class GrantPool:
     """Holds the grants of one workspace in this process."""
 
-    __slots__ = ("_changed", "_grants", "_waiting_tokens", "_workspace")
+    __slots__ = ("_changed", "_grants", "_past_returns", "_waiting", "_workspace")
 
     def __init__(self, *, workspace: str):
         """Creates an empty pool."""
         self._workspace = workspace
         self._grants: dict[str, HeldGrant] = {}
         self._changed = asyncio.Event()
-        self._waiting_tokens = 0
+        self._waiting: list[int] = []
+        self._past_returns: dict[str, int] = {}
 
     @property
     def grants(self) -> dict[str, HeldGrant]:
@@ -112,11 +115,20 @@
     @property
     def waiting_tokens(self) -> int:
         """Tokens for which requests are waiting in this process."""
-        return self._waiting_tokens
+        return sum(self._waiting)
+
+    @property
+    def least_shortage(self) -> int:
+        """Tokens that the smallest waiting request lacks; 0 when none waits."""
+        return max(0, min(self._waiting, default=0) - self.free)
 
     def add_waiting(self, tokens: int) -> None:
-        """Counts a request that waits for tokens; a negative amount ends the wait."""
-        self._waiting_tokens += tokens
+        """Counts a request that waits for tokens."""
+        self._waiting.append(tokens)
+
+    def remove_waiting(self, tokens: int) -> None:
+        """Ends the wait of one request for that many tokens."""
+        self._waiting.remove(tokens)
 
     async def wait_for_change(self, timeout_seconds: float) -> None:
         """Waits until tokens may have become free, or until the timeout."""
@@ -134,7 +146,15 @@
             amount: Number of tokens.
             own: Whether this process drew the grant.
         """
-        grant = self._grants.setdefault(grant_id, HeldGrant(grant_id=grant_id, own=own))
+        grant = self._grants.get(grant_id)
+        if grant is None:
+            # The store counts this process's returns in total, also those before the grant was
+            # forgotten here.
+            returned = self._past_returns.pop(grant_id, 0)
+            grant = HeldGrant(
+                grant_id=grant_id, own=own, returned_total=returned, reported_total=returned
+            )
+            self._grants[grant_id] = grant
         grant.free += amount
         self._changed.set()
 
@@ -198,7 +218,7 @@
             grant = self._grants[charge.grant_id]
             grant.unsettled -= charge.tokens
             if grant.is_finished:
-                del self._grants[charge.grant_id]
+                self._forget(grant)
         self._changed.set()
 
     def refund(self, charges: tuple[Charge, ...]) -> None:
@@ -268,8 +288,16 @@
 
     def drop_finished(self) -> None:
         """Forgets grants of which nothing is held and nothing is left to report."""
-        for grant_id in [key for key, grant in self._grants.items() if grant.is_finished]:
-            del self._grants[grant_id]
+        for grant in [grant for grant in self._grants.values() if grant.is_finished]:
+            self._forget(grant)
+
+    def _forget(self, grant: HeldGrant) -> None:
+        """Drops a grant, but not how much of it was returned: tokens of it may come again."""
+        del self._grants[grant.grant_id]
+        if grant.returned_total:
+            self._past_returns[grant.grant_id] = grant.returned_total
+            while len(self._past_returns) > MAX_PAST_RETURNS:
+                self._past_returns.pop(next(iter(self._past_returns)))
 
 
 def name_holder(grant_id: str) -> str:
--- a/packages/router/laburnumpier_router/budget/service.py
+++ b/packages/router/laburnumpier_router/budget/service.py
@@ -173,7 +173,9 @@
 
     def accept_tokens(self, message: GiveTokens) -> Acknowledged:
         """Credits tokens that a peer gives, once, and returns an empty reply."""
-        self._lending.accept(self._get_state(message.workspace), message)
+        state = self._get_state(message.workspace)
+        self._lending.accept(state, message)
+        self._return_near_end(message.workspace, state)
         return Acknowledged()
 
     def collect_holdings(self, message: CollectHoldings) -> HoldingsCollected:
@@ -300,7 +302,9 @@
                 if reservation is not None:
                     return reservation
         finally:
-            pool.add_waiting(-amount)
+            pool.remove_waiting(amount)
+            # What was gathered in vain must not stay here.
+            self._return_near_end(workspace, state)
 
     def _make_refusal(self, outcome: GatherOutcome, amount: int) -> RequestError:
         """Tells a budget that is known to be exhausted from one that cannot be reached now."""
@@ -418,6 +422,7 @@
             holder=self._fleet.self_name,
             sequence=sequence,
             needed=needed,
+            least=state.pool.least_shortage if state.near_end else 0,
             wanted=wanted,
             share_divisor=1 + len(self._fleet.list_peers()),
             configured=terms.purchased,
