--- a/packages/operator/laburnumpier_operator/main.py
+++ b/packages/operator/laburnumpier_operator/main.py
@@ -2,6 +2,10 @@
 
 Usage: laburnumpier [flags] COMMAND [arguments]
 
+Flags: --router=URL of any router's operator port, --token_file=FILE with the operators' token,
+--format=table or json, --number=NUMBER that a patch is written against, --patch_id=ID under
+which a repeated patch or top-up counts once, --author=NAME that is recorded.
+
 It talks to the operator port of any router and prints a table, or JSON with --format=json. The
 exit code is 0 when done, 1 refused, 2 wrong usage, 3 conflict with the current number, 4
 router not reached, 5 wrong token, 6 invalid input, 7 not found.
--- a/packages/router/laburnumpier_router/main.py
+++ b/packages/router/laburnumpier_router/main.py
@@ -1,4 +1,11 @@
-"""The router's entry point: settings, sockets, signals and the event loop."""
+"""The router's entry point: settings, sockets, signals and the event loop.
+
+Usage: laburnumpier-router --settings=FILE [--check]
+
+--settings=FILE names the INI settings file; examples/ has one for each kind of deployment.
+--check prints all mistakes in it and exits with 2, or with 0 when there are none. SIGTERM
+stops gracefully, SIGUSR1 writes the state to the log.
+"""
 
 import asyncio
 import os
@@ -156,4 +163,5 @@
 
 def run() -> None:
     """Runs the router; installed as `laburnumpier-router`."""
+    sys.modules["__main__"].__doc__ = __doc__
     app.run(_main)
