--- a/packages/core/laburnumpier_core/metrics.py
+++ b/packages/core/laburnumpier_core/metrics.py
@@ -47,8 +47,3 @@
         self._gauges[name] = value
         if self._client is not None:
             self._client.gauge(name, value)
-
-    def record_duration(self, name: str, seconds: float) -> None:
-        """Sends one duration, in seconds, to the statsd server."""
-        if self._client is not None:
-            self._client.timing(name, seconds * 1000.0)
--- a/packages/standins/laburnumpier_standins/memory_store.py
+++ b/packages/standins/laburnumpier_standins/memory_store.py
@@ -9,7 +9,6 @@
 from .store_state import Entry, StoreFault, StoreState
 
 CALL_SECONDS = 0.003
-SLOW_CALL_SECONDS = 5.0
 CLIENT_TIMEOUT_SECONDS = 1.0
 
 
--- a/spec/claim_model.py
+++ b/spec/claim_model.py
@@ -38,7 +38,6 @@
 
 
 FREE = 0
-SENT_PHASES = (Phase.SENT, Phase.DONE, Phase.UNKNOWN)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
