Name the sub-package of the router's ports `ports`

Cause: the workspace gets a folder `platform` for the adapter to the users' platform, and two things of one name would be mixed up.

--- a/features/steps/contract_steps.py
+++ b/features/steps/contract_steps.py
@@ -18,8 +18,8 @@
 from laburnumpier_router.configuration.service import ConfigurationFetched, FetchConfiguration
 from laburnumpier_router.fleet.peer_link import PeerLink
 from laburnumpier_router.fleet.peer_network import PynngPeerNetwork
-from laburnumpier_router.platform.etcd_service import EtcdKeyValueService
-from laburnumpier_router.platform.key_value_service import Write
+from laburnumpier_router.ports.etcd_service import EtcdKeyValueService
+from laburnumpier_router.ports.key_value_service import Write
 from laburnumpier_standins.engine import StandInEngine, count_prompt_tokens
 from laburnumpier_standins.etcd_gateway import EtcdGateway
 from laburnumpier_standins.memory_fleet import make_settings
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -42,8 +42,8 @@
 from .operators.reports import OperatorReports
 from .orders.controller import EngineController
 from .orders.lease import ControllerLease
-from .platform.key_value_service import KeyValueService
-from .platform.vm_list import VmList
+from .ports.key_value_service import KeyValueService
+from .ports.vm_list import VmList
 from .request import messages as request_messages
 from .request.call_service import CallService
 from .request.chat_run import ChatRunner
--- a/packages/router/laburnumpier_router/backend/directory.py
+++ b/packages/router/laburnumpier_router/backend/directory.py
@@ -12,7 +12,7 @@
 from laburnumpier_core.log import get_part_logger
 
 from ..configuration.document import Configuration, Server
-from ..platform.vm_list import VmList
+from ..ports.vm_list import VmList
 from .engine_port import EnginePort
 from .server_state import ServerState
 
--- a/packages/router/laburnumpier_router/budget/shard_writer.py
+++ b/packages/router/laburnumpier_router/budget/shard_writer.py
@@ -16,7 +16,7 @@
 from laburnumpier_core.log import get_part_logger
 from laburnumpier_core.metrics import Metrics
 
-from ..platform.key_value_service import KeyValueService, Write
+from ..ports.key_value_service import KeyValueService, Write
 from .account import Change, ChangeFailed, ChangeResult, Shard
 from .slot import Slot
 from .transaction import apply_batch, find_slot_key
--- a/packages/router/laburnumpier_router/budget/submitter.py
+++ b/packages/router/laburnumpier_router/budget/submitter.py
@@ -7,7 +7,7 @@
 from laburnumpier_core.hashing import choose_shard
 from laburnumpier_core.metrics import Metrics
 
-from ..platform.key_value_service import KeyValueService
+from ..ports.key_value_service import KeyValueService
 from .account import Change, ChangeFailed, ChangeResult
 from .peers import BudgetFleet, ChangesSubmitted, SubmitChanges
 from .shard_writer import ShardWriter
--- a/packages/router/laburnumpier_router/configuration/service.py
+++ b/packages/router/laburnumpier_router/configuration/service.py
@@ -23,7 +23,7 @@
 from laburnumpier_core.metrics import Metrics
 
 from ..budget.peers import BudgetFleet, BudgetTerms
-from ..platform.key_value_service import KeyValueService, Write
+from ..ports.key_value_service import KeyValueService, Write
 from .document import Configuration, ConfigurationProblem
 from .record import (
     CONFIGURATION_KEY,
--- a/packages/router/laburnumpier_router/fleet/departures.py
+++ b/packages/router/laburnumpier_router/fleet/departures.py
@@ -14,7 +14,7 @@
 from laburnumpier_core.log import get_part_logger
 
 from ..budget.recovery import GrantRecovery
-from ..platform.vm_list import VmList
+from ..ports.vm_list import VmList
 from .service import FleetService
 
 RECOVERY_SECONDS = 3.0
--- a/packages/router/laburnumpier_router/fleet/registry.py
+++ b/packages/router/laburnumpier_router/fleet/registry.py
@@ -9,7 +9,7 @@
 import msgspec
 from laburnumpier_core.errors import StoreError, WriteOutcomeUnknownError
 
-from ..platform.key_value_service import KeyValueService, StoredValue, Write
+from ..ports.key_value_service import KeyValueService, StoredValue, Write
 from .member import Departure, Member, MemberRecord
 
 MEMBER_PREFIX = "members/"
--- a/packages/router/laburnumpier_router/main.py
+++ b/packages/router/laburnumpier_router/main.py
@@ -30,8 +30,8 @@
 from .backend.http_clients import HttpEngineClient, HttpServiceClient
 from .fleet.member import Member
 from .fleet.peer_network import PynngPeerNetwork
-from .platform.etcd_service import EtcdKeyValueService
-from .platform.vm_list import HttpVmList
+from .ports.etcd_service import EtcdKeyValueService
+from .ports.vm_list import HttpVmList
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
--- a/packages/router/laburnumpier_router/operators/reports.py
+++ b/packages/router/laburnumpier_router/operators/reports.py
@@ -18,7 +18,7 @@
 from ..budget.submitter import ChangeSubmitter
 from ..configuration.service import ConfigurationService
 from ..fleet.service import FleetService
-from ..platform.key_value_service import KeyValueService
+from ..ports.key_value_service import KeyValueService
 from ..request.call_service import CallService
 from ..request.chat_service import ChatService
 from ..request.home import RequestHome
--- a/packages/router/laburnumpier_router/orders/lease.py
+++ b/packages/router/laburnumpier_router/orders/lease.py
@@ -12,7 +12,7 @@
 from laburnumpier_core.clock import Clock
 from laburnumpier_core.errors import StoreError, WriteOutcomeUnknownError
 
-from ..platform.key_value_service import KeyValueService, Write
+from ..ports.key_value_service import KeyValueService, Write
 
 LEASE_SECONDS = 10.0
 MARGIN_SECONDS = 3.0
--- a/packages/standins/laburnumpier_standins/memory_fleet.py
+++ b/packages/standins/laburnumpier_standins/memory_fleet.py
@@ -14,7 +14,7 @@
 from laburnumpier_router.backend.choice import ChoicePolicy
 from laburnumpier_router.backend.engine_port import ServiceAnswer, ServiceCall
 from laburnumpier_router.fleet.member import Member
-from laburnumpier_router.platform.vm_list import VmListing
+from laburnumpier_router.ports.vm_list import VmListing
 from laburnumpier_router.request.call_service import CallRequest
 from laburnumpier_router.request.chat_request import ChatRequest
 
--- a/packages/standins/laburnumpier_standins/memory_store.py
+++ b/packages/standins/laburnumpier_standins/memory_store.py
@@ -4,7 +4,7 @@
 import random
 
 from laburnumpier_core.errors import StoreUnavailableError, WriteOutcomeUnknownError
-from laburnumpier_router.platform.key_value_service import CommitOutcome, StoredValue, Write
+from laburnumpier_router.ports.key_value_service import CommitOutcome, StoredValue, Write
 
 from .store_state import Entry, StoreFault, StoreState
 
