Serve forwarded requests on the users' platform, thin: adapter, routes, one request life, unbilled settlement

Cause: the product has to run on the users' platform. The router gains `forward/` (routes by host and longest prefix, registered servers, placement, retry budget, streams passed on event by event with resume) and ports for a server registry and a header dialect; the budget gains spending reported in running totals with the next draw, so no bill of a request is written.

--- a/Makefile
+++ b/Makefile
@@ -5,10 +5,10 @@
 
 .PHONY: setup test lint format demo measure balance bench check-model slopes
 
-$(VENV)/.installed: requirements.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/.installed: requirements.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	python3 -m venv $(VENV)
 	$(VENV)/bin/pip install --quiet -r requirements.txt
-	$(VENV)/bin/pip install --quiet --no-build-isolation --no-deps $(foreach p,$(PACKAGES),-e packages/$(p))
+	$(VENV)/bin/pip install --quiet --no-build-isolation --no-deps $(foreach p,$(PACKAGES),-e packages/$(p)) -e platform
 	touch $@
 
 setup: $(VENV)/.installed
--- a/packages/core/laburnumpier_core/settings.py
+++ b/packages/core/laburnumpier_core/settings.py
@@ -51,22 +51,29 @@
     vm: str
     data_centre: str
     callers_address: Address
-    operators_address: Address
+    operators_address: Address | None
+    readiness_address: Address | None
     peers_address: Address
     operator_token_file: str
     fleet_token_file: str
+    trust_peer_network: bool
     store_url: str
     vm_list_url: str
     store_timeout_seconds: float
     store_writes_per_second: float
     member_lease_seconds: float
     heartbeat_seconds: float
+    store_poll_seconds: float
+    watch_seconds: float
+    watchers: int
+    recover_departed: bool
     seed_addresses: tuple[str, ...]
     account_shards: int
     grant_minimum_tokens: int
     grant_horizon_seconds: float
     grant_floor_share: float
     bill_wait_seconds: float
+    refill_seconds: float
     admission_wait_seconds: float
     in_doubt_policy: str
     allocation: str
@@ -74,8 +81,13 @@
     answer_retention_seconds: float
     stall_seconds: float
     max_body_bytes: int
+    stop_grace_seconds: float
     probe_seconds: float
     probe_freshness_seconds: float
+    lapsed_entry_seconds: float
+    retry_ratio: float
+    retry_extra: float
+    retry_window_seconds: float
     give_engine_orders: bool
     load_interval_seconds: float
     statsd_host: str
@@ -120,6 +132,10 @@
     return Address(host=host, port=number)
 
 
+def _parse_optional_address(text: str) -> Address | None:
+    return _parse_address(text) if text else None
+
+
 def _parse_addresses(text: str) -> tuple[str, ...]:
     return tuple(str(_parse_address(part)) for part in text.split())
 
@@ -208,16 +224,22 @@
     _text("router", "vm", _parse_name, _NAME),
     _text("router", "data_centre", _parse_name, _NAME),
     _text("router", "callers_address", _parse_address, _ADDRESS),
-    _text("router", "operators_address", _parse_address, _ADDRESS),
+    _text("router", "operators_address", _parse_optional_address, _ADDRESS + ", or nothing", ""),
+    _text("router", "readiness_address", _parse_optional_address, _ADDRESS + ", or nothing", ""),
     _text("router", "peers_address", _parse_address, _ADDRESS),
-    _text("router", "operator_token_file", _parse_file, _FILE),
-    _text("router", "fleet_token_file", _parse_file, _FILE),
+    _text("router", "operator_token_file", _parse_optional_file, _FILE, ""),
+    _text("router", "fleet_token_file", _parse_optional_file, _FILE, ""),
+    _text("router", "trust_peer_network", _parse_yes_no, "yes or no", "no"),
     _text("platform", "store_url", _parse_url, _URL),
     _text("platform", "vm_list_url", _parse_optional_url, _URL, ""),
     _number("platform", "store_timeout_seconds", "1.0", float, 0.01, 60),
     _number("platform", "store_writes_per_second", "54", float, 0.1, 100000),
     _number("fleet", "member_lease_seconds", "10", float, 1, 600),
     _number("fleet", "heartbeat_seconds", "1.0", float, 0.05, 60),
+    _number("fleet", "store_poll_seconds", "5", float, 0.1, 3600),
+    _number("fleet", "watch_seconds", "30", float, 0.1, 3600),
+    _number("fleet", "watchers", "2", int, 1, 100000),
+    _text("fleet", "recover_departed", _parse_yes_no, "yes or no", "yes"),
     _text(
         "fleet",
         "seed_addresses",
@@ -230,6 +252,7 @@
     _number("budget", "grant_horizon_seconds", "600", float, 1, 86400),
     _number("budget", "grant_floor_share", "0.05", float, 0, 1),
     _number("budget", "bill_wait_seconds", "0.25", float, 0, 60),
+    _number("budget", "refill_seconds", "10", float, 0.05, 3600),
     _number("budget", "admission_wait_seconds", "5", float, 0, 600),
     _text(
         "budget",
@@ -249,6 +272,11 @@
     _number("request", "answer_retention_seconds", "600", float, 1, 86400),
     _number("request", "stall_seconds", "5", float, 0.05, 600),
     _number("request", "max_body_bytes", "1048576", int, 1024, 2**30),
+    _number("request", "stop_grace_seconds", "30", float, 2, 86400),
+    _number("backend", "lapsed_entry_seconds", "2", float, 0, 600),
+    _number("backend", "retry_ratio", "0.2", float, 0, 10),
+    _number("backend", "retry_extra", "10", float, 0, 100000),
+    _number("backend", "retry_window_seconds", "10", float, 0.1, 3600),
     _number("backend", "probe_seconds", "1", float, 0.05, 60),
     _number("backend", "probe_freshness_seconds", "3", float, 0.1, 600),
     _text("backend", "give_engine_orders", _parse_yes_no, "yes or no", "no"),
@@ -312,11 +340,25 @@
                     section=field.section, key=field.name, value=raw, allowed=field.allowed
                 )
             )
+    problems.extend(_find_missing_secrets(values))
     if problems:
         raise SettingsError(problems)
     return Settings(**values)
 
 
+def _find_missing_secrets(values: dict[str, Any]) -> list[SettingProblem]:
+    """Lists the secrets without which an address must not be opened."""
+    problems = []
+    needed = {
+        "operator_token_file": values.get("operators_address") is not None,
+        "fleet_token_file": not values.get("trust_peer_network", False),
+    }
+    for key, is_needed in needed.items():
+        if is_needed and values.get(key) == "":
+            problems.append(SettingProblem(section="router", key=key, value="", allowed=_FILE))
+    return problems
+
+
 def load_settings(path: str) -> Settings:
     """Reads and checks a settings file.
 
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -26,8 +26,8 @@
 from .budget.write_pacer import WritePacer
 from .callers.front import CallersFront
 from .configuration.document import Configuration
+from .configuration.record import RecordFormat
 from .configuration.service import (
-    WATCHERS_PER_DATA_CENTRE,
     ConfigurationFetched,
     ConfigurationService,
     FetchConfiguration,
@@ -38,11 +38,19 @@
 from .fleet.peer_network import PeerNetwork
 from .fleet.registry import MemberRegistry
 from .fleet.service import FleetService
+from .forward.exchange import ServerClient
+from .forward.front import ForwardFront
+from .forward.registry_follower import RegistryFollower
+from .forward.retry_budget import RetryBudget
+from .forward.servers import ServerTable
+from .forward.service import ForwardService
 from .operators.front import OperatorsFront
 from .operators.reports import OperatorReports
 from .orders.controller import EngineController
 from .orders.lease import ControllerLease
+from .ports.dialect import Dialect
 from .ports.key_value_service import KeyValueService
+from .ports.server_registry import ServerRegistry
 from .ports.vm_list import VmList
 from .request import messages as request_messages
 from .request.call_service import CallService
@@ -50,6 +58,9 @@
 from .request.chat_service import ChatService
 from .request.home import RequestHome
 
+HAND_BACK_SECONDS = 1.5
+"""Part of the grace kept for handing back tokens and recording the departure."""
+
 _log = get_part_logger("app")
 
 MESSAGE_TYPES: tuple[type, ...] = (
@@ -75,12 +86,28 @@
 )
 
 
+class ForwardingPorts(msgspec.Struct, kw_only=True):
+    """The outside of forwarded requests.
+
+    Attributes:
+        dialect: Translates headers.
+        registry: Where servers enter themselves.
+        client: Makes calls to servers.
+    """
+
+    dialect: Dialect
+    registry: ServerRegistry
+    client: ServerClient
+
+
 class Ports(msgspec.Struct, kw_only=True):
     """The outside of a router, which tests replace by small fakes.
 
     Attributes:
         store: The platform's key-value service.
         vm_list: The platform's VM list; None where there is none.
+        forwarding: What forwarded requests need; None where none are forwarded.
+        record_format: How the configuration is stored; the project's own by default.
         network: Carries messages between routers.
         engines: Client of model engines.
         services: Client of plain services.
@@ -91,6 +118,8 @@
     engines: EnginePort
     services: ServicePort
     vm_list: VmList | None = None
+    forwarding: ForwardingPorts | None = None
+    record_format: RecordFormat | None = None
 
 
 class RouterApplication:
@@ -142,7 +171,9 @@
             member=member,
             link=self._link,
             registry=MemberRegistry(
-                store=ports.store, lease_seconds=settings.member_lease_seconds
+                store=ports.store,
+                lease_seconds=settings.member_lease_seconds,
+                keeps_lease=ports.vm_list is not None or ports.forwarding is None,
             ),
             clock=clock,
             metrics=metrics,
@@ -150,6 +181,7 @@
             heartbeat_seconds=settings.heartbeat_seconds,
             seeds=seeds or [],
             on_heartbeat=self._take_heartbeat,
+            store_poll_seconds=settings.store_poll_seconds,
         )
         self._configuration = ConfigurationService(
             store=ports.store,
@@ -159,10 +191,13 @@
             random_source=self._random,
             is_watcher=self.watches_store,
             on_change=self._take_configuration,
+            record_format=ports.record_format,
+            watch_seconds=settings.watch_seconds,
         )
         self._build_budget()
         self._build_backend(policy or ExpectedWait())
         self._build_requests()
+        self._build_forwarding()
         self._build_controller()
         self._reports = OperatorReports(
             store=ports.store,
@@ -242,6 +277,11 @@
         """HTTP front of callers."""
         return self._callers
 
+    @property
+    def forwarding(self) -> ForwardFront | None:
+        """HTTP front of forwarded requests; None where none are forwarded."""
+        return self._forwarding
+
     @property
     def operators(self) -> OperatorsFront:
         """HTTP front of operators."""
@@ -278,7 +318,10 @@
         self._run_in_background(self._budget.maintain_periodically())
         self._run_in_background(self._calls.flush_periodically())
         self._run_in_background(self._chats.reap_periodically())
-        self._run_in_background(self._departures.watch_periodically())
+        if self._settings.recover_departed:
+            self._run_in_background(self._departures.watch_periodically())
+        if self._forwarding is not None:
+            self._run_in_background(self._follower.follow_periodically())
         if self._settings.give_engine_orders:
             self._run_in_background(self._controller.control_periodically())
         _log.info("router started", fields={"router": self._fleet.self_name})
@@ -292,6 +335,11 @@
         self._callers.stop_taking_work()
         self._fleet.announce_stop()
         await self._fleet.tell_partners()
+        if self._forwarding is not None:
+            self._forwarding.begin_stop()
+            limit_seconds = self._settings.stop_grace_seconds - HAND_BACK_SECONDS
+            if not await self._forwarding.wait_until_idle(limit_seconds):
+                _log.warning("requests are still in progress at the end of the grace")
         await self._callers.wait_until_idle()
         await self._chats.wait_until_idle()
         await self._calls.wait_until_idle()
@@ -320,6 +368,8 @@
         await self._budget.close()
         await self._submitter.close()
         await self._link.close()
+        if self._ports.forwarding is not None:
+            await self._ports.forwarding.client.close()
         await self._ports.store.close()
         if self._ports.vm_list is not None:
             await self._ports.vm_list.close()
@@ -355,6 +405,7 @@
                 grant_floor_share=settings.grant_floor_share,
                 admission_wait_seconds=settings.admission_wait_seconds,
                 bill_wait_seconds=settings.bill_wait_seconds,
+                refill_seconds=settings.refill_seconds,
                 allocation=parse_allocation(settings.allocation),
             ),
         )
@@ -421,6 +472,45 @@
             retention_seconds=retention,
         )
 
+    def _build_forwarding(self) -> None:
+        ports, settings = self._ports.forwarding, self._settings
+        self._forwarding: ForwardFront | None = None
+        if ports is None:
+            return
+        self._registered = ServerTable()
+        self._retries = RetryBudget(
+            ratio=settings.retry_ratio,
+            extra=settings.retry_extra,
+            window_seconds=settings.retry_window_seconds,
+        )
+        self._follower = RegistryFollower(
+            registry=ports.registry,
+            table=self._registered,
+            clock=self._clock,
+            random_source=self._random,
+            watch_seconds=settings.watch_seconds,
+            lapse_seconds=settings.lapsed_entry_seconds,
+        )
+        self._forwarding = ForwardFront(
+            service=ForwardService(
+                configuration=self._configuration,
+                budget=self._budget,
+                table=self._registered,
+                client=ports.client,
+                dialect=ports.dialect,
+                retries=self._retries,
+                clock=self._clock,
+                metrics=self._metrics,
+                random_source=self._random,
+                data_centre=settings.data_centre,
+            ),
+            dialect=ports.dialect,
+            clock=self._clock,
+            metrics=self._metrics,
+            is_ready=self.is_ready,
+            max_body_bytes=settings.max_body_bytes,
+        )
+
     def _build_controller(self) -> None:
         member = self._fleet.member
         self._controller = EngineController(
@@ -486,6 +576,8 @@
         self._configuration.note_peer_number(sender, message.configuration_number)
         self._directory.note_leaving(message.leaving_servers)
         self._pacer.set_member_count(1 + len(self._fleet.view.live))
+        if self._forwarding is not None:
+            self._retries.set_member_count(1 + len(self._fleet.view.live))
 
     def _take_configuration(self, configuration: Configuration) -> None:
         self._directory.apply_configuration(configuration)
@@ -505,7 +597,7 @@
         names = [
             name for name in view.live if view.known[name].member.data_centre == own.data_centre
         ]
-        return sorted([*names, own.incarnation]).index(own.incarnation) < WATCHERS_PER_DATA_CENTRE
+        return sorted([*names, own.incarnation]).index(own.incarnation) < self._settings.watchers
 
     def _run_in_background(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
--- a/packages/router/laburnumpier_router/budget/account.py
+++ b/packages/router/laburnumpier_router/budget/account.py
@@ -24,11 +24,13 @@
         holder: Incarnation of the process that drew the grant.
         amount: Tokens still open: neither billed nor returned.
         returned: Total tokens returned so far, by the incarnation that returned them.
+        spent: Total tokens reported as spent so far, by the incarnation that spent them.
     """
 
     holder: str
     amount: int
     returned: dict[str, int] = {}
+    spent: dict[str, int] = {}
 
 
 class Account(msgspec.Struct, frozen=True, kw_only=True):
@@ -109,6 +111,18 @@
     returned_total: int
 
 
+class ReportSpending(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Settles tokens spent by requests that have no bill of their own.
+
+    `spent_total` is the running total of this spender on the grant.
+    """
+
+    workspace: str
+    grant_id: str
+    spender: str
+    spent_total: int
+
+
 class RecordBill(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Settles one request: stores its bill once and moves its tokens from grants to settled."""
 
@@ -158,6 +172,7 @@
 Change = (
     OpenGrant
     | ReturnTokens
+    | ReportSpending
     | RecordBill
     | ClaimRequest
     | ReleaseClaim
@@ -171,12 +186,14 @@
 
     Attributes:
         amount: Tokens granted. available: Tokens that may still be granted. unspent: Tokens of
-        the whole budget that are neither billed nor in doubt, wherever they are.
+        the whole budget that are neither billed nor in doubt, wherever they are. in_doubt: Tokens
+        of closed grants that may or may not have been spent.
     """
 
     amount: int
     available: int
     unspent: int
+    in_doubt: int = 0
 
 
 class BillRecorded(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -286,6 +303,32 @@
     return _replace_grant(account, change.grant_id, grant), ChangeApplied(tokens=fresh)
 
 
+def report_spending(account: Account, change: ReportSpending) -> tuple[Account, ChangeApplied]:
+    """Settles the part of a running spent total that was not settled before.
+
+    Args:
+        account: The account before the change.
+        change: The report.
+
+    Returns:
+        The account after the change and the number of tokens settled. Spending of a grant that
+        was closed stays in doubt.
+    """
+    grant = account.grants.get(change.grant_id)
+    if grant is None:
+        return account, ChangeApplied(tokens=0)
+    fresh = change.spent_total - grant.spent.get(change.spender, 0)
+    fresh = max(0, min(fresh, grant.amount))
+    grant = msgspec.structs.replace(
+        grant,
+        amount=grant.amount - fresh,
+        spent={**grant.spent, change.spender: change.spent_total},
+    )
+    account = _replace_grant(account, change.grant_id, grant)
+    account = msgspec.structs.replace(account, settled=account.settled + fresh)
+    return account, ChangeApplied(tokens=fresh)
+
+
 def settle_bill(account: Account, bill: Bill) -> Account:
     """Moves a bill's tokens to settled, once; the caller has checked that the bill is new.
 
@@ -359,8 +402,11 @@
 
 
 def _describe_grant(account: Account, amount: int) -> GrantOpened:
-    unspent = account.configured - account.settled - sum(account.in_doubt.values())
-    return GrantOpened(amount=amount, available=account.available, unspent=max(0, unspent))
+    in_doubt = sum(account.in_doubt.values())
+    unspent = max(0, account.configured - account.settled - in_doubt)
+    return GrantOpened(
+        amount=amount, available=account.available, unspent=unspent, in_doubt=in_doubt
+    )
 
 
 def _replace_grant(account: Account, grant_id: str, grant: Grant) -> Account:
--- a/packages/router/laburnumpier_router/budget/grant_pool.py
+++ b/packages/router/laburnumpier_router/budget/grant_pool.py
@@ -34,7 +34,9 @@
         own: Whether this process drew the grant itself.
         free: Neither reserved nor spent.
         reserved: Set aside for requests in progress.
-        unsettled: Spent, but the bill is not known to be durable yet.
+        unsettled: Spent, but the store is not known to have settled it yet.
+        spent_total: Spent so far without a bill of its own.
+        settled_total: Part of `spent_total` that the store is known to have settled.
         returned_total: Handed back so far by this process.
         reported_total: Part of `returned_total` that the store is known to have taken.
     """
@@ -44,13 +46,16 @@
     free: int = 0
     reserved: int = 0
     unsettled: int = 0
+    spent_total: int = 0
+    settled_total: int = 0
     returned_total: int = 0
     reported_total: int = 0
 
     @property
     def is_finished(self) -> bool:
         """Whether nothing is held and nothing is left to report."""
-        return self.held == 0 and self.returned_total == self.reported_total
+        reported = self.returned_total == self.reported_total
+        return self.held == 0 and reported and self.spent_total == self.settled_total
 
     @property
     def held(self) -> int:
@@ -76,7 +81,14 @@
 class GrantPool:
     """Holds the grants of one workspace in this process."""
 
-    __slots__ = ("_changed", "_grants", "_past_returns", "_waiting", "_workspace")
+    __slots__ = (
+        "_changed",
+        "_grants",
+        "_past_returns",
+        "_past_spending",
+        "_waiting",
+        "_workspace",
+    )
 
     def __init__(self, *, workspace: str):
         """Creates an empty pool."""
@@ -85,6 +97,7 @@
         self._changed = asyncio.Event()
         self._waiting: list[int] = []
         self._past_returns: dict[str, int] = {}
+        self._past_spending: dict[str, int] = {}
 
     @property
     def grants(self) -> dict[str, HeldGrant]:
@@ -148,11 +161,17 @@
         """
         grant = self._grants.get(grant_id)
         if grant is None:
-            # The store counts this process's returns in total, also those before the grant was
-            # forgotten here.
+            # The store counts this process's returns and spending in total, also those before
+            # the grant was forgotten here.
             returned = self._past_returns.pop(grant_id, 0)
+            spent = self._past_spending.pop(grant_id, 0)
             grant = HeldGrant(
-                grant_id=grant_id, own=own, returned_total=returned, reported_total=returned
+                grant_id=grant_id,
+                own=own,
+                returned_total=returned,
+                reported_total=returned,
+                spent_total=spent,
+                settled_total=spent,
             )
             self._grants[grant_id] = grant
         grant.free += amount
@@ -208,6 +227,38 @@
         self._changed.set()
         return tuple(charges)
 
+    def spend(self, reservation: Reservation, used: int) -> int:
+        """Spends part of a reservation without a bill, and frees the rest.
+
+        Args:
+            reservation: The reservation; it may be spent once.
+            used: Tokens really used; what exceeds the reservation is not charged.
+
+        Returns:
+            The tokens charged. They stay unsettled until `confirm_spending`.
+        """
+        charges = self.settle(reservation, used)
+        for charge in charges:
+            self._grants[charge.grant_id].spent_total += charge.tokens
+        return sum(charge.tokens for charge in charges)
+
+    def list_unreported_spending(self) -> list[HeldGrant]:
+        """Returns the grants whose `spent_total` is to be reported to the store."""
+        return [
+            grant for grant in self._grants.values() if grant.spent_total > grant.settled_total
+        ]
+
+    def confirm_spending(self, grant_id: str, spent_total: int) -> None:
+        """Forgets spending that the store has settled, and grants that are used up."""
+        grant = self._grants.get(grant_id)
+        if grant is None:
+            return
+        fresh = max(0, spent_total - grant.settled_total)
+        grant.settled_total += fresh
+        grant.unsettled -= fresh
+        if grant.is_finished:
+            self._forget(grant)
+
     def release(self, reservation: Reservation) -> None:
         """Frees a whole reservation."""
         self.settle(reservation, 0)
@@ -292,8 +343,12 @@
             self._forget(grant)
 
     def _forget(self, grant: HeldGrant) -> None:
-        """Drops a grant, but not how much of it was returned: tokens of it may come again."""
+        """Drops a grant, but not its running totals: tokens of it may come again."""
         del self._grants[grant.grant_id]
+        if grant.spent_total:
+            self._past_spending[grant.grant_id] = grant.spent_total
+            while len(self._past_spending) > MAX_PAST_RETURNS:
+                self._past_spending.pop(next(iter(self._past_spending)))
         if grant.returned_total:
             self._past_returns[grant.grant_id] = grant.returned_total
             while len(self._past_returns) > MAX_PAST_RETURNS:
--- a/packages/router/laburnumpier_router/budget/service.py
+++ b/packages/router/laburnumpier_router/budget/service.py
@@ -16,7 +16,15 @@
 from laburnumpier_core.metrics import Metrics
 from laburnumpier_core.result_codes import ResultCode
 
-from .account import ChangeFailed, GrantOpened, OpenGrant, ReturnTokens
+from .account import (
+    Change,
+    ChangeFailed,
+    ChangeResult,
+    GrantOpened,
+    OpenGrant,
+    ReportSpending,
+    ReturnTokens,
+)
 from .allocation import DemandGrants, EqualSplit, WritePerRequest
 from .bill_keeper import BillKeeper
 from .demand import DemandMeter
@@ -38,7 +46,7 @@
 from .submitter import ChangeSubmitter
 
 DEMAND_WINDOW_SECONDS = 30.0
-REFILL_SECONDS = 10.0
+MAINTENANCE_SECONDS = 10.0
 IDLE_RETURN_SECONDS = 60.0
 WAIT_STEP_SECONDS = 0.2
 SHORTEST_WAIT_SECONDS = 0.001
@@ -167,6 +175,27 @@
             self.return_unspent(reservation.workspace)
         return await self._bills.record(finished, self._limits.bill_wait_seconds)
 
+    def settle_unbilled(self, reservation: Reservation, used: int) -> int:
+        """Spends part of a reservation for a request that can have no second try under its id.
+
+        No record of the single request is kept: what was spent is reported in running totals
+        together with the next draw or return.
+
+        Args:
+            reservation: The reservation of the request.
+            used: Tokens that the request used; at most the reserved amount is charged.
+
+        Returns:
+            The tokens charged.
+        """
+        state = self._get_state(reservation.workspace)
+        if used > reservation.amount:
+            self._metrics.count("budget.usage_over_reservation")
+        charged = state.pool.spend(reservation, used)
+        state.demand.record(charged, self._clock.monotonic_seconds())
+        self._return_near_end(reservation.workspace, state)
+        return charged
+
     def lend(self, message: RequestTransfer) -> TransferOffered:
         """Answers a peer's request for tokens; see `TokenLending.lend`."""
         return self._lending.lend(message)
@@ -199,7 +228,7 @@
     async def maintain_periodically(self) -> None:
         """Hands back idle tokens again and again; runs until cancelled."""
         while True:
-            await asyncio.sleep(REFILL_SECONDS * self._random.uniform(0.8, 1.2))
+            await asyncio.sleep(MAINTENANCE_SECONDS * self._random.uniform(0.8, 1.2))
             now = self._clock.monotonic_seconds()
             for workspace, state in list(self._states.items()):
                 state.pool.drop_finished()
@@ -308,7 +337,14 @@
 
     def _make_refusal(self, outcome: GatherOutcome, amount: int) -> RequestError:
         """Tells a budget that is known to be exhausted from one that cannot be reached now."""
-        if outcome.unspent is not None and outcome.unspent < amount:
+        known = outcome.unspent is not None
+        if known and outcome.unspent < amount <= outcome.unspent + outcome.in_doubt:
+            # Nobody can tell whether the rest was spent, so the refusal is not final.
+            self._metrics.count("budget.refused_in_doubt")
+            return RequestError(
+                ResultCode.BUDGET_UNREACHABLE, retry_after_seconds=RETRY_AFTER_SECONDS
+            )
+        if known and outcome.unspent < amount:
             self._metrics.count("budget.refused_exhausted")
             return RequestError(
                 ResultCode.BUDGET_EXHAUSTED,
@@ -365,6 +401,7 @@
             peers_answered=peers_answered,
             hoped=pool.free + pool.coming + available + held_by_peers,
             unspent=opened.unspent - pool.unsettled if opened else None,
+            in_doubt=opened.in_doubt if opened else 0,
         )
 
     async def _draw(
@@ -378,7 +415,10 @@
             if change is None:
                 change = self._make_draw(workspace, state, terms, needed)
                 state.pending_draw = change
-            (result,) = await self._submitter.submit(workspace, [change])
+            reports = self._make_spending_reports(workspace, state)
+            results = await self._submitter.submit(workspace, [*reports, change])
+            result = results.pop()
+            self._note_spending_reported(state, reports, results)
             if not isinstance(result, GrantOpened):
                 return None
             state.pending_draw = None
@@ -433,7 +473,8 @@
         """Draws in the background when half of the wanted tokens are gone."""
         now = self._clock.monotonic_seconds()
         grants = isinstance(self._limits.allocation, DemandGrants)
-        if not grants or state.near_end or now - state.last_refill_seconds < REFILL_SECONDS:
+        waits = now - state.last_refill_seconds < self._limits.refill_seconds
+        if not grants or state.near_end or waits:
             return
         if state.pool.free >= self._find_wanted(workspace, state) // 2:
             return
@@ -454,15 +495,37 @@
             )
             for grant in raised
         ]
-        if not changes:
+        reports = self._make_spending_reports(workspace, state)
+        if not changes and not reports:
             return
-        results = await self._submitter.submit(workspace, changes)
+        results = await self._submitter.submit(workspace, [*reports, *changes])
+        self._note_spending_reported(state, reports, results[: len(reports)])
+        results = results[len(reports) :]
         for grant, change, result in zip(raised, changes, results, strict=True):
             if not isinstance(result, ChangeFailed):
                 grant.reported_total = max(grant.reported_total, change.returned_total)
                 self._metrics.count("budget.returns")
         state.pool.drop_finished()
 
+    def _make_spending_reports(self, workspace: str, state: BudgetState) -> list[Change]:
+        """Returns the running totals of spending that the store has not settled yet."""
+        return [
+            ReportSpending(
+                workspace=workspace,
+                grant_id=grant.grant_id,
+                spender=self._fleet.self_name,
+                spent_total=grant.spent_total,
+            )
+            for grant in state.pool.list_unreported_spending()
+        ]
+
+    def _note_spending_reported(
+        self, state: BudgetState, reports: list[Change], results: list[ChangeResult]
+    ) -> None:
+        for report, result in zip(reports, results, strict=True):
+            if not isinstance(result, ChangeFailed):
+                state.pool.confirm_spending(report.grant_id, report.spent_total)
+
     def _note_recorded_bill(self, bill: Bill, standing: Bill) -> None:
         pool = self._get_state(bill.workspace).pool
         if standing == bill:
--- a/packages/router/laburnumpier_router/budget/state.py
+++ b/packages/router/laburnumpier_router/budget/state.py
@@ -20,6 +20,7 @@
         hoped: Tokens that are or may become free here, at peers or in the store.
         unspent: Most tokens that the whole budget can still pay, as the store knows it; None while
             the store does not answer.
+        in_doubt: Tokens of closed grants that may or may not have been spent.
     """
 
     at_seconds: float
@@ -27,6 +28,7 @@
     peers_answered: bool
     hoped: int
     unspent: int | None
+    in_doubt: int = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -57,6 +59,7 @@
             that a store outage soon after the first request is survived.
         admission_wait_seconds: Longest wait of a request for tokens.
         bill_wait_seconds: Longest hold-up of an answer's end for its bill.
+        refill_seconds: Shortest time between draws that no request waits for.
     """
 
     allocation: Allocation
@@ -65,3 +68,4 @@
     grant_floor_share: float
     admission_wait_seconds: float
     bill_wait_seconds: float
+    refill_seconds: float = 10.0
--- a/packages/router/laburnumpier_router/budget/submitter.py
+++ b/packages/router/laburnumpier_router/budget/submitter.py
@@ -13,7 +13,8 @@
 from .shard_writer import ShardWriter
 from .write_pacer import WritePacer
 
-HOME_TIMEOUT_SECONDS = 2.0
+HOME_TIMEOUT_SECONDS = 0.8
+HOME_SILENCE_SECONDS = 3.0
 FAILURE_MEMORY_SECONDS = 5.0
 
 
@@ -23,6 +24,7 @@
     __slots__ = (
         "_clock",
         "_fleet",
+        "_homes_silent_until",
         "_last_failure_seconds",
         "_metrics",
         "_pacer",
@@ -52,6 +54,7 @@
         self._random = random_source
         self._shard_count = shard_count
         self._last_failure_seconds = float("-inf")
+        self._homes_silent_until: dict[str, float] = {}
         self._writers: dict[int, ShardWriter] = {}
 
     @property
@@ -72,13 +75,17 @@
         """
         shard = choose_shard(workspace, self._shard_count)
         home = self._fleet.find_home(f"shard/{shard}")
-        if home == self._fleet.self_name:
+        now = self._clock.monotonic_seconds()
+        silent = now < self._homes_silent_until.get(home, float("-inf"))
+        if home == self._fleet.self_name or silent:
             return await self.submit_here(shard, changes)
         try:
             reply = await self._fleet.call(
                 home, SubmitChanges(shard=shard, changes=changes), HOME_TIMEOUT_SECONDS
             )
         except PeerError:
+            # The next changes go past a silent home without waiting for it again.
+            self._homes_silent_until = {home: now + HOME_SILENCE_SECONDS}
             self._metrics.count("budget.submitter.home_silent")
             return await self.submit_here(shard, changes)
         if not isinstance(reply, ChangesSubmitted) or len(reply.results) != len(changes):
--- a/packages/router/laburnumpier_router/budget/transaction.py
+++ b/packages/router/laburnumpier_router/budget/transaction.py
@@ -20,11 +20,13 @@
     RecordBill,
     ReleaseClaim,
     ReleaseInDoubt,
+    ReportSpending,
     ReturnTokens,
     Shard,
     close_grant,
     open_grant,
     release_in_doubt,
+    report_spending,
     return_tokens,
     settle_bill,
 )
@@ -105,6 +107,8 @@
             account, result = open_grant(account, change)
         case ReturnTokens():
             account, result = return_tokens(account, change)
+        case ReportSpending():
+            account, result = report_spending(account, change)
         case CloseGrant():
             account, result = close_grant(account, change)
         case ReleaseInDoubt():
--- a/packages/router/laburnumpier_router/configuration/record.py
+++ b/packages/router/laburnumpier_router/configuration/record.py
@@ -1,6 +1,6 @@
 """The stored configuration: its number, its document and the notes of recent patches."""
 
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 
@@ -42,6 +42,36 @@
         return None
 
 
+class RecordFormat(Protocol):
+    """Where the configuration is stored, and how its bytes are read."""
+
+    @property
+    def key(self) -> str:
+        """Key of the newest configuration in the store."""
+
+    def decode(self, value: bytes) -> ConfigurationRecord:
+        """Returns the stored record; raises `msgspec.MsgspecError` when it cannot be read."""
+
+
+class OwnRecordFormat:
+    """The project's own format, which the operators' patches are written to."""
+
+    __slots__ = ()
+
+    @property
+    def key(self) -> str:
+        """Key of the newest configuration in the store."""
+        return CONFIGURATION_KEY
+
+    def decode(self, value: bytes) -> ConfigurationRecord:
+        """Returns the stored record.
+
+        Raises:
+            msgspec.MsgspecError: If it cannot be read.
+        """
+        return msgspec.json.decode(value, type=ConfigurationRecord)
+
+
 def merge_patch(target: Any, patch: Any) -> Any:
     """Applies a JSON Merge Patch as RFC 7396 defines it.
 
--- a/packages/router/laburnumpier_router/configuration/service.py
+++ b/packages/router/laburnumpier_router/configuration/service.py
@@ -23,21 +23,22 @@
 from laburnumpier_core.metrics import Metrics
 
 from ..budget.peers import BudgetFleet, BudgetTerms
-from ..ports.key_value_service import KeyValueService, Write
+from ..ports.key_value_service import KeyValueService, StoredValue, Write
 from .document import Configuration, ConfigurationProblem
 from .record import (
     CONFIGURATION_KEY,
     HISTORY_PREFIX,
     MAX_NOTES,
     ConfigurationRecord,
+    OwnRecordFormat,
     PatchNote,
+    RecordFormat,
     decode_document,
     merge_patch,
 )
 
 MAX_ATTEMPTS = 10
 WATCH_SECONDS = 30.0
-WATCHERS_PER_DATA_CENTRE = 2
 RETRY_SECONDS = 0.5
 PEER_TIMEOUT_SECONDS = 1.0
 
@@ -80,6 +81,7 @@
         "_configuration",
         "_fetching",
         "_fleet",
+        "_format",
         "_is_watcher",
         "_key_owners",
         "_metrics",
@@ -88,6 +90,7 @@
         "_record",
         "_store",
         "_store_revision",
+        "_watch_seconds",
     )
 
     def __init__(
@@ -100,6 +103,8 @@
         random_source: random.Random,
         is_watcher: Callable[[], bool],
         on_change: Callable[[Configuration], None],
+        record_format: RecordFormat | None = None,
+        watch_seconds: float = WATCH_SECONDS,
     ):
         """Creates the service with configuration number 0, which is empty.
 
@@ -111,6 +116,8 @@
             random_source: Jitter.
             is_watcher: Tells whether this process is one of the few that watch the store.
             on_change: Called after each change of the configuration in force.
+            record_format: Where and how the record is stored; the project's own by default.
+            watch_seconds: How long one watch waits before it is renewed.
         """
         self._store = store
         self._fleet = fleet
@@ -119,6 +126,8 @@
         self._random = random_source
         self._is_watcher = is_watcher
         self._on_change = on_change
+        self._format = record_format or OwnRecordFormat()
+        self._watch_seconds = watch_seconds
         self._record = ConfigurationRecord()
         self._configuration = Configuration()
         self._key_owners: dict[str, str] = {}
@@ -289,21 +298,34 @@
         if self._store_revision == 0:
             await self._read()
         stored = await self._store.wait_for_change(
-            CONFIGURATION_KEY, self._store_revision, WATCH_SECONDS
+            self._format.key, self._store_revision, self._watch_seconds
         )
         if stored is not None:
             self._store_revision = max(self._store_revision, stored.revision)
-            self.apply(msgspec.json.decode(stored.value, type=ConfigurationRecord))
+            record = self._decode(stored)
+            if record is not None:
+                self.apply(record)
 
     async def _read(self) -> tuple[ConfigurationRecord, int]:
-        stored = (await self._store.read([CONFIGURATION_KEY])).get(CONFIGURATION_KEY)
+        stored = (await self._store.read([self._format.key])).get(self._format.key)
         if stored is None:
             return ConfigurationRecord(), 0
-        record = msgspec.json.decode(stored.value, type=ConfigurationRecord)
         self._store_revision = max(self._store_revision, stored.revision)
+        record = self._decode(stored)
+        if record is None:
+            raise StoreError("the stored configuration cannot be read")
         self.apply(record)
         return record, stored.revision
 
+    def _decode(self, stored: StoredValue) -> ConfigurationRecord | None:
+        """Reads a stored record; one that cannot be read leaves the present one in force."""
+        try:
+            return self._format.decode(stored.value)
+        except msgspec.MsgspecError as error:
+            fields = {"revision": stored.revision, "error": error}
+            _log.error("stored configuration cannot be read", fields=fields)
+            return None
+
     async def _update(
         self, change: Callable[[ConfigurationRecord], Any], patch_id: str, author: str
     ) -> ConfigurationRecord:
--- a/packages/router/laburnumpier_router/fleet/registry.py
+++ b/packages/router/laburnumpier_router/fleet/registry.py
@@ -21,15 +21,17 @@
 class MemberRegistry:
     """The member records of the whole fleet."""
 
-    __slots__ = ("_lease_id", "_lease_seconds", "_store")
+    __slots__ = ("_keeps_lease", "_lease_id", "_lease_seconds", "_store")
 
-    def __init__(self, *, store: KeyValueService, lease_seconds: float):
+    def __init__(self, *, store: KeyValueService, lease_seconds: float, keeps_lease: bool = True):
         """Creates the registry.
 
         Args:
             store: The platform's key-value service.
             lease_seconds: Time to live of this process's lease.
+            keeps_lease: Whether a lease is kept. Its lapse only matters beside a list of VMs.
         """
+        self._keeps_lease = keeps_lease
         self._store = store
         self._lease_seconds = lease_seconds
         self._lease_id = 0
@@ -65,6 +67,8 @@
         Raises:
             StoreError: If the store does not answer.
         """
+        if not self._keeps_lease:
+            return
         if self._lease_id and await self._store.keep_lease_alive(self._lease_id):
             return
         self._lease_id = await self._store.grant_lease(self._lease_seconds)
--- a/packages/router/laburnumpier_router/fleet/service.py
+++ b/packages/router/laburnumpier_router/fleet/service.py
@@ -49,6 +49,7 @@
         "_registry",
         "_seeds",
         "_state",
+        "_store_poll_seconds",
         "_view",
         "get_configuration_number",
         "list_leaving_servers",
@@ -66,6 +67,7 @@
         heartbeat_seconds: float,
         seeds: list[str],
         on_heartbeat: Callable[[str, Heartbeat], None],
+        store_poll_seconds: float = STORE_POLL_SECONDS,
     ):
         """Creates the service; it knows only this process.
 
@@ -79,6 +81,7 @@
             heartbeat_seconds: Time between heartbeats to one partner.
             seeds: Addresses to try when the store does not tell the members.
             on_heartbeat: Called with the sender and each heartbeat received, replies included.
+            store_poll_seconds: Time between reads of the member records.
         """
         self._member = member
         self._link = link
@@ -89,6 +92,7 @@
         self._heartbeat_seconds = heartbeat_seconds
         self._seeds = seeds
         self._on_heartbeat = on_heartbeat
+        self._store_poll_seconds = store_poll_seconds
         self._view = FleetView(
             self_member=member, suspect_seconds=SUSPECT_HEARTBEATS * heartbeat_seconds
         )
@@ -204,7 +208,7 @@
                     await self.read_records()
             except StoreError as error:
                 _log.debug("store not reached", fields={"error": error})
-            await asyncio.sleep(STORE_POLL_SECONDS * self._random.uniform(0.7, 1.3))
+            await asyncio.sleep(self._store_poll_seconds * self._random.uniform(0.7, 1.3))
 
     async def beat_periodically(self) -> None:
         """Keeps one heartbeat task for each partner; runs until cancelled."""
--- /dev/null
+++ b/packages/router/laburnumpier_router/forward/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that are forwarded unchanged: routes, servers, and one life for each request."""
--- a/packages/router/laburnumpier_router/main.py
+++ b/packages/router/laburnumpier_router/main.py
@@ -14,6 +14,7 @@
 import ssl
 import sys
 import time
+from collections.abc import Callable
 
 import aiomisc
 import uvloop
@@ -46,19 +47,19 @@
     """Runs the router application inside aiomisc's life cycle."""
 
     settings: Settings
+    settings_path: str
+    make_ports: Callable[[Settings, Metrics], Ports]
 
     async def start(self) -> None:
         """Opens the sockets and starts the application."""
         settings = self.settings
-        self.application = make_application(settings)
-        await self.application.start()
-        tls = make_tls_context(settings)
-        self.runners = [
-            await _serve(self.application.callers.make_app(), settings.callers_address, tls),
-            await _serve(self.application.operators.make_app(), settings.operators_address, tls),
-        ]
+        metrics = Metrics(host=settings.statsd_host, port=settings.statsd_port)
+        self.application = make_application(settings, self.make_ports(settings, metrics), metrics)
+        self.runners = await self._open_fronts(make_tls_context(settings))
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGUSR1, self.application.log_state)
+        loop.add_signal_handler(signal.SIGHUP, self._note_hangup)
+        await self.application.start()
         self.start_event.set()
 
     async def stop(self, exception: Exception | None = None) -> None:
@@ -67,25 +68,45 @@
         for runner in self.runners:
             await runner.cleanup()
 
-
-def make_application(settings: Settings) -> RouterApplication:
-    """Builds the application with the real adapters.
+    async def _open_fronts(self, tls: ssl.SSLContext | None) -> list[web.BaseRunner]:
+        """Opens the addresses of callers, operators and the balancer's checks."""
+        settings, application = self.settings, self.application
+        runners: list[tuple[web.BaseRunner, Address]] = []
+        if application.forwarding is None:
+            runners.append(
+                (_make_runner(application.callers.make_app()), settings.callers_address)
+            )
+        else:
+            front = application.forwarding
+            runners.append((_make_runner(front.make_server()), settings.callers_address))
+            if settings.readiness_address is not None:
+                runner = _make_runner(front.make_readiness_server())
+                runners.append((runner, settings.readiness_address))
+        if settings.operators_address is not None:
+            runner = _make_runner(application.operators.make_app())
+            runners.append((runner, settings.operators_address))
+        for runner, address in runners:
+            await _open(runner, address, tls)
+        return [runner for runner, _ in runners]
+
+    def _note_hangup(self) -> None:
+        """Checks the settings file again; what a running process cannot change waits."""
+        try:
+            changed = load_settings(self.settings_path) != self.settings
+        except SettingsError as error:
+            _log.error("changed settings hold mistakes", fields={"error": error})
+            return
+        _log.info("settings checked again", fields={"changed": changed})
+
+
+def make_own_ports(settings: Settings, metrics: Metrics) -> Ports:
+    """Returns the adapters to a platform that speaks the project's own interfaces.
 
     Args:
         settings: Checked settings.
-
-    Returns:
-        The application, not started.
+        metrics: Counters.
     """
-    metrics = Metrics(host=settings.statsd_host, port=settings.statsd_port)
-    started_ns = time.time_ns()
-    member = Member(
-        incarnation=str(Incarnation(vm=settings.vm, started_ns=started_ns)),
-        vm=settings.vm,
-        data_centre=settings.data_centre,
-        peers_address=str(settings.peers_address),
-    )
-    ports = Ports(
+    return Ports(
         store=EtcdKeyValueService(
             url=settings.store_url,
             timeout_seconds=settings.store_timeout_seconds,
@@ -100,6 +121,23 @@
         engines=HttpEngineClient(stall_seconds=settings.stall_seconds),
         services=HttpServiceClient(),
     )
+
+
+def make_application(settings: Settings, ports: Ports, metrics: Metrics) -> RouterApplication:
+    """Builds the application, not started.
+
+    Args:
+        settings: Checked settings.
+        ports: Adapters to the outside.
+        metrics: Counters.
+    """
+    started_ns = time.time_ns()
+    member = Member(
+        incarnation=str(Incarnation(vm=settings.vm, started_ns=started_ns)),
+        vm=settings.vm,
+        data_centre=settings.data_centre,
+        peers_address=str(settings.peers_address),
+    )
     return RouterApplication(
         settings=settings,
         member=member,
@@ -122,18 +160,20 @@
     return context
 
 
-async def _serve(
-    app: web.Application, address: Address, tls: ssl.SSLContext | None
-) -> web.AppRunner:
-    runner = web.AppRunner(app, access_log=None, handler_cancellation=True, shutdown_timeout=1.0)
+def _make_runner(served: web.Application | web.Server) -> web.BaseRunner:
+    if isinstance(served, web.Server):
+        return web.ServerRunner(served, shutdown_timeout=1.0)
+    return web.AppRunner(served, access_log=None, handler_cancellation=True, shutdown_timeout=1.0)
+
+
+async def _open(runner: web.BaseRunner, address: Address, tls: ssl.SSLContext | None) -> None:
     await runner.setup()
     site = web.TCPSite(runner, address.host.strip("[]"), address.port, ssl_context=tls)
     await site.start()
-    return runner
 
 
 def _read_secret(path: str) -> str:
-    return pathlib.Path(path).read_text(encoding="utf-8").strip()
+    return pathlib.Path(path).read_text(encoding="utf-8").strip() if path else ""
 
 
 def _main(argv: list[str]) -> int:
@@ -149,7 +189,23 @@
     if _CHECK.value:
         print(f"{_SETTINGS.value}: no mistakes")
         return EXIT_OK
-    service = RouterService(settings=settings)
+    return serve_router(settings, _SETTINGS.value, make_own_ports)
+
+
+def serve_router(
+    settings: Settings, settings_path: str, make_ports: Callable[[Settings, Metrics], Ports]
+) -> int:
+    """Runs a router until it is told to stop.
+
+    Args:
+        settings: Checked settings.
+        settings_path: Where they were read from.
+        make_ports: Builds the adapters to the outside.
+
+    Returns:
+        The exit status.
+    """
+    service = RouterService(settings=settings, settings_path=settings_path, make_ports=make_ports)
     with aiomisc.entrypoint(
         service,
         loop_factory=uvloop.new_event_loop,
