--- a/packages/core/laburnumpier_core/settings.py
+++ b/packages/core/laburnumpier_core/settings.py
@@ -72,6 +72,7 @@
     grant_minimum_tokens: int
     grant_horizon_seconds: float
     grant_floor_share: float
+    grant_held_share: float
     bill_wait_seconds: float
     refill_seconds: float
     admission_wait_seconds: float
@@ -251,6 +252,7 @@
     _number("budget", "grant_minimum_tokens", "2000", int, 1, 10**9),
     _number("budget", "grant_horizon_seconds", "600", float, 1, 86400),
     _number("budget", "grant_floor_share", "0.05", float, 0, 1),
+    _number("budget", "grant_held_share", "1", float, 0.01, 1),
     _number("budget", "bill_wait_seconds", "0.25", float, 0, 60),
     _number("budget", "refill_seconds", "10", float, 0.05, 3600),
     _number("budget", "admission_wait_seconds", "5", float, 0, 600),
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -322,6 +322,7 @@
             self._run_in_background(self._departures.watch_periodically())
         if self._forwarding is not None:
             self._run_in_background(self._follower.follow_periodically())
+            self._run_in_background(self._budget.refill_periodically())
         if self._settings.give_engine_orders:
             self._run_in_background(self._controller.control_periodically())
         _log.info("router started", fields={"router": self._fleet.self_name})
@@ -406,6 +407,7 @@
                 admission_wait_seconds=settings.admission_wait_seconds,
                 bill_wait_seconds=settings.bill_wait_seconds,
                 refill_seconds=settings.refill_seconds,
+                held_share=settings.grant_held_share,
                 allocation=parse_allocation(settings.allocation),
             ),
         )
--- a/packages/router/laburnumpier_router/budget/demand.py
+++ b/packages/router/laburnumpier_router/budget/demand.py
@@ -2,11 +2,20 @@
 
 import math
 
+YOUNGEST_SECONDS = 3.0
+"""Age that a meter is taken to have at least, so that one early request is no high rate."""
+
 
 class DemandMeter:
     """An exponentially weighted rate of tokens a second."""
 
-    __slots__ = ("_last_seconds", "_last_use_seconds", "_rate", "_window_seconds")
+    __slots__ = (
+        "_last_seconds",
+        "_last_use_seconds",
+        "_rate",
+        "_started_seconds",
+        "_window_seconds",
+    )
 
     def __init__(self, *, window_seconds: float, now_seconds: float):
         """Creates a meter at rest.
@@ -19,6 +28,7 @@
         self._rate = 0.0
         self._last_seconds = now_seconds
         self._last_use_seconds = now_seconds
+        self._started_seconds = now_seconds
 
     @property
     def last_use_seconds(self) -> float:
@@ -34,7 +44,9 @@
     def get_tokens_per_second(self, now_seconds: float) -> float:
         """Returns the rate at the given monotonic time."""
         self._decay(now_seconds)
-        return self._rate
+        # A young average has not seen a whole window yet.
+        age_seconds = max(YOUNGEST_SECONDS, now_seconds - self._started_seconds)
+        return self._rate / -math.expm1(-age_seconds / self._window_seconds)
 
     def _decay(self, now_seconds: float) -> None:
         elapsed = max(0.0, now_seconds - self._last_seconds)
--- a/packages/router/laburnumpier_router/budget/peers.py
+++ b/packages/router/laburnumpier_router/budget/peers.py
@@ -125,3 +125,6 @@
 
     def find_budget_terms(self, workspace: str) -> BudgetTerms | None:
         """Returns the terms of a workspace's budget, or None when it has none."""
+
+    def list_budgets(self, limit: int) -> list[str]:
+        """Returns the workspaces that have a budget, or none when there are more than `limit`."""
--- a/packages/router/laburnumpier_router/budget/service.py
+++ b/packages/router/laburnumpier_router/budget/service.py
@@ -49,6 +49,15 @@
 MAINTENANCE_SECONDS = 10.0
 IDLE_RETURN_SECONDS = 60.0
 WAIT_STEP_SECONDS = 0.2
+REFILL_SHARE = 0.75
+"""A draw is made when less than this share of the wanted tokens is free, so that an outage that
+begins just before it still finds most of them."""
+EXCESS_FACTOR = 1.5
+"""Free tokens beyond the wanted ones, as a factor, from which the excess is handed back; close
+to 1 each settled request would cause a write."""
+MAX_PREPARED_WORKSPACES = 200
+"""Most workspaces whose tokens are drawn before their first request; beyond it only demand
+draws."""
 SHORTEST_WAIT_SECONDS = 0.001
 TRANSIT_SECONDS = 2.0
 NEAR_END_REQUESTS = 2
@@ -131,7 +140,7 @@
             RequestError: If the budget cannot pay, or its tokens cannot be reached in time.
         """
         state = self._get_state(workspace)
-        state.largest_amount = max(state.largest_amount, amount)
+        state.note_amount(amount)
         per_request = isinstance(self._limits.allocation, WritePerRequest)
         reservation = None if per_request else state.pool.reserve(amount)
         if reservation is None:
@@ -225,6 +234,33 @@
         if state is not None and state.pool.free:
             self._keep(asyncio.create_task(self._return_tokens(workspace, state, keep=0)))
 
+    async def refill_periodically(self) -> None:
+        """Draws tokens of all budgets that run low again and again; runs until cancelled.
+
+        Budgets of the configuration are prepared before their first request, as far as a floor
+        share is to be held of each.
+        """
+        while True:
+            await asyncio.sleep(self._limits.refill_seconds * self._random.uniform(0.8, 1.2))
+            if self._limits.grant_floor_share > 0:
+                for workspace in self._configuration.list_budgets(MAX_PREPARED_WORKSPACES):
+                    self._get_state(workspace)
+            for workspace, state in list(self._states.items()):
+                self._start_refill_if_low(workspace, state)
+                self._return_excess(workspace, state)
+
+    def _return_excess(self, workspace: str, state: BudgetState) -> None:
+        """Starts to hand back what is far above the wanted tokens.
+
+        Reservations that are drawn for and not used up leave such tokens behind; they would be in
+        doubt if this process died.
+        """
+        excess = EXCESS_FACTOR * self._find_wanted(workspace, state)
+        busy = state.pool.waiting_tokens or self._submitter.failed_lately
+        if self._limits.grant_floor_share > 0 and state.pool.free > excess and not busy:
+            keep = self._find_wanted(workspace, state)
+            self._keep(asyncio.create_task(self._return_tokens(workspace, state, keep=keep)))
+
     async def maintain_periodically(self) -> None:
         """Hands back idle tokens again and again; runs until cancelled."""
         while True:
@@ -291,17 +327,22 @@
     def _find_wanted(self, workspace: str, state: BudgetState) -> int:
         """Returns the tokens that this process wants to hold free.
 
-        These are what the measured demand would use over the grant horizon, or the floor share
-        of the purchased total if that is more.
+        These are what the measured demand would use over the grant horizon, or the floor share of
+        the purchased total if that is more. Towards the end of a budget it is less: what all
+        routers hold is lost with them, and must leave enough for those that come after.
         """
         rate = state.demand.get_tokens_per_second(self._clock.monotonic_seconds())
         terms = self._configuration.find_budget_terms(workspace)
         purchased = terms.purchased if terms else 0
-        return max(
+        wanted = max(
             self._limits.grant_minimum_tokens,
             int(rate * self._limits.grant_horizon_seconds),
             int(purchased * self._limits.grant_floor_share),
         )
+        if state.known_unspent is None:
+            return wanted
+        routers = 1 + len(self._fleet.list_peers())
+        return min(wanted, int(state.known_unspent * self._limits.held_share / routers))
 
     async def _reserve_by_gathering(
         self, workspace: str, state: BudgetState, amount: int, deadline_seconds: float
@@ -313,7 +354,7 @@
         pool.add_waiting(amount)
         try:
             while True:
-                outcome = await self._gather(workspace, state, amount)
+                outcome = await self._gather_in_time(workspace, state, amount, wait_until)
                 reservation = pool.reserve(amount)
                 if reservation is not None:
                     return reservation
@@ -335,6 +376,23 @@
             # What was gathered in vain must not stay here.
             self._return_near_end(workspace, state)
 
+    async def _gather_in_time(
+        self, workspace: str, state: BudgetState, amount: int, until_seconds: float
+    ) -> GatherOutcome:
+        """Gathers, and takes a store and peers that are silent until the end for unreachable."""
+        left_seconds = max(0.0, until_seconds - self._clock.monotonic_seconds())
+        try:
+            async with asyncio.timeout(left_seconds + SHORTEST_WAIT_SECONDS):
+                return await self._gather(workspace, state, amount)
+        except TimeoutError:
+            return GatherOutcome(
+                at_seconds=self._clock.monotonic_seconds(),
+                configuration_number=0,
+                peers_answered=False,
+                hoped=0,
+                unspent=None,
+            )
+
     def _make_refusal(self, outcome: GatherOutcome, amount: int) -> RequestError:
         """Tells a budget that is known to be exhausted from one that cannot be reached now."""
         known = outcome.unspent is not None
@@ -423,7 +481,20 @@
                 return None
             state.pending_draw = None
             state.near_end = self._is_near_end(state, result)
+            state.known_unspent = result.unspent
             self._metrics.count("budget.draws")
+            fields = {
+                "workspace": workspace,
+                "needed": change.needed,
+                "wanted": change.wanted,
+                "amount": result.amount,
+                "available": result.available,
+                "unspent": result.unspent,
+                "purchased": terms.purchased,
+                "free": state.pool.free,
+                "reserved": state.pool.reserved,
+            }
+            _log.info("drew tokens", fields=fields)
             if result.amount:
                 state.pool.add_grant(change.grant_id, result.amount, own=True)
             return result
@@ -431,7 +502,7 @@
     def _is_near_end(self, state: BudgetState, opened: GrantOpened) -> bool:
         """Whether the rest would pay for only a few requests at each router."""
         routers = 1 + len(self._fleet.list_peers())
-        return opened.unspent < NEAR_END_REQUESTS * routers * max(1, state.largest_amount)
+        return opened.unspent < NEAR_END_REQUESTS * routers * max(1.0, state.typical_amount)
 
     def _return_near_end(self, workspace: str, state: BudgetState) -> None:
         """Hands free tokens back at once near the end of a budget.
@@ -476,7 +547,7 @@
         waits = now - state.last_refill_seconds < self._limits.refill_seconds
         if not grants or state.near_end or waits:
             return
-        if state.pool.free >= self._find_wanted(workspace, state) // 2:
+        if state.pool.free >= REFILL_SHARE * self._find_wanted(workspace, state):
             return
         terms = self._configuration.find_budget_terms(workspace)
         if terms is None:
--- a/packages/router/laburnumpier_router/budget/state.py
+++ b/packages/router/laburnumpier_router/budget/state.py
@@ -8,6 +8,10 @@
 from .demand import DemandMeter
 from .grant_pool import GrantPool
 
+AMOUNT_WEIGHT = 0.1
+"""Weight of the newest request in the typical cost, so that one very large request does not make
+a budget look near its end."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class GatherOutcome:
@@ -43,8 +47,14 @@
     last_refill_seconds: float = float("-inf")
     gathering: asyncio.Task[GatherOutcome] | None = None
     verdict: GatherOutcome | None = None
-    largest_amount: int = 0
+    typical_amount: float = 0.0
     near_end: bool = False
+    known_unspent: int | None = None
+
+    def note_amount(self, amount: int) -> None:
+        """Takes in the greatest cost of a request."""
+        weight = AMOUNT_WEIGHT if self.typical_amount else 1.0
+        self.typical_amount += weight * (amount - self.typical_amount)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -60,6 +70,7 @@
         admission_wait_seconds: Longest wait of a request for tokens.
         bill_wait_seconds: Longest hold-up of an answer's end for its bill.
         refill_seconds: Shortest time between draws that no request waits for.
+        held_share: Greatest share of what is unspent that all routers want to hold together.
     """
 
     allocation: Allocation
@@ -69,3 +80,4 @@
     admission_wait_seconds: float
     bill_wait_seconds: float
     refill_seconds: float = 10.0
+    held_share: float = 1.0
--- a/packages/router/laburnumpier_router/configuration/service.py
+++ b/packages/router/laburnumpier_router/configuration/service.py
@@ -160,6 +160,13 @@
             return None
         return BudgetTerms(purchased=entry.budget_tokens, configuration_number=self.number)
 
+    def list_budgets(self, limit: int) -> list[str]:
+        """Returns the workspaces that have a budget, or none when there are more than `limit`."""
+        workspaces = self._configuration.workspaces
+        if len(workspaces) > limit:
+            return []
+        return [name for name, entry in workspaces.items() if entry.budget_tokens]
+
     def apply(self, record: ConfigurationRecord) -> bool:
         """Puts a record in force unless a newer one is.
 
