--- a/packages/core/laburnumpier_core/settings.py
+++ b/packages/core/laburnumpier_core/settings.py
@@ -91,6 +91,7 @@
     retry_window_seconds: float
     give_engine_orders: bool
     load_interval_seconds: float
+    metrics_address: Address | None
     statsd_host: str
     statsd_port: int
     log_level: str
@@ -283,6 +284,7 @@
     _number("backend", "probe_freshness_seconds", "3", float, 0.1, 600),
     _text("backend", "give_engine_orders", _parse_yes_no, "yes or no", "no"),
     _number("backend", "load_interval_seconds", "30", float, 0.1, 86400),
+    _text("metrics", "metrics_address", _parse_optional_address, _ADDRESS + ", or nothing", ""),
     _text("metrics", "statsd_host", str, "a host, or nothing", ""),
     _number("metrics", "statsd_port", "8125", int, 1, 65535),
     _text("log", "log_level", _make_choice_parser(*_LEVELS), ", ".join(_LEVELS), "INFO"),
--- a/packages/operator/laburnumpier_operator/main.py
+++ b/packages/operator/laburnumpier_operator/main.py
@@ -22,6 +22,7 @@
 
 from .client import CommandError, ExitCode, send_call
 from .commands import COMMANDS, Options, find_command, make_key
+from .log_story import format_story, read_lines, tell_story
 from .table import format_table
 
 _ROUTER = flags.DEFINE_string(
@@ -43,6 +44,8 @@
 def describe_commands() -> str:
     """Returns the list of all commands, for the help text."""
     lines = ["Commands:", "  key new", "      Prints a new caller key and its hash."]
+    lines.append("  explain ID LOG [LOG ...]")
+    lines.append("      Tells the story of a forwarded request from the logs of routers.")
     for command in COMMANDS:
         lines.append(f"  {' '.join((command.words, *command.arguments))}")
         lines.append(f"      {command.help}")
@@ -59,12 +62,29 @@
         raise CommandError(ExitCode.USAGE, message) from error
 
 
+def _explain(arguments: list[str]) -> None:
+    """Prints what the logs of routers tell of one request."""
+    if len(arguments) < 2:
+        raise CommandError(ExitCode.USAGE, "explain needs a request id and log files")
+    request_id, *paths = arguments
+    try:
+        story = tell_story(read_lines(paths), request_id)
+    except OSError as error:
+        raise CommandError(ExitCode.USAGE, f"{error.filename}: {error.strerror}") from error
+    if not story:
+        raise CommandError(ExitCode.NOT_FOUND, f"no line of request {request_id}")
+    print(format_story(story))
+
+
 def _run_command(words: list[str]) -> None:
     if words == ["key", "new"]:
         key, key_hash = make_key()
         rows = [{"field": "key", "value": key}, {"field": "key_hash", "value": key_hash}]
         print(format_table(rows))
         return
+    if words[:1] == ["explain"] and words[1:2] != ["request"]:
+        _explain(words[1:])
+        return
     command, arguments = find_command(words)
     options = Options(number=_NUMBER.value, patch_id=_PATCH_ID.value, author=_AUTHOR.value)
     call = command.make_call(arguments, options)
--- a/packages/router/laburnumpier_router/main.py
+++ b/packages/router/laburnumpier_router/main.py
@@ -85,6 +85,9 @@
         if settings.operators_address is not None:
             runner = _make_runner(application.operators.make_app())
             runners.append((runner, settings.operators_address))
+        if settings.metrics_address is not None:
+            runner = _make_runner(_make_metrics_server(application.metrics))
+            runners.append((runner, settings.metrics_address))
         for runner, address in runners:
             await _open(runner, address, tls)
         return [runner for runner, _ in runners]
@@ -166,6 +169,13 @@
     return web.AppRunner(served, access_log=None, handler_cancellation=True, shutdown_timeout=1.0)
 
 
+def _make_metrics_server(metrics: Metrics) -> web.Server:
+    async def answer(request: web.BaseRequest) -> web.Response:
+        return web.Response(body=metrics.format_text(), content_type="text/plain")
+
+    return web.Server(answer, access_log=None)
+
+
 async def _open(runner: web.BaseRunner, address: Address, tls: ssl.SSLContext | None) -> None:
     await runner.setup()
     site = web.TCPSite(runner, address.host.strip("[]"), address.port, ssl_context=tls)
