Count a dropped log line also when it was to tell of others

Cause: a line that was formatted and then dropped for a stalled reader took the count of earlier dropped lines with it; the feature's sum of lines read and missed was short. The room is looked at before the line is built.

--- a/packages/core/laburnumpier_core/log.py
+++ b/packages/core/laburnumpier_core/log.py
@@ -101,12 +101,11 @@
         limit = WARNINGS_PER_SECOND if record.levelno >= logging.WARNING else LINES_PER_SECOND
         if not self._budget.take(part, str(record.msg), limit):
             return
-        line = self._format_line(record, part)
-        if len(self._pending) + len(line) > MAX_PENDING_BYTES:
+        self._write()
+        if len(self._pending) > MAX_PENDING_BYTES:
             self._budget.note_dropped()
-            self._write()
             return
-        self._pending += line
+        self._pending += self._format_line(record, part)
         self._write()
 
     def _format_line(self, record: logging.LogRecord, part: str) -> bytes:
