Close what earlier processes on a VM held when a later one draws, and look at idle accounts again

Ruled out: smaller holdings alone (cuts cost more than kills gain), larger ones alone. A clean proof is at hand: one process runs on a VM at a time.

--- a/features/forward/decisions.feature
+++ b/features/forward/decisions.feature
@@ -95,3 +95,20 @@
   Scenario: One very large request does not make a budget look near its end
     Given requests of 1000 tokens and one of 40000
     Then the typical request costs at most 6000 tokens
+
+  Scenario: A later process on a VM closes what an earlier one held, and nobody else's
+    Given an account of 1000 tokens with a grant of 400
+    When a later process on the holder's VM draws 100, and one on another VM 50
+    Then the grant is in doubt, 150 are granted to the two and 450 are available
+    And a repeated draw of the later process changes nothing
+
+  Scenario Outline: Only a later start on the same VM is a successor
+    Then process "<later>" <verdict> a successor of "<earlier>"
+
+    Examples:
+      | later | earlier | verdict |
+      | a@2   | a@1     | is      |
+      | a@1   | a@2     | is not  |
+      | a@1   | a@1     | is not  |
+      | b@2   | a@1     | is not  |
+      | a     | a@1     | is not  |
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -4,12 +4,15 @@
 import random
 
 from behave import given, then, when
+from laburnumpier_core.identity import is_successor
 from laburnumpier_router.budget.account import (
     Account,
     CloseGrant,
     Grant,
+    OpenGrant,
     ReportSpending,
     close_grant,
+    open_grant,
     report_spending,
 )
 from laburnumpier_router.budget.demand import DemandMeter
@@ -338,3 +341,47 @@
 @then("the typical request costs at most {tokens:d} tokens")
 def check_typical(context, tokens):
     assert context.state.typical_amount <= tokens, context.state.typical_amount
+
+
+def draw(context, holder, sequence, needed):
+    change = OpenGrant(
+        workspace="w",
+        grant_id=f"{holder}/w/{sequence}",
+        holder=holder,
+        sequence=sequence,
+        needed=needed,
+        least=0,
+        wanted=0,
+        share_divisor=1,
+        configured=1000,
+        configuration_number=0,
+    )
+    context.account, result = open_grant(context.account, change)
+    return result
+
+
+@when("a later process on the holder's VM draws 100, and one on another VM 50")
+def draw_later(context):
+    context.result = draw(context, "a@2", 1, 100)
+    assert context.result.amount == 100
+    assert draw(context, "b@9", 1, 50).amount == 50
+
+
+@then("the grant is in doubt, 150 are granted to the two and 450 are available")
+def check_closed(context):
+    assert context.account.in_doubt == {"a@1": 400}
+    assert sum(grant.amount for grant in context.account.grants.values()) == 150
+    assert context.account.available == 450
+    assert context.result.unspent == 600
+
+
+@then("a repeated draw of the later process changes nothing")
+def check_repeated(context):
+    before = context.account
+    assert draw(context, "a@2", 1, 100).amount == 100
+    assert context.account == before
+
+
+@then('process "{later}" {verdict} a successor of "{earlier}"')
+def check_successor(context, later, verdict, earlier):
+    assert is_successor(later, earlier) == (verdict == "is")
--- a/packages/core/laburnumpier_core/identity.py
+++ b/packages/core/laburnumpier_core/identity.py
@@ -37,3 +37,17 @@
     """
     vm, _, started = text.rpartition("@")
     return Incarnation(vm=vm, started_ns=int(started))
+
+
+def is_successor(later: str, earlier: str) -> bool:
+    """Returns whether one process started on the same VM after another.
+
+    Args:
+        later: Written form of the process that may be the later one.
+        earlier: Written form of the process that may be the earlier one.
+    """
+    try:
+        second, first = parse_incarnation(later), parse_incarnation(earlier)
+    except ValueError:
+        return False
+    return second.vm == first.vm and second.started_ns > first.started_ns
--- a/packages/router/laburnumpier_router/budget/account.py
+++ b/packages/router/laburnumpier_router/budget/account.py
@@ -13,6 +13,7 @@
 """
 
 import msgspec
+from laburnumpier_core.identity import is_successor
 
 from .slot import Bill, Slot
 
@@ -261,6 +262,7 @@
             configured=change.configured,
             configuration_number=change.configuration_number,
         )
+    account = _close_predecessors(account, change.holder)
     # A draw that was seen before keeps its first outcome.
     if change.sequence <= account.last_sequences.get(change.holder, 0):
         grant = account.grants.get(change.grant_id)
@@ -401,6 +403,33 @@
     return _replace_in_doubt(account, change.grant_id, 0), ChangeApplied(tokens=tokens)
 
 
+def _close_predecessors(account: Account, holder: str) -> Account:
+    """Leaves in doubt what earlier processes on the holder's VM had not reported as spent.
+
+    One process runs on a VM at a time, so the draw of a later one proves that they have ended.
+    What they spent unreported is unknown and stays charged.
+    """
+    dead = {
+        grant_id: grant
+        for grant_id, grant in account.grants.items()
+        if is_successor(holder, grant.holder)
+    }
+    if not dead:
+        return account
+    grants = {key: grant for key, grant in account.grants.items() if key not in dead}
+    in_doubt = dict(account.in_doubt)
+    for grant in dead.values():
+        in_doubt[grant.holder] = in_doubt.get(grant.holder, 0) + grant.amount
+    sequences = {
+        name: sequence
+        for name, sequence in account.last_sequences.items()
+        if not is_successor(holder, name)
+    }
+    return msgspec.structs.replace(
+        account, grants=grants, in_doubt=in_doubt, last_sequences=sequences
+    )
+
+
 def _describe_grant(account: Account, amount: int) -> GrantOpened:
     in_doubt = sum(account.in_doubt.values())
     unspent = max(0, account.configured - account.settled - in_doubt)
--- a/packages/router/laburnumpier_router/budget/service.py
+++ b/packages/router/laburnumpier_router/budget/service.py
@@ -52,7 +52,10 @@
 REFILL_SHARE = 0.75
 """A draw is made when less than this share of the wanted tokens is free, so that an outage that
 begins just before it still finds most of them."""
-EXCESS_FACTOR = 1.5
+ACCOUNT_REFRESH_SECONDS = 4.0
+"""Age of what is known of an account after which a process that holds enough looks again, so that
+it hands back what is too much for a budget that others have spent."""
+EXCESS_FACTOR = 1.2
 """Free tokens beyond the wanted ones, as a factor, from which the excess is handed back; close
 to 1 each settled request would cause a write."""
 MAX_PREPARED_WORKSPACES = 200
@@ -246,7 +249,7 @@
                 for workspace in self._configuration.list_budgets(MAX_PREPARED_WORKSPACES):
                     self._get_state(workspace)
             for workspace, state in list(self._states.items()):
-                self._start_refill_if_low(workspace, state)
+                self._start_refill_if_low(workspace, state, ACCOUNT_REFRESH_SECONDS)
                 self._return_excess(workspace, state)
 
     def _return_excess(self, workspace: str, state: BudgetState) -> None:
@@ -540,15 +543,26 @@
             configuration_number=terms.configuration_number,
         )
 
-    def _start_refill_if_low(self, workspace: str, state: BudgetState) -> None:
-        """Draws in the background when half of the wanted tokens are gone."""
+    def _start_refill_if_low(
+        self, workspace: str, state: BudgetState, refresh_seconds: float = float("inf")
+    ) -> None:
+        """Draws in the background when the wanted tokens run low, or the account was not seen.
+
+        Args:
+            workspace: Whose tokens.
+            state: What is held of them.
+            refresh_seconds: Age of the last answer from the account after which it is asked
+                again, although enough is held.
+        """
         now = self._clock.monotonic_seconds()
         grants = isinstance(self._limits.allocation, DemandGrants)
         waits = now - state.last_refill_seconds < self._limits.refill_seconds
-        if not grants or state.near_end or waits:
-            return
-        if state.pool.free >= REFILL_SHARE * self._find_wanted(workspace, state):
+        if not grants or waits:
             return
+        if now - state.last_refill_seconds < refresh_seconds:
+            enough = state.pool.free >= REFILL_SHARE * self._find_wanted(workspace, state)
+            if state.near_end or enough:
+                return
         terms = self._configuration.find_budget_terms(workspace)
         if terms is None:
             return
