--- a/packages/core/laburnumpier_core/settings.py
+++ b/packages/core/laburnumpier_core/settings.py
@@ -69,10 +69,12 @@
     recover_departed: bool
     seed_addresses: tuple[str, ...]
     account_shards: int
+    gather_seconds: float
     grant_minimum_tokens: int
     grant_horizon_seconds: float
     grant_floor_share: float
     grant_held_share: float
+    lend_from_routers: int
     bill_wait_seconds: float
     refill_seconds: float
     admission_wait_seconds: float
@@ -250,10 +252,12 @@
         "",
     ),
     _number("budget", "account_shards", "4", int, 1, 65536),
+    _number("budget", "gather_seconds", "0", float, 0, 10),
     _number("budget", "grant_minimum_tokens", "2000", int, 1, 10**9),
     _number("budget", "grant_horizon_seconds", "600", float, 1, 86400),
     _number("budget", "grant_floor_share", "0.05", float, 0, 1),
     _number("budget", "grant_held_share", "1", float, 0.01, 1),
+    _number("budget", "lend_from_routers", "20", int, 2, 10**9),
     _number("budget", "bill_wait_seconds", "0.25", float, 0, 60),
     _number("budget", "refill_seconds", "10", float, 0.05, 3600),
     _number("budget", "admission_wait_seconds", "5", float, 0, 600),
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -58,6 +58,8 @@
 from .request.chat_service import ChatService
 from .request.home import RequestHome
 
+HOME_VIEWS = 2
+"""Processes that may take themselves for the home of one shard at the same time."""
 HAND_BACK_SECONDS = 1.5
 """Part of the grace kept for handing back tokens and recording the departure."""
 
@@ -72,6 +74,7 @@
     budget_messages.RequestTransfer,
     budget_messages.TransferOffered,
     budget_messages.GiveTokens,
+    budget_messages.TellSpending,
     budget_messages.KeepBills,
     budget_messages.CollectHoldings,
     budget_messages.HoldingsCollected,
@@ -392,6 +395,7 @@
             metrics=self._metrics,
             random_source=self._random,
             shard_count=settings.account_shards,
+            gather_seconds=settings.gather_seconds,
         )
         self._budget = BudgetService(
             submitter=self._submitter,
@@ -408,6 +412,7 @@
                 bill_wait_seconds=settings.bill_wait_seconds,
                 refill_seconds=settings.refill_seconds,
                 held_share=settings.grant_held_share,
+                lend_from_routers=settings.lend_from_routers,
                 allocation=parse_allocation(settings.allocation),
             ),
         )
@@ -544,6 +549,7 @@
         handle(budget_messages.SubmitChanges, self._answer_changes)
         handle(budget_messages.RequestTransfer, self._answer_transfer)
         handle(budget_messages.GiveTokens, self._answer_gift)
+        handle(budget_messages.TellSpending, self._answer_spending)
         handle(budget_messages.KeepBills, self._answer_keep_bills)
         handle(budget_messages.CollectHoldings, self._answer_collect)
 
@@ -556,13 +562,18 @@
     async def _answer_transfer(
         self, sender: str, message: budget_messages.RequestTransfer
     ) -> budget_messages.TransferOffered:
-        return self._budget.lend(message)
+        return await self._budget.lend(message)
 
     async def _answer_gift(
         self, sender: str, message: budget_messages.GiveTokens
     ) -> budget_messages.Acknowledged:
         return self._budget.accept_tokens(message)
 
+    async def _answer_spending(
+        self, sender: str, message: budget_messages.TellSpending
+    ) -> budget_messages.Acknowledged:
+        return self._budget.take_told_spending(message)
+
     async def _answer_keep_bills(
         self, sender: str, message: budget_messages.KeepBills
     ) -> budget_messages.Acknowledged:
@@ -577,7 +588,9 @@
     def _take_heartbeat(self, sender: str, message: Heartbeat) -> None:
         self._configuration.note_peer_number(sender, message.configuration_number)
         self._directory.note_leaving(message.leaving_servers)
-        self._pacer.set_member_count(1 + len(self._fleet.view.live))
+        # Only homes of shards write as a rule; views of who that is may differ for a while.
+        writers = HOME_VIEWS * self._settings.account_shards
+        self._pacer.set_member_count(min(1 + len(self._fleet.view.live), writers))
         if self._forwarding is not None:
             self._retries.set_member_count(1 + len(self._fleet.view.live))
 
--- a/packages/router/laburnumpier_router/budget/grant_pool.py
+++ b/packages/router/laburnumpier_router/budget/grant_pool.py
@@ -301,20 +301,32 @@
                 left -= taken
         return parts
 
-    def take_borrowed(self, lenders: set[str]) -> list[TransferPart]:
+    def note_spent_elsewhere(self, grant_id: str, tokens: int) -> None:
+        """Takes in that a borrower spent lent tokens of an own grant."""
+        if grant_id not in self._grants:
+            self.add_grant(grant_id, 0, own=True)
+        grant = self._grants[grant_id]
+        grant.spent_total += tokens
+        grant.unsettled += tokens
+
+    def take_borrowed(self, lenders: set[str], keep: int = 0) -> list[TransferPart]:
         """Debits free tokens that were borrowed from the given lenders, to be given back.
 
         Args:
             lenders: Incarnations of lenders that can be reached.
+            keep: Free tokens that stay in the pool.
 
         Returns:
             The debited parts.
         """
         parts = []
+        excess = max(0, self.free - keep)
         for grant in self._grants.values():
-            if not grant.own and grant.free and name_holder(grant.grant_id) in lenders:
-                parts.append(TransferPart(grant_id=grant.grant_id, tokens=grant.free))
-                grant.free = 0
+            taken = min(excess, grant.free)
+            if taken and not grant.own and name_holder(grant.grant_id) in lenders:
+                parts.append(TransferPart(grant_id=grant.grant_id, tokens=taken))
+                grant.free -= taken
+                excess -= taken
         return parts
 
     def take_back_free(self, keep: int) -> list[HeldGrant]:
--- a/packages/router/laburnumpier_router/budget/lending.py
+++ b/packages/router/laburnumpier_router/budget/lending.py
@@ -9,12 +9,15 @@
 from collections.abc import Mapping
 
 from laburnumpier_core.errors import PeerError
+from laburnumpier_core.log import get_part_logger
 from laburnumpier_core.metrics import Metrics
 
 from .grant_pool import TransferPart, name_holder
-from .peers import BudgetFleet, GiveTokens, RequestTransfer, TransferOffered
+from .peers import BudgetFleet, GiveTokens, RequestTransfer, TellSpending, TransferOffered
 from .state import BudgetState
 
+_log = get_part_logger("budget")
+
 PEER_TIMEOUT_SECONDS = 0.5
 MAX_REMEMBERED_TRANSFERS = 1000
 MAX_REMEMBERED_GIFTS = 10_000
@@ -30,6 +33,7 @@
         "_gifts",
         "_metrics",
         "_states",
+        "_told",
         "_transfer_sequence",
         "_transfers",
     )
@@ -50,6 +54,7 @@
         self._fenced: set[str] = set()
         self._accepted: dict[str, None] = {}
         self._gifts: set[asyncio.Task[None]] = set()
+        self._told: dict[tuple[str, str], int] = {}
 
     def lend(self, message: RequestTransfer) -> TransferOffered:
         """Answers a peer's request for tokens; asked twice, it gives the same answer.
@@ -66,10 +71,15 @@
         if state is None:
             return TransferOffered(parts=[], free=0, coming=0)
         parts = state.pool.lend(min(message.tokens, self._count_lendable(state, message)))
-        offer = TransferOffered(parts=parts, free=state.pool.free, coming=state.pool.coming)
+        offer = TransferOffered(
+            parts=parts,
+            free=state.pool.free,
+            coming=state.pool.coming,
+            unspent=state.known_unspent,
+        )
         lent = sum(part.tokens for part in parts)
         if lent < message.tokens and not state.pool.waiting_tokens:
-            self._give_back_borrowed(message.workspace, state)
+            self.give_back_borrowed(message.workspace, state)
         if parts:
             self._transfers[message.transfer_id] = offer
             while len(self._transfers) > MAX_REMEMBERED_TRANSFERS:
@@ -136,6 +146,62 @@
         left = sum(offer.free + offer.coming for offer in holding.values())
         return len(holding) == len(peers), left
 
+    async def borrow_from(
+        self, lender: str, workspace: str, state: BudgetState, tokens: int, shortage: int
+    ) -> bool:
+        """Borrows from the one router that draws for the fleet.
+
+        Args:
+            lender: The router.
+            workspace: Whose tokens.
+            state: The budget that they are credited to.
+            tokens: How many are wanted.
+            shortage: Tokens for which requests wait here.
+
+        Returns:
+            Whether the lender answered.
+        """
+        offer = await self._ask_peer(lender, workspace, tokens, shortage)
+        fields = {"workspace": workspace, "lender": lender, "wanted": tokens, "needed": shortage}
+        if offer is None:
+            _log.warning("lender is silent", fields=fields)
+            return False
+        fields["amount"] = self._credit(state, offer)
+        fields["left"] = offer.free
+        _log.info("borrowed tokens", fields=fields)
+        if offer.unspent is not None:
+            state.known_unspent = offer.unspent
+        return True
+
+    async def tell_spending(self, workspace: str, state: BudgetState) -> None:
+        """Tells lenders what was spent of their tokens; what they do not answer is told again."""
+        by_lender: dict[str, dict[str, int]] = {}
+        for grant in state.pool.list_unreported_spending():
+            if not grant.own:
+                lender = name_holder(grant.grant_id)
+                by_lender.setdefault(lender, {})[grant.grant_id] = grant.spent_total
+        for lender, totals in by_lender.items():
+            message = TellSpending(
+                workspace=workspace, spender=self._fleet.self_name, spent_totals=totals
+            )
+            try:
+                await self._fleet.call(lender, message, PEER_TIMEOUT_SECONDS)
+            except PeerError:
+                self._metrics.count("budget.spending_not_told")
+                continue
+            for grant_id, total in totals.items():
+                state.pool.confirm_spending(grant_id, total)
+
+    def take_told_spending(self, state: BudgetState, message: TellSpending) -> None:
+        """Takes in what a borrower spent; a repeated total counts once."""
+        for grant_id, total in message.spent_totals.items():
+            if name_holder(grant_id) != self._fleet.self_name:
+                continue
+            fresh = total - self._told.get((grant_id, message.spender), 0)
+            if fresh > 0:
+                self._told[(grant_id, message.spender)] = total
+                state.pool.note_spent_elsewhere(grant_id, fresh)
+
     async def give_to_peer(self, workspace: str, state: BudgetState) -> None:
         """Sends free own tokens to the nearest peer only, as a lost reply proves nothing."""
         peers = self._fleet.list_peers()
@@ -150,10 +216,16 @@
             task.cancel()
         await asyncio.gather(*self._gifts, return_exceptions=True)
 
-    def _give_back_borrowed(self, workspace: str, state: BudgetState) -> None:
-        """Starts to give borrowed tokens back, as only the router that drew them may lend them."""
+    def give_back_borrowed(self, workspace: str, state: BudgetState, keep: int = 0) -> None:
+        """Starts to give borrowed tokens back, as only the router that drew them may lend them.
+
+        Args:
+            workspace: Whose tokens.
+            state: The budget that they are debited from.
+            keep: Free tokens that stay here.
+        """
         by_lender: dict[str, list[TransferPart]] = {}
-        for part in state.pool.take_borrowed(set(self._fleet.list_peers())):
+        for part in state.pool.take_borrowed(set(self._fleet.list_peers()), keep):
             by_lender.setdefault(name_holder(part.grant_id), []).append(part)
         for lender, parts in by_lender.items():
             message = self._make_gift(workspace, parts)
--- a/packages/router/laburnumpier_router/budget/peers.py
+++ b/packages/router/laburnumpier_router/budget/peers.py
@@ -49,11 +49,21 @@
         parts: Tokens lent, already debited at the lender.
         free: Tokens that are free there.
         coming: Tokens there that are reserved or on their way back, and may become free.
+        unspent: What the lender knows to be unspent of the whole budget; None if nothing.
     """
 
     parts: list[TransferPart]
     free: int
     coming: int
+    unspent: int | None = None
+
+
+class TellSpending(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Tells the router that lent tokens what was spent of them, in running totals by grant."""
+
+    workspace: str
+    spender: str
+    spent_totals: dict[str, int]
 
 
 class GiveTokens(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/packages/router/laburnumpier_router/budget/service.py
+++ b/packages/router/laburnumpier_router/budget/service.py
@@ -39,6 +39,7 @@
     GiveTokens,
     HoldingsCollected,
     RequestTransfer,
+    TellSpending,
     TransferOffered,
 )
 from .slot import Bill
@@ -55,6 +56,16 @@
 ACCOUNT_REFRESH_SECONDS = 4.0
 """Age of what is known of an account after which a process that holds enough looks again, so that
 it hands back what is too much for a budget that others have spent."""
+LENDER_SECONDS = 4.0
+"""Demand of the whole fleet that its lender wants to hold; it draws again about every second."""
+LENDER_REFILL_SECONDS = 0.25
+"""Shortest time between draws of a lender that no request waits for."""
+LENDER_FLOOR_SHARE = 0.04
+"""Least share of the unspent tokens that a lender holds, for demand that it has not met yet."""
+LENDER_SHARE = 0.1
+"""Greatest share of the unspent tokens that a lender wants to hold, which dies with it."""
+TELL_SECONDS = 4.0
+"""Time between reports of spending to the lender."""
 EXCESS_FACTOR = 1.2
 """Free tokens beyond the wanted ones, as a factor, from which the excess is handed back; close
 to 1 each settled request would cause a write."""
@@ -208,10 +219,29 @@
         self._return_near_end(reservation.workspace, state)
         return charged
 
-    def lend(self, message: RequestTransfer) -> TransferOffered:
-        """Answers a peer's request for tokens; see `TokenLending.lend`."""
+    async def lend(self, message: RequestTransfer) -> TransferOffered:
+        """Answers a peer's request for tokens; see `TokenLending.lend`.
+
+        The router that draws for the fleet first draws what a waiting request of the peer lacks.
+        """
+        workspace = message.workspace
+        if message.tokens and self._lends_for_fleet(workspace):
+            state = self._get_state(workspace)
+            # What others ask for is demand that the next draw has to cover.
+            state.demand.record(message.tokens, self._clock.monotonic_seconds())
+            missing = message.shortage - state.pool.free
+            terms = self._configuration.find_budget_terms(workspace)
+            if missing > 0 and terms is not None:
+                await self._draw(workspace, state, terms, needed=missing)
+            else:
+                self._start_refill_if_low(workspace, state)
         return self._lending.lend(message)
 
+    def take_told_spending(self, message: TellSpending) -> Acknowledged:
+        """Takes in what a borrower spent of tokens lent here, and returns an empty reply."""
+        self._lending.take_told_spending(self._get_state(message.workspace), message)
+        return Acknowledged()
+
     def accept_tokens(self, message: GiveTokens) -> Acknowledged:
         """Credits tokens that a peer gives, once, and returns an empty reply."""
         state = self._get_state(message.workspace)
@@ -251,6 +281,15 @@
             for workspace, state in list(self._states.items()):
                 self._start_refill_if_low(workspace, state, ACCOUNT_REFRESH_SECONDS)
                 self._return_excess(workspace, state)
+                self._tell_spending(workspace, state)
+
+    def _tell_spending(self, workspace: str, state: BudgetState) -> None:
+        """Starts to tell the lender what was spent, so that the account's settled total rises."""
+        now = self._clock.monotonic_seconds()
+        due = now - state.last_report_seconds >= TELL_SECONDS
+        if due and any(not grant.own for grant in state.pool.list_unreported_spending()):
+            state.last_report_seconds = now
+            self._keep(asyncio.create_task(self._lending.tell_spending(workspace, state)))
 
     def _return_excess(self, workspace: str, state: BudgetState) -> None:
         """Starts to hand back what is far above the wanted tokens.
@@ -262,6 +301,9 @@
         busy = state.pool.waiting_tokens or self._submitter.failed_lately
         if self._limits.grant_floor_share > 0 and state.pool.free > excess and not busy:
             keep = self._find_wanted(workspace, state)
+            if self._find_lender(workspace) is not None:
+                self._lending.give_back_borrowed(workspace, state, keep)
+                return
             self._keep(asyncio.create_task(self._return_tokens(workspace, state, keep=keep)))
 
     async def maintain_periodically(self) -> None:
@@ -302,13 +344,21 @@
         """
         await self._bills.flush()
         store_works = await self._submitter.can_reach_store()
-        for workspace, state in list(self._states.items()):
-            if store_works:
-                await self._return_tokens(workspace, state, keep=0)
-            else:
-                await self._lending.give_to_peer(workspace, state)
+        await asyncio.gather(
+            *(
+                self._hand_back(workspace, state, to_store=store_works)
+                for workspace, state in list(self._states.items())
+            )
+        )
         await self._bills.hand_over()
 
+    async def _hand_back(self, workspace: str, state: BudgetState, *, to_store: bool) -> None:
+        await self._lending.tell_spending(workspace, state)
+        if to_store:
+            await self._return_tokens(workspace, state, keep=0)
+        else:
+            await self._lending.give_to_peer(workspace, state)
+
     async def close(self) -> None:
         """Stops background work."""
         for task in list(self._background):
@@ -335,6 +385,12 @@
         routers hold is lost with them, and must leave enough for those that come after.
         """
         rate = state.demand.get_tokens_per_second(self._clock.monotonic_seconds())
+        if self._lends_for_fleet(workspace):
+            wanted = max(self._limits.grant_minimum_tokens, int(rate * LENDER_SECONDS))
+            if state.known_unspent is None:
+                return wanted
+            least = int(state.known_unspent * LENDER_FLOOR_SHARE)
+            return max(least, min(wanted, int(state.known_unspent * LENDER_SHARE)))
         terms = self._configuration.find_budget_terms(workspace)
         purchased = terms.purchased if terms else 0
         wanted = max(
@@ -449,12 +505,21 @@
             terms = BudgetTerms(purchased=0, configuration_number=0)
         started = self._clock.monotonic_seconds()
         pool = state.pool
+        lender = self._find_lender(workspace)
+        if lender is not None and await self._borrow_from(lender, workspace, state):
+            return GatherOutcome(
+                at_seconds=started,
+                configuration_number=terms.configuration_number,
+                peers_answered=True,
+                hoped=pool.free,
+                unspent=None,
+            )
         shortage = max(0, state.pool.waiting_tokens - state.pool.free)
         opened = await self._draw(workspace, state, terms, needed=shortage)
         available = opened.available if opened else 0
         shortage = max(0, state.pool.waiting_tokens - state.pool.free)
         peers_answered, held_by_peers = True, 0
-        if shortage and isinstance(self._limits.allocation, DemandGrants):
+        if shortage and lender is None and isinstance(self._limits.allocation, DemandGrants):
             peers_answered, held_by_peers = await self._lending.borrow(workspace, state, shortage)
         return GatherOutcome(
             at_seconds=started,
@@ -465,6 +530,37 @@
             in_doubt=opened.in_doubt if opened else 0,
         )
 
+    def _is_lending_fleet(self) -> bool:
+        return 1 + len(self._fleet.list_peers()) >= self._limits.lend_from_routers
+
+    def _lends_for_fleet(self, workspace: str) -> bool:
+        """Whether this router draws the tokens of a workspace for all others."""
+        home = self._fleet.find_home(f"budget/{workspace}")
+        return self._is_lending_fleet() and home == self._fleet.self_name
+
+    def _find_lender(self, workspace: str) -> str | None:
+        """Returns the router to borrow from; None where every router draws for itself.
+
+        In a large fleet each router meets a workspace too rarely to hold tokens for it, and a
+        draw for each request would be a write for each request.
+        """
+        if not self._is_lending_fleet() or self._lends_for_fleet(workspace):
+            return None
+        return self._fleet.find_home(f"budget/{workspace}")
+
+    async def _borrow_from(self, lender: str, workspace: str, state: BudgetState) -> bool:
+        """Borrows what waiting requests lack and what is wanted here.
+
+        Returns:
+            Whether no request lacks tokens any more.
+        """
+        shortage = max(0, state.pool.waiting_tokens - state.pool.free)
+        wanted = max(shortage, self._find_wanted(workspace, state) - state.pool.free)
+        if wanted > 0:
+            state.last_refill_seconds = self._clock.monotonic_seconds()
+            await self._lending.borrow_from(lender, workspace, state, wanted, shortage)
+        return state.pool.waiting_tokens <= state.pool.free
+
     async def _draw(
         self, workspace: str, state: BudgetState, terms: BudgetTerms, needed: int
     ) -> GrantOpened | None:
@@ -477,7 +573,10 @@
                 change = self._make_draw(workspace, state, terms, needed)
                 state.pending_draw = change
             reports = self._make_spending_reports(workspace, state)
+            started = self._clock.monotonic_seconds()
             results = await self._submitter.submit(workspace, [*reports, change])
+            took_seconds = self._clock.monotonic_seconds() - started
+            self._metrics.record_seconds("budget.draw", took_seconds)
             result = results.pop()
             self._note_spending_reported(state, reports, results)
             if not isinstance(result, GrantOpened):
@@ -496,6 +595,7 @@
                 "purchased": terms.purchased,
                 "free": state.pool.free,
                 "reserved": state.pool.reserved,
+                "took_ms": round(took_seconds * 1000),
             }
             _log.info("drew tokens", fields=fields)
             if result.amount:
@@ -556,10 +656,13 @@
         """
         now = self._clock.monotonic_seconds()
         grants = isinstance(self._limits.allocation, DemandGrants)
-        waits = now - state.last_refill_seconds < self._limits.refill_seconds
+        pause = self._limits.refill_seconds
+        if self._lends_for_fleet(workspace):
+            pause = min(pause, LENDER_REFILL_SECONDS)
+        waits = now - state.last_refill_seconds < pause
         if not grants or waits:
             return
-        if now - state.last_refill_seconds < refresh_seconds:
+        if now - state.last_refill_seconds < refresh_seconds or self._find_lender(workspace):
             enough = state.pool.free >= REFILL_SHARE * self._find_wanted(workspace, state)
             if state.near_end or enough:
                 return
@@ -567,7 +670,11 @@
         if terms is None:
             return
         state.last_refill_seconds = now
-        self._keep(asyncio.create_task(self._draw(workspace, state, terms, needed=0)))
+        lender = self._find_lender(workspace)
+        if lender is not None:
+            self._keep(asyncio.create_task(self._borrow_from(lender, workspace, state)))
+        else:
+            self._keep(asyncio.create_task(self._draw(workspace, state, terms, needed=0)))
 
     async def _return_tokens(self, workspace: str, state: BudgetState, keep: int) -> None:
         raised = state.pool.take_back_free(keep)
@@ -593,7 +700,10 @@
         state.pool.drop_finished()
 
     def _make_spending_reports(self, workspace: str, state: BudgetState) -> list[Change]:
-        """Returns the running totals of spending that the store has not settled yet."""
+        """Returns the running totals of spending of own grants that the store has not settled.
+
+        Spending of borrowed tokens is told to their lender, which reports it with its own.
+        """
         return [
             ReportSpending(
                 workspace=workspace,
@@ -602,6 +712,7 @@
                 spent_total=grant.spent_total,
             )
             for grant in state.pool.list_unreported_spending()
+            if grant.own
         ]
 
     def _note_spending_reported(
--- a/packages/router/laburnumpier_router/budget/shard_writer.py
+++ b/packages/router/laburnumpier_router/budget/shard_writer.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import random
 
@@ -17,7 +18,15 @@
 from laburnumpier_core.metrics import Metrics
 
 from ..ports.key_value_service import KeyValueService, Write
-from .account import Change, ChangeFailed, ChangeResult, Shard
+from .account import (
+    Change,
+    ChangeFailed,
+    ChangeResult,
+    OpenGrant,
+    ReportSpending,
+    ReturnTokens,
+    Shard,
+)
 from .slot import Slot
 from .transaction import apply_batch, find_slot_key
 from .write_pacer import WritePacer
@@ -37,6 +46,17 @@
     return f"accounts/{shard}"
 
 
+def is_urgent(change: Change) -> bool:
+    """Returns whether a request waits for a change."""
+    match change:
+        case OpenGrant(needed=needed):
+            return needed > 0
+        case ReturnTokens() | ReportSpending():
+            return False
+        case _:
+            return True
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _WaitingChange:
     change: Change
@@ -48,6 +68,7 @@
 
     __slots__ = (
         "_clock",
+        "_gather_seconds",
         "_key",
         "_metrics",
         "_pacer",
@@ -58,6 +79,7 @@
         "_slots",
         "_store",
         "_task",
+        "_urgent",
         "_waiting",
     )
 
@@ -70,8 +92,21 @@
         clock: Clock,
         metrics: Metrics,
         random_source: random.Random,
+        gather_seconds: float = 0.0,
     ):
-        """Creates the writer; it reads the shard when the first change arrives."""
+        """Creates the writer; it reads the shard when the first change arrives.
+
+        Args:
+            shard: Number of the shard.
+            store: The platform's key-value service.
+            pacer: Keeps the process within its share of the write rate.
+            clock: Source of time.
+            metrics: Counters.
+            random_source: Jitter.
+            gather_seconds: How long changes that nobody waits for may gather before a write.
+        """
+        self._gather_seconds = gather_seconds
+        self._urgent = asyncio.Event()
         self._key = name_shard_key(shard)
         self._store = store
         self._pacer = pacer
@@ -105,6 +140,8 @@
             _WaitingChange(change=change, result=loop.create_future()) for change in changes
         ]
         self._waiting.extend(entries)
+        if any(map(is_urgent, changes)):
+            self._urgent.set()
         if self._task is None or self._task.done():
             self._task = asyncio.create_task(self._write_until_idle())
         return list(await asyncio.gather(*(entry.result for entry in entries)))
@@ -128,6 +165,7 @@
 
     async def _write_until_idle(self) -> None:
         while self._waiting:
+            await self._gather_changes()
             await self._pacer.wait_for_turn()
             batch = self._take_batch()
             if not batch:
@@ -144,6 +182,14 @@
                 if not entry.result.done():
                     entry.result.set_result(result)
 
+    async def _gather_changes(self) -> None:
+        """Lets changes gather, until one comes that a request waits for."""
+        if self._gather_seconds:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._gather_seconds):
+                    await self._urgent.wait()
+        self._urgent.clear()
+
     def _take_batch(self) -> list[_WaitingChange]:
         batch: list[_WaitingChange] = []
         while self._waiting and len(batch) < MAX_BATCH_CHANGES:
@@ -192,6 +238,8 @@
                 return outcome.results
             fresh = self._shard is not None
             self._metrics.count("budget.writer.conflicts")
+            fields = {"key": self._key, "attempt": attempt, "changes": len(changes)}
+            _log.info("another process wrote first", fields=fields)
             await asyncio.sleep(CONFLICT_PAUSE_SECONDS * self._random.random() * attempt)
         raise StoreError("too many conflicting writes")
 
--- a/packages/router/laburnumpier_router/budget/state.py
+++ b/packages/router/laburnumpier_router/budget/state.py
@@ -50,6 +50,7 @@
     typical_amount: float = 0.0
     near_end: bool = False
     known_unspent: int | None = None
+    last_report_seconds: float = float("-inf")
 
     def note_amount(self, amount: int) -> None:
         """Takes in the greatest cost of a request."""
@@ -71,6 +72,7 @@
         bill_wait_seconds: Longest hold-up of an answer's end for its bill.
         refill_seconds: Shortest time between draws that no request waits for.
         held_share: Greatest share of what is unspent that all routers want to hold together.
+        lend_from_routers: Fleet size from which one router draws for all and lends to them.
     """
 
     allocation: Allocation
@@ -81,3 +83,4 @@
     bill_wait_seconds: float
     refill_seconds: float = 10.0
     held_share: float = 1.0
+    lend_from_routers: int = 20
--- a/packages/router/laburnumpier_router/budget/submitter.py
+++ b/packages/router/laburnumpier_router/budget/submitter.py
@@ -24,6 +24,7 @@
     __slots__ = (
         "_clock",
         "_fleet",
+        "_gather_seconds",
         "_homes_silent_until",
         "_last_failure_seconds",
         "_metrics",
@@ -44,6 +45,7 @@
         metrics: Metrics,
         random_source: random.Random,
         shard_count: int,
+        gather_seconds: float = 0.0,
     ):
         """Creates the submitter with no writer open yet."""
         self._store = store
@@ -53,6 +55,7 @@
         self._metrics = metrics
         self._random = random_source
         self._shard_count = shard_count
+        self._gather_seconds = gather_seconds
         self._last_failure_seconds = float("-inf")
         self._homes_silent_until: dict[str, float] = {}
         self._writers: dict[int, ShardWriter] = {}
@@ -109,6 +112,7 @@
                 clock=self._clock,
                 metrics=self._metrics,
                 random_source=self._random,
+                gather_seconds=self._gather_seconds,
             )
         return self._writers[shard]
 
