--- a/features/forward/forwarding.feature
+++ b/features/forward/forwarding.feature
@@ -135,3 +135,19 @@
     And a request on an open connection is answered 200 and the connection closed
     And after the balancer has turned away, a request is answered 503
     And the router is idle within 4.0 seconds
+
+  Scenario Outline: One line tells how each request ended, and which servers were tried in order
+    Given 2 servers of which the first <behaviour>
+    When a caller sends a <kind> request with <tries> tries
+    Then its line has the outcome <outcome> and the servers <servers>
+
+    Examples:
+      | behaviour                   | kind             | tries | outcome         | servers           |
+      | answers                     | idempotent       | 2     | answered        | i-0               |
+      | fails                       | idempotent       | 2     | answered        | i-0:status_500,i-1 |
+      | does not listen             | non-idempotent   | 1     | answered        | i-0:unreached,i-1 |
+      | refuses as full             | non-idempotent   | 1     | server_refused  | i-0:refused_503   |
+      | resets                      | non-idempotent   | 2     | outcome_unknown | i-0:broke_off     |
+      | is silent                   | non-idempotent   | 2     | deadline_passed | i-0:time_over     |
+      | falls silent after 2 events | plain stream     | 2     | broken_off      | i-0:time_over     |
+      | falls silent after 2 events | resumable stream | 2     | answered        | i-0:silent,i-1    |
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -1,6 +1,7 @@
 """Steps about forwarded requests, over loopback connections."""
 
 import asyncio
+import logging
 import random
 
 import aiohttp
@@ -72,6 +73,18 @@
         self.charged += min(used, reservation.amount)
 
 
+class RecordHandler(logging.Handler):
+    """Keeps log records."""
+
+    def __init__(self, records):
+        super().__init__()
+        self._records = records
+
+    def emit(self, record):
+        """Keeps one record."""
+        self._records.append(record)
+
+
 def set_route(context, kind, tries=1, limit_seconds=4.0):
     route_kind, resumable = KINDS[kind]
     route = Route(
@@ -200,7 +213,17 @@
 @when("a caller sends a {kind} request with {tries:d} tries")
 def send_request(context, kind, tries):
     set_route(context, kind, tries, limit_seconds=2.5)
-    run(context, send(context, make_headers(kind)))
+    context.lines = []
+    handler = RecordHandler(context.lines)
+    logger = logging.getLogger("laburnumpier.forward")
+    logger.addHandler(handler)
+    logging.disable(logging.NOTSET)
+    logger.setLevel(logging.INFO)
+    try:
+        run(context, send(context, make_headers(kind)))
+    finally:
+        logging.disable(logging.CRITICAL)
+        logger.removeHandler(handler)
 
 
 @when("a caller that holds {count:d} events sends a resumable stream request")
@@ -395,3 +418,13 @@
 @then("the router is idle within {seconds:f} seconds")
 def check_idle(context, seconds):
     assert run(context, context.front.wait_until_idle(seconds))
+
+
+@then("its line has the outcome {outcome} and the servers {servers}")
+def check_log_line(context, outcome, servers):
+    ended = [line for line in context.lines if line.getMessage() == "request ended"]
+    assert len(ended) == 1, context.lines
+    fields = ended[0].fields
+    assert fields["request"] == "a1"
+    assert fields["outcome"] == outcome, fields
+    assert fields["tried"] == servers, fields
--- a/packages/router/laburnumpier_router/forward/exchange.py
+++ b/packages/router/laburnumpier_router/forward/exchange.py
@@ -78,6 +78,10 @@
     def started(self) -> bool:
         """Whether a part of the answer was sent."""
 
+    @property
+    def broken(self) -> bool:
+        """Whether the answer was broken off."""
+
     async def send_whole(self, status: int, headers: CIMultiDict[str], body: bytes) -> None:
         """Sends an answer that is complete."""
 
--- a/packages/router/laburnumpier_router/forward/front.py
+++ b/packages/router/laburnumpier_router/forward/front.py
@@ -32,7 +32,7 @@
 class HttpAnswerSink:
     """Sends an answer over one caller's connection."""
 
-    __slots__ = ("_closing", "_request", "_response", "broken")
+    __slots__ = ("_broken", "_closing", "_request", "_response")
 
     def __init__(self, *, request: web.BaseRequest, closing: bool):
         """Creates a sink that has sent nothing.
@@ -44,7 +44,7 @@
         self._request = request
         self._closing = closing
         self._response: web.StreamResponse | None = None
-        self.broken = False
+        self._broken = False
 
     @property
     def response(self) -> web.StreamResponse | None:
@@ -56,6 +56,11 @@
         """Whether a part of the answer was sent."""
         return self._response is not None
 
+    @property
+    def broken(self) -> bool:
+        """Whether the answer was broken off."""
+        return self._broken
+
     async def send_whole(self, status: int, headers: CIMultiDict[str], body: bytes) -> None:
         """Sends an answer that is complete."""
         response = web.Response(status=status, headers=headers, body=body)
@@ -81,7 +86,7 @@
 
     def break_off(self) -> None:
         """Closes the connection, so that the answer cannot look complete."""
-        self.broken = True
+        self._broken = True
         if self._request.transport is not None:
             self._request.transport.abort()
 
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -76,7 +76,7 @@
         sends: Servers that it was sent to.
         may_have_run: Whether a server may have run it.
         answer_status: Status of the answer that the caller gets.
-        trail: Servers tried with their outcome, for logs.
+        trail: Servers tried in order, with a word on what went wrong there, for logs.
     """
 
     request: ForwardRequest
@@ -190,7 +190,7 @@
         try:
             progress = self._admit(request)
             await self._reserve_and_run(progress, sink)
-            outcome = "answered"
+            outcome = "broken_off" if sink.broken else "answered"
         except RequestError as error:
             outcome = error.code.name.lower()
             raise
@@ -254,7 +254,8 @@
             async with asyncio.timeout_at(progress.deadline_seconds):
                 await self._run(progress, sink)
         except TimeoutError as error:
-            self._metrics.count("forward.deadline_passed")
+            if progress.trail:
+                progress.trail[-1] += ":time_over"
             if sink.started:
                 sink.break_off()
                 return
@@ -289,7 +290,7 @@
                 await self._try_server(progress, server, sink)
                 return
             except _TryFailedError as failure:
-                progress.trail.append(f"{server.entry.server_id}:{failure.reason}")
+                progress.trail[-1] = f"{server.entry.server_id}:{failure.reason}"
                 if failure.reason == "unreached":
                     unreached += 1
                 if not self._may_repeat(progress, failure, unreached):
@@ -345,6 +346,7 @@
             _TryFailedError: If the answer was not delivered.
         """
         progress.tried.add(server.entry.server_id)
+        progress.trail.append(server.entry.server_id)
         prompt_tokens = progress.request.head.prompt_tokens
         server.start(prompt_tokens)
         exchange = None
@@ -457,6 +459,7 @@
             raise _TryFailedError(f"status_{exchange.status}", Ran.UNKNOWN)
         body = await exchange.read()
         if exchange.status >= 500:
+            progress.trail[-1] += f":status_{exchange.status}"
             server.record_failure()
             if self._may_repeat(progress, _TryFailedError("server_error", Ran.YES), unreached=0):
                 again = await self._try_again(progress, sink)
@@ -480,7 +483,7 @@
         try:
             await self._try_server(progress, server, sink)
         except _TryFailedError as failure:
-            progress.trail.append(f"{server.entry.server_id}:{failure.reason}")
+            progress.trail[-1] = f"{server.entry.server_id}:{failure.reason}"
             return sink.started
         return True
 
@@ -574,6 +577,6 @@
             fields["status"] = progress.answer_status
             fields["sends"] = progress.sends
             fields["tokens"] = progress.used_tokens
-            fields["tried"] = ",".join([*progress.trail, *progress.tried])
+            fields["tried"] = ",".join(progress.trail)
             fields["started"] = sink.started
         _log.info("request ended", fields=fields)
