End a stop within the grace, close callers' connections before tokens go back, and log from the start

Now readiness ends first, the drain ends 1.2 s before the grace, connections close together and before tokens go back, handing back is limited. `laburnumpier explain` also tells what the request's router held for its workspace.

--- a/features/steps/log_steps.py
+++ b/features/steps/log_steps.py
@@ -174,10 +174,13 @@
 def write_logs(context):
     context.folder = tempfile.TemporaryDirectory()
     folder = pathlib.Path(context.folder.name)
+    office = {"workspace": "office"}
     first = [
         {"time": 5.0, "part": "config", "event": "configuration in force", "number": 3},
         {"time": 9.0, "part": "budget", "event": "tokens not reached", "request": "r1"},
-        {"time": 9.1, "part": "forward", "event": "request ended", "request": "r1"},
+        {"time": 9.1, "part": "forward", "event": "request ended", "request": "r1", **office},
+        {"time": 8.5, "part": "budget", "event": "drew tokens", **office},
+        {"time": 8.6, "part": "budget", "event": "drew tokens", "workspace": "other"},
         {"time": 9.2, "part": "forward", "event": "request ended", "request": "r2"},
     ]
     second = [
@@ -199,7 +202,7 @@
 @then("its story has its lines in order of time and the beliefs of its routers")
 def check_story(context):
     story = tell_story(read_lines(context.logs), "r1")
-    assert [line.time for line in story] == [5.0, 8.0, 9.0, 9.1, 9.6], story
+    assert [line.time for line in story] == [5.0, 8.0, 8.5, 9.0, 9.1, 9.6], story
     assert "vm-2.log forward: request ended request=r1" in format_story(story)
 
 
--- a/packages/operator/laburnumpier_operator/log_story.py
+++ b/packages/operator/laburnumpier_operator/log_story.py
@@ -23,6 +23,7 @@
         "router started",
     }
 )
+WORKSPACE_EVENTS = frozenset({"drew tokens", "borrowed tokens", "lender is silent"})
 BELIEF_SECONDS = 10.0
 """Beliefs that changed this long before a request's line are told with it."""
 
@@ -56,7 +57,9 @@
 
 
 def tell_story(lines: Iterable[LogLine], request_id: str) -> list[LogLine]:
-    """Returns the lines of one request in order, after the beliefs that changed before it.
+    """Returns the lines of one request in order, with the beliefs that changed before it.
+
+    Beliefs are those of the routers that served it, and what they held for its workspace.
 
     Args:
         lines: Lines of all routers.
@@ -68,10 +71,16 @@
         return []
     sources = {line.source for line in own}
     first, last = own[0].time - BELIEF_SECONDS, own[-1].time
+    workspaces = {line.fields.get("workspace") for line in own} - {None, ""}
     beliefs = [
         line
         for line in ordered
-        if line.event in BELIEF_EVENTS and line.source in sources and first <= line.time <= last
+        if line.source in sources
+        and first <= line.time <= last
+        and (
+            line.event in BELIEF_EVENTS
+            or (line.event in WORKSPACE_EVENTS and line.fields.get("workspace") in workspaces)
+        )
     ]
     return sorted([*own, *beliefs], key=lambda line: line.time)
 
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import random
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 import msgspec
@@ -60,8 +60,11 @@
 
 HOME_VIEWS = 2
 """Processes that may take themselves for the home of one shard at the same time."""
-HAND_BACK_SECONDS = 1.5
-"""Part of the grace kept for handing back tokens and recording the departure."""
+HAND_BACK_SECONDS = 0.7
+"""Part of the grace kept for handing back tokens and recording the departure; a store call takes
+some milliseconds."""
+EXIT_SECONDS = 0.5
+"""Part of the grace kept for closing sockets and leaving the interpreter."""
 
 _log = get_part_logger("app")
 
@@ -330,24 +333,53 @@
             self._run_in_background(self._controller.control_periodically())
         _log.info("router started", fields={"router": self._fleet.self_name})
 
-    async def stop_gracefully(self) -> None:
+    async def stop_gracefully(
+        self, close_fronts: Callable[[], Awaitable[None]] | None = None
+    ) -> None:
         """Refuses new work, lets work in progress end, and hands back every right.
 
-        It waits as long as the longest request takes, and no longer because of the store.
+        It waits as long as the longest request takes, and no longer because of the store. Where
+        requests are forwarded, the settings limit the whole stop.
+
+        Args:
+            close_fronts: Closes the connections of callers, after their work has ended.
         """
         _log.info("graceful stop begins", fields={"router": self._fleet.self_name})
+        began = self._clock.monotonic_seconds()
         self._callers.stop_taking_work()
         self._fleet.announce_stop()
-        await self._fleet.tell_partners()
         if self._forwarding is not None:
             self._forwarding.begin_stop()
-            limit_seconds = self._settings.stop_grace_seconds - HAND_BACK_SECONDS
-            if not await self._forwarding.wait_until_idle(limit_seconds):
-                _log.warning("requests are still in progress at the end of the grace")
-        await self._callers.wait_until_idle()
-        await self._chats.wait_until_idle()
-        await self._calls.wait_until_idle()
-        await self._calls.flush_releases()
+        await self._fleet.tell_partners()
+        if self._forwarding is not None:
+            await self._end_forwarding(began, close_fronts)
+        else:
+            await self._callers.wait_until_idle()
+            await self._chats.wait_until_idle()
+            await self._calls.wait_until_idle()
+            await self._calls.flush_releases()
+            await self._hand_back_rights()
+        await self.close()
+        _log.info("graceful stop done", fields={"router": self._fleet.self_name})
+
+    async def _end_forwarding(
+        self, began_seconds: float, close_fronts: Callable[[], Awaitable[None]] | None
+    ) -> None:
+        """Waits for forwarded requests, breaks off what is left, and hands back, all in time."""
+        end = began_seconds + self._settings.stop_grace_seconds - EXIT_SECONDS
+        left_seconds = end - HAND_BACK_SECONDS - self._clock.monotonic_seconds()
+        if not await self._forwarding.wait_until_idle(left_seconds):
+            _log.warning("requests are still in progress at the end of the grace")
+        if close_fronts is not None:
+            await close_fronts()
+        try:
+            async with asyncio.timeout_at(end):
+                await self._hand_back_rights()
+        except TimeoutError:
+            _log.warning("tokens were not handed back within the grace")
+
+    async def _hand_back_rights(self) -> None:
+        """Hands back tokens, bills and duties, and records the departure."""
         await self._budget.hand_back_all()
         await self._controller.release()
         clean = not self._budget.bills.owned_bills
@@ -359,8 +391,6 @@
             await self._fleet.registry.end_lease()
         except StoreError as error:
             _log.warning("departure not recorded", fields={"error": error})
-        await self.close()
-        _log.info("graceful stop done", fields={"router": self._fleet.self_name})
 
     async def close(self) -> None:
         """Ends all tasks and closes all connections at once."""
--- a/packages/router/laburnumpier_router/main.py
+++ b/packages/router/laburnumpier_router/main.py
@@ -34,6 +34,8 @@
 from .ports.etcd_service import EtcdKeyValueService
 from .ports.vm_list import HttpVmList
 
+CLOSE_SECONDS = 0.1
+"""Wait for handlers when connections are closed; their work has ended or has no time left."""
 EXIT_OK = 0
 EXIT_SETTINGS = 2
 
@@ -64,9 +66,13 @@
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stops gracefully: work in progress ends first."""
-        await self.application.stop_gracefully()
-        for runner in self.runners:
-            await runner.cleanup()
+        await self.application.stop_gracefully(self._close_fronts)
+        await self._close_fronts()
+
+    async def _close_fronts(self) -> None:
+        """Closes the connections of callers; closing them again does nothing."""
+        runners, self.runners = self.runners, []
+        await asyncio.gather(*(runner.cleanup() for runner in runners))
 
     async def _open_fronts(self, tls: ssl.SSLContext | None) -> list[web.BaseRunner]:
         """Opens the addresses of callers, operators and the balancer's checks."""
@@ -165,7 +171,7 @@
 
 def _make_runner(served: web.Application | web.Server) -> web.BaseRunner:
     if isinstance(served, web.Server):
-        return web.ServerRunner(served, shutdown_timeout=1.0)
+        return web.ServerRunner(served, shutdown_timeout=CLOSE_SECONDS)
     return web.AppRunner(served, access_log=None, handler_cancellation=True, shutdown_timeout=1.0)
 
 
@@ -215,6 +221,7 @@
     Returns:
         The exit status.
     """
+    set_up_logging(settings.log_level)
     service = RouterService(settings=settings, settings_path=settings_path, make_ports=make_ports)
     with aiomisc.entrypoint(
         service,
@@ -222,7 +229,6 @@
         log_config=False,
         shutdown_timeout=float("inf"),
     ) as loop:
-        set_up_logging(settings.log_level)
         loop.run_forever()
     return EXIT_OK
 
