--- a/features/platform/key_value.feature
+++ b/features/platform/key_value.feature
@@ -14,6 +14,7 @@
       | service   |
       | in-memory |
       | HTTP      |
+      | platform  |
 
   Scenario Outline: What a caller learns when the service misbehaves
     Given the <service> key-value service
@@ -29,3 +30,6 @@
       | in-memory | loses answers | returns        | has an unknown outcome  | new   |
       | HTTP      | loses answers | returns        | has an unknown outcome  | new   |
       | HTTP      | has gone     | is unavailable | is known to have failed | old   |
+      | platform  | is down       | is unavailable | is known to have failed | old   |
+      | platform  | loses answers | returns        | has an unknown outcome  | new   |
+      | platform  | has gone      | is unavailable | is known to have failed | old   |
--- a/features/steps/contract_steps.py
+++ b/features/steps/contract_steps.py
@@ -12,6 +12,8 @@
 )
 from laburnumpier_core.metrics import Metrics
 from laburnumpier_measure.local_fleet import find_free_port
+from laburnumpier_platform.store import PlatformStore
+from laburnumpier_platform_standin.store import PlatformStoreStandIn
 from laburnumpier_router.backend.engine_port import EngineCall, EngineOrder, ServiceCall
 from laburnumpier_router.backend.http_clients import HttpEngineClient, HttpServiceClient
 from laburnumpier_router.configuration.record import ConfigurationRecord
@@ -39,13 +41,18 @@
         context.control = StoreControl()
         context.store = MemoryKeyValueService(control=context.control)
         return
-    context.control = EtcdGateway()
+    adapters = {
+        "HTTP": (EtcdGateway, EtcdKeyValueService),
+        "platform": (PlatformStoreStandIn, PlatformStore),
+    }
+    make_control, make_adapter = adapters[service]
+    context.control = make_control()
 
     async def start():
         context.server = TestServer(context.control.make_app())
         await context.server.start_server()
         url = str(context.server.make_url("")).rstrip("/")
-        context.store = EtcdKeyValueService(url=url, timeout_seconds=5, metrics=Metrics())
+        context.store = make_adapter(url=url, timeout_seconds=5, metrics=Metrics())
 
     async def stop():
         await context.store.close()
--- /dev/null
+++ b/features/steps/forward_steps.py
@@ -0,0 +1,397 @@
+"""Steps about forwarded requests, over loopback connections."""
+
+import asyncio
+import random
+
+import aiohttp
+from aiohttp import web
+from behave import given, then, when
+from contract_steps import run
+from laburnumpier_core.clock import SystemClock
+from laburnumpier_core.errors import RequestError
+from laburnumpier_core.hashing import hash_key, rank_by_rendezvous
+from laburnumpier_core.metrics import Metrics
+from laburnumpier_core.result_codes import ResultCode
+from laburnumpier_platform.headers import PlatformDialect
+from laburnumpier_router.budget.grant_pool import Reservation
+from laburnumpier_router.configuration.document import (
+    Configuration,
+    EngineProfile,
+    Route,
+    RouteKind,
+    Service,
+    WeightedService,
+    Workspace,
+)
+from laburnumpier_router.forward.front import ForwardFront
+from laburnumpier_router.forward.http_client import HttpServerClient
+from laburnumpier_router.forward.retry_budget import RetryBudget
+from laburnumpier_router.forward.servers import ServerTable
+from laburnumpier_router.forward.service import ForwardService
+from laburnumpier_router.ports.server_registry import RegisteredServer
+from scripted_server import ScriptedServer
+
+HOST = "shop.example"
+KEY = "secret"
+KINDS = {
+    "idempotent": (RouteKind.IDEMPOTENT, False),
+    "non-idempotent": (RouteKind.NON_IDEMPOTENT, False),
+    "resumable stream": (RouteKind.STREAM, True),
+    "plain stream": (RouteKind.STREAM, False),
+}
+
+
+class FakeConfiguration:
+    """The configuration in force."""
+
+    def __init__(self):
+        self.number = 1
+        self.configuration = Configuration()
+
+    def find_workspace_of_key(self, key_hash):
+        """Returns the owner of a hashed key."""
+        owner = {hash_key(KEY): "office"}
+        return owner.get(key_hash)
+
+
+class FakeBudget:
+    """Notes what is charged."""
+
+    def __init__(self):
+        self.charged = 0
+        self.error = None
+
+    async def reserve(self, workspace, amount, deadline_seconds):
+        """Sets tokens aside."""
+        if self.error is not None:
+            raise self.error
+        return Reservation(workspace=workspace, amount=amount, parts=[])
+
+    def settle_unbilled(self, reservation, used):
+        """Charges tokens."""
+        self.charged += min(used, reservation.amount)
+
+
+def set_route(context, kind, tries=1, limit_seconds=4.0):
+    route_kind, resumable = KINDS[kind]
+    route = Route(
+        host=HOST,
+        path_prefix="/work/",
+        kind=route_kind,
+        services=[WeightedService(service="s")],
+        time_limit_seconds=limit_seconds,
+        target_latency_seconds=0.2,
+        target_gap_seconds=0.1,
+        max_attempts=tries,
+        resumable=resumable,
+    )
+    context.configuration.configuration = Configuration(
+        routes={"r": route},
+        services={"s": Service(engine=EngineProfile(tokens_per_event=3))},
+        workspaces={"office": Workspace(budget_tokens=1000, key_hashes=[hash_key(KEY)])},
+    )
+
+
+@given("2 servers of which the first {behaviour}")
+def start_router(context, behaviour):
+    streams = "stream" in context.scenario.name.lower() or "silent" in behaviour
+    streams = streams and "misbehaves" not in context.scenario.name
+    context.servers = [ScriptedServer(behaviour), ScriptedServer("streams")]
+    if not streams:
+        context.servers[1].behaviour = "answers"
+    context.configuration = FakeConfiguration()
+    context.budget = FakeBudget()
+    table = ServerTable()
+    client = HttpServerClient()
+    clock = SystemClock()
+    metrics = Metrics()
+    context.front = ForwardFront(
+        service=ForwardService(
+            configuration=context.configuration,
+            budget=context.budget,
+            table=table,
+            client=client,
+            dialect=PlatformDialect(),
+            retries=RetryBudget(ratio=0.2, extra=20, window_seconds=10),
+            clock=clock,
+            metrics=metrics,
+            random_source=random.Random(1),
+            data_centre="near",
+        ),
+        dialect=PlatformDialect(),
+        clock=clock,
+        metrics=metrics,
+        is_ready=lambda: True,
+        max_body_bytes=100_000,
+    )
+    set_route(context, "idempotent")
+    context.runners = []
+
+    async def start():
+        for number, server in enumerate(context.servers):
+            await server.start()
+            # The second server stands far away, so that the first one is chosen first.
+            entry = RegisteredServer(
+                server_id=f"i-{number}",
+                service="s",
+                address=server.address,
+                data_centre="far" if number else "near",
+            )
+            table.put(entry)
+        context.urls = []
+        for served in (context.front.make_server(), context.front.make_readiness_server()):
+            runner = web.ServerRunner(served, shutdown_timeout=0.1)
+            await runner.setup()
+            site = web.TCPSite(runner, "127.0.0.1", 0)
+            await site.start()
+            context.runners.append(runner)
+            port = runner.addresses[0][1]
+            context.urls.append(f"http://127.0.0.1:{port}")
+        context.session = aiohttp.ClientSession(auto_decompress=False)
+
+    async def stop():
+        await context.session.close()
+        for server in context.servers:
+            await server.stop()
+        for runner in context.runners:
+            await runner.cleanup()
+        await client.close()
+
+    run(context, start())
+    context.cleanups.append((context.real, stop))
+
+
+def make_headers(kind="idempotent", **more):
+    headers = {
+        "Host": HOST,
+        "X-Attempt-Id": "a1",
+        "Authorization": f"Token {KEY}",
+        "X-Deadline-Ms": "4000",
+    }
+    if "stream" in kind:
+        headers["X-Token-Usage"] = "100,30"
+        headers["X-Prompt-Prefix"] = find_prefix()
+    return {**headers, **more}
+
+
+def find_prefix():
+    """Returns prompt parts whose subject is placed on the first server."""
+    names = ["i-0", "i-1"]
+    subject = next(str(n) for n in range(100) if rank_by_rendezvous(str(n), names)[0] == "i-0")
+    return f"{subject}:80,ff:20"
+
+
+async def send(context, headers, path="/work/2f?x=1%20y", body=b"order"):
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    context.body, context.complete = b"", True
+    url = context.urls[0] + path
+    async with context.session.post(url, headers=headers, data=body) as response:
+        context.status = response.status
+        context.headers = response.headers
+        try:
+            async for part in response.content.iter_any():
+                context.body += part
+        except aiohttp.ClientError:
+            context.complete = False
+    context.took = loop.time() - started
+
+
+@when("a caller sends a {kind} request with {tries:d} tries")
+def send_request(context, kind, tries):
+    set_route(context, kind, tries, limit_seconds=2.5)
+    run(context, send(context, make_headers(kind)))
+
+
+@when("a caller that holds {count:d} events sends a resumable stream request")
+def send_resumed(context, count):
+    set_route(context, "resumable stream", 2)
+    headers = make_headers("stream", **{"Last-Event-Id": str(count)})
+    run(context, send(context, headers))
+
+
+@when("a caller sends a non-idempotent request with a route limit of {seconds:f} seconds")
+def send_limited(context, seconds):
+    set_route(context, "non-idempotent", 1, seconds)
+    run(context, send(context, make_headers()))
+
+
+@when("a caller of a {kind} request leaves after {seconds:f} seconds")
+def leave(context, kind, seconds):
+    set_route(context, kind, 2)
+
+    async def play():
+        work = asyncio.create_task(send(context, make_headers(kind)))
+        await asyncio.sleep(seconds)
+        work.cancel()
+        await asyncio.gather(work, return_exceptions=True)
+
+    run(context, play())
+
+
+@when("a caller sends a non-idempotent request with headers of the routers")
+def send_foreign_headers(context):
+    set_route(context, "non-idempotent")
+    headers = make_headers(
+        **{
+            "X-Tenant": "rich",
+            "X-Expected-Instance": "i-9",
+            "X-Request-Priority": "0",
+            "X-Cache-Retention": "r",
+            "X-Pin-Duration-Ms": "9",
+            "X-Kv-Backup": "10.0.0.1:1",
+            "Kv-From": "10.0.0.1:1/h",
+            "Connection": "X-Private",
+            "X-Private": "1",
+            "X-Other": "kept",
+        }
+    )
+    run(context, send(context, headers))
+
+
+@when("a caller sends a request with {fault}")
+def send_faulty(context, fault):
+    set_route(context, "non-idempotent")
+    headers, path = make_headers(), "/work/2f"
+    match fault:
+        case "an unknown key":
+            headers["Authorization"] = "Token other"
+        case "no key":
+            del headers["Authorization"]
+        case "an unknown path":
+            path = "/elsewhere/2f"
+        case "an unknown host":
+            headers["Host"] = "other.example"
+        case "two attempt ids":
+            headers = [*headers.items(), ("X-Attempt-Id", "a2")]
+        case "unreadable token counts":
+            headers["X-Token-Usage"] = "many,few"
+    run(context, send(context, headers, path))
+
+
+@given("no configuration in force")
+def drop_configuration(context):
+    context.configuration.number = 0
+
+
+@given("a budget that cannot be reached")
+def break_budget(context):
+    context.budget.error = RequestError(ResultCode.BUDGET_UNREACHABLE, retry_after_seconds=2.0)
+
+
+@then("the answer is {status:d}")
+def check_status(context, status):
+    assert context.status == status, (context.status, context.body)
+
+
+@then("servers ran it {count:d} times")
+def check_runs(context, count):
+    runs = [server.runs for server in context.servers]
+    assert sum(runs) == count, runs
+
+
+@then("at most {count:d} servers were sent it")
+def check_sends(context, count):
+    assert sum(len(server.requests) for server in context.servers) <= count
+
+
+@then("the caller's events are {numbers}")
+def check_events(context, numbers):
+    wanted = [] if numbers == "none" else numbers.split()
+    found = [line[4:] for line in context.body.decode().split("\n") if line.startswith("id: ")]
+    assert found == wanted, context.body
+    assert context.body.count(b"data: piece") == len(wanted)
+
+
+@then("the answer is complete")
+def check_complete(context):
+    assert context.complete
+
+
+@then("the answer is broken off")
+def check_broken_off(context):
+    assert not context.complete
+
+
+@then("{tokens:d} tokens are charged")
+def check_charged(context, tokens):
+    assert context.budget.charged == tokens, context.budget.charged
+
+
+@then("the server's connection is closed within {seconds:f} seconds")
+def check_closed(context, seconds):
+    run(context, asyncio.wait_for(context.servers[0].closed.wait(), seconds))
+    run(context, asyncio.sleep(0.05))
+
+
+@then("it took at most {seconds:f} seconds")
+def check_took(context, seconds):
+    assert context.took <= seconds, context.took
+
+
+@then("the server got the caller's method, path, query and body unchanged")
+def check_unchanged(context):
+    head, body = context.servers[0].requests[0]
+    assert head.startswith(b"POST /work/2f?x=1%20y HTTP/1.1\r\n"), head
+    assert body == b"order"
+
+
+@then("the server got the router's own headers and no secret")
+def check_headers(context):
+    head = context.servers[0].requests[0][0].decode().lower()
+    lines = dict(line.split(": ", 1) for line in head.split("\r\n")[1:] if ": " in line)
+    assert lines["x-tenant"] == "office"
+    assert lines["x-expected-instance"] == "i-0"
+    assert lines["x-attempt-id"] == "a1"
+    assert lines["host"] == HOST
+    assert lines["x-other"] == "kept"
+    assert 0 < int(lines["x-deadline-ms"]) <= 4000
+    for name in (
+        "authorization",
+        "x-private",
+        "x-request-priority",
+        "x-cache-retention",
+        "x-pin-duration-ms",
+        "x-kv-backup",
+        "kv-from",
+    ):
+        assert name not in lines, name
+
+
+@when("the router begins to stop")
+def begin_stop(context):
+    set_route(context, "non-idempotent")
+
+    async def begin():
+        context.front.begin_stop()
+
+    run(context, begin())
+
+
+@then("readiness is {status:d}")
+def check_readiness(context, status):
+    async def ask():
+        async with context.session.get(context.urls[1] + "/readiness") as response:
+            return response.status
+
+    assert run(context, ask()) == status
+
+
+@then("a request on an open connection is answered 200 and the connection closed")
+def check_answered(context):
+    run(context, send(context, make_headers()))
+    assert context.status == 200, context.status
+    assert context.headers["Connection"].lower() == "close"
+
+
+@then("after the balancer has turned away, a request is answered 503")
+def check_refused(context):
+    run(context, asyncio.sleep(2.6))
+    run(context, send(context, make_headers()))
+    assert context.status == 503, context.status
+    assert "Retry-After" in context.headers
+
+
+@then("the router is idle within {seconds:f} seconds")
+def check_idle(context, seconds):
+    assert run(context, context.front.wait_until_idle(seconds))
--- a/packages/router/laburnumpier_router/forward/placement.py
+++ b/packages/router/laburnumpier_router/forward/placement.py
@@ -23,12 +23,11 @@
 SPARE_REQUESTS = 3
 """Requests above the mean that a server may hold in any case, so that a quiet fleet keeps
 subjects together."""
-UNHEALTHY_SHARE = 0.25
-"""Share of failures from which others are preferred; a service's own errors stay below it."""
+UNHEALTHY_SHARE = 0.35
+"""Share of failures from which others are preferred; a service's own errors, one call in seven,
+stay below it."""
 FAR_PENALTY = 0.25
 """Requests by which a server in another data centre counts as busier."""
-FAILURE_PENALTY = 8.0
-"""Requests by which a server that fails everything counts as busier."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -100,6 +99,6 @@
     def score(server: ServerLoad) -> tuple[float, float]:
         far = FAR_PENALTY if server.entry.data_centre != data_centre else 0.0
         load = server.estimate_load(now_seconds) / max(1, server.entry.slots) * 4
-        return (load + far + FAILURE_PENALTY * server.failure_share, source.random())
+        return (load + far, source.random())
 
     return min(servers, key=score)
--- a/packages/router/laburnumpier_router/forward/servers.py
+++ b/packages/router/laburnumpier_router/forward/servers.py
@@ -6,7 +6,7 @@
 
 from ..ports.server_registry import RegisteredServer
 
-FAILURE_WEIGHT = 0.2
+FAILURE_WEIGHT = 0.15
 """Weight of the newest outcome in a server's failure share, without unit."""
 FIRST_PAUSE_SECONDS = 0.5
 """Pause after a server could not be reached; doubles with each failure in a row."""
