--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -24,7 +24,7 @@
         {
             "Name": "r",
             "Host": "shop.example",
-            "Prefix": "/work/",
+            "Prefix": "/shop/",
             "Kind": "streaming",
             "TimeoutMs": 60000,
             "Service": "s",
@@ -120,7 +120,7 @@
 
 
 async def send(context):
-    url = f"http://127.0.0.1:{context.ports[0]}/work/x"
+    url = f"http://127.0.0.1:{context.ports[0]}/shop/x"
     async with context.session.post(url, headers=HEADERS, data=b"order") as response:
         return response.status, await response.read()
 
