Draw through a peer that reaches the store, and ask peers while the store is slow

A waiting request's draw first waited for the home of the shard (0.8 s, cut off as well), then for its own call (1 s), and only then would have asked its peers; a request waits 0.1 s in all. Background draws held the same lock.

Now: each router counts how its own store calls end and tells with its heartbeats whether it reaches the store; changes go to a writer that does, the next one where it fails; a router that believes itself cut off probes once a second. A draw in progress is joined, and when it has not answered in 0.4 of the admission wait the peers are asked. features/budget/outage.feature: two of three scenarios failed before, the third could not be asked.

--- a/features/steps/lending_steps.py
+++ b/features/steps/lending_steps.py
@@ -30,6 +30,23 @@
     return [router for router in context.fleet.routers.values() if router.alive]
 
 
+def start_refills(context):
+    """Refills in the background, which only deployments that forward requests do."""
+    if "spent" in context:
+        return
+    context.spent, context.refused, context.refillers = 0, [], []
+    for router in live(context):
+        work = router.application.budget.refill_periodically()
+        context.refillers.append(context.virtual.get_loop().create_task(work))
+
+    async def stop():
+        for task in context.refillers:
+            task.cancel()
+        await asyncio.gather(*context.refillers, return_exceptions=True)
+
+    context.cleanups.append((context.virtual, stop))
+
+
 async def spend(context, router, count, seconds):
     budget = router.application.budget
     loop = asyncio.get_running_loop()
@@ -49,19 +66,7 @@
 
 @when("each router spends {count:d} times 100 of 150 reserved tokens within {seconds:d} seconds")
 def spend_everywhere(context, count, seconds):
-    if "spent" not in context:
-        context.spent, context.refused, context.refillers = 0, [], []
-        # Only deployments that forward requests refill in the background.
-        for router in live(context):
-            work = router.application.budget.refill_periodically()
-            context.refillers.append(context.virtual.get_loop().create_task(work))
-
-        async def stop():
-            for task in context.refillers:
-                task.cancel()
-            await asyncio.gather(*context.refillers, return_exceptions=True)
-
-        context.cleanups.append((context.virtual, stop))
+    start_refills(context)
     context.revision = context.fleet.store.state.revision
 
     async def play():
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -427,6 +427,7 @@
             shard_count=settings.account_shards,
             gather_seconds=settings.gather_seconds,
         )
+        self._fleet.reaches_store = lambda: self._submitter.reach.is_reached
         self._budget = BudgetService(
             submitter=self._submitter,
             fleet=self._fleet,
--- a/packages/router/laburnumpier_router/budget/peers.py
+++ b/packages/router/laburnumpier_router/budget/peers.py
@@ -123,6 +123,9 @@
     def find_home(self, key: str) -> str:
         """Returns the incarnation that a key is placed on; it may be this process."""
 
+    def list_writers(self, key: str) -> list[str]:
+        """Returns this process and those that reach the store, the preferred one first."""
+
     async def list_possible_holders(self) -> list[str]:
         """Returns every other incarnation in the store that is not proven dead."""
 
--- a/packages/router/laburnumpier_router/budget/service.py
+++ b/packages/router/laburnumpier_router/budget/service.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 
 import msgspec
@@ -75,6 +76,11 @@
 MAX_PREPARED_WORKSPACES = 200
 """Most workspaces whose tokens are drawn before their first request; beyond it only demand
 draws."""
+DRAW_PATIENCE_SHARE = 0.4
+"""Part of a request's wait for tokens that is given to the store; the rest is for peers, which
+answer in some milliseconds."""
+BORROWER_PATIENCE_SECONDS = 0.3
+"""How long a lender lets the store answer; a borrower's call ends after 0.5 s."""
 SHORTEST_WAIT_SECONDS = 0.001
 TRANSIT_SECONDS = 2.0
 NEAR_END_REQUESTS = 2
@@ -245,8 +251,7 @@
         try:
             async with state.borrower_lock:
                 if state.pool.free < shortage:
-                    needed = state.asked_tokens - state.pool.free
-                    await self._draw(workspace, state, terms, needed=needed)
+                    await self._draw_in_time(workspace, state, terms, BORROWER_PATIENCE_SECONDS)
         finally:
             state.asked_tokens -= shortage
 
@@ -534,8 +539,7 @@
                 hoped=pool.free,
                 unspent=None,
             )
-        shortage = max(0, state.pool.waiting_tokens - state.pool.free)
-        opened = await self._draw(workspace, state, terms, needed=shortage)
+        opened = await self._draw_in_time(workspace, state, terms, self._find_draw_patience())
         available = opened.available if opened else 0
         shortage = max(0, state.pool.waiting_tokens - state.pool.free)
         peers_answered, held_by_peers = True, 0
@@ -550,6 +554,47 @@
             in_doubt=opened.in_doubt if opened else 0,
         )
 
+    def _find_draw_patience(self) -> float:
+        """Returns how long a waiting request lets the store answer before its peers are asked."""
+        if self._submitter.failed_lately and not self._submitter.reach.is_reached:
+            return 0.0
+        return DRAW_PATIENCE_SHARE * self._limits.admission_wait_seconds
+
+    async def _draw_in_time(
+        self, workspace: str, state: BudgetState, terms: BudgetTerms, patience_seconds: float
+    ) -> GrantOpened | None:
+        """Draws what waiting requests lack; a draw that takes longer goes on in the background.
+
+        A draw in progress is joined: a second one would wait for it.
+
+        Returns:
+            What the store answered to the last draw; None if it has not answered in time.
+        """
+        opened = None
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(patience_seconds):
+                joined = state.drawing is not None and not state.drawing.done()
+                opened = await asyncio.shield(self._start_draw(workspace, state, terms))
+                if joined and self._find_shortage(state):
+                    opened = await asyncio.shield(self._start_draw(workspace, state, terms))
+        return opened
+
+    def _start_draw(
+        self, workspace: str, state: BudgetState, terms: BudgetTerms
+    ) -> asyncio.Task[GrantOpened | None]:
+        """Returns the draw in progress, or starts one for what waiting requests lack now."""
+        if state.drawing is None or state.drawing.done():
+            needed = self._find_shortage(state)
+            draw = self._draw(workspace, state, terms, needed=needed)
+            state.drawing = asyncio.create_task(draw)
+            self._keep(state.drawing)
+        return state.drawing
+
+    def _find_shortage(self, state: BudgetState) -> int:
+        """Returns the tokens that requests wait for, here and at borrowers."""
+        wanted = max(state.pool.waiting_tokens, state.asked_tokens)
+        return max(0, wanted - state.pool.free)
+
     def _is_lending_fleet(self) -> bool:
         return 1 + len(self._fleet.list_peers()) >= self._limits.lend_from_routers
 
@@ -584,43 +629,45 @@
     async def _draw(
         self, workspace: str, state: BudgetState, terms: BudgetTerms, needed: int
     ) -> GrantOpened | None:
-        """Draws a grant; after a failure the same draw is repeated, never a new one."""
-        # Two draws at once would both repeat the pending one and credit its grant twice.
-        async with state.draw_lock:
-            state.last_refill_seconds = self._clock.monotonic_seconds()
-            change = state.pending_draw
-            if change is None:
-                change = self._make_draw(workspace, state, terms, needed)
-                state.pending_draw = change
-            reports = self._make_spending_reports(workspace, state)
-            started = self._clock.monotonic_seconds()
-            results = await self._submitter.submit(workspace, [*reports, change])
-            took_seconds = self._clock.monotonic_seconds() - started
-            self._metrics.record_seconds("budget.draw", took_seconds)
-            result = results.pop()
-            self._note_spending_reported(state, reports, results)
-            if not isinstance(result, GrantOpened):
-                return None
-            state.pending_draw = None
-            state.near_end = self._is_near_end(state, result)
-            state.known_unspent = result.unspent
-            self._metrics.count("budget.draws")
-            fields = {
-                "workspace": workspace,
-                "needed": change.needed,
-                "wanted": change.wanted,
-                "amount": result.amount,
-                "available": result.available,
-                "unspent": result.unspent,
-                "purchased": terms.purchased,
-                "free": state.pool.free,
-                "reserved": state.pool.reserved,
-                "took_ms": round(took_seconds * 1000),
-            }
-            _log.info("drew tokens", fields=fields)
-            if result.amount:
-                state.pool.add_grant(change.grant_id, result.amount, own=True)
-            return result
+        """Draws a grant; after a failure the same draw is repeated, never a new one.
+
+        One draw of a budget runs at a time: two would both repeat the pending one and credit its
+        grant twice.
+        """
+        state.last_refill_seconds = self._clock.monotonic_seconds()
+        change = state.pending_draw
+        if change is None:
+            change = self._make_draw(workspace, state, terms, needed)
+            state.pending_draw = change
+        reports = self._make_spending_reports(workspace, state)
+        started = self._clock.monotonic_seconds()
+        results = await self._submitter.submit(workspace, [*reports, change])
+        took_seconds = self._clock.monotonic_seconds() - started
+        self._metrics.record_seconds("budget.draw", took_seconds)
+        result = results.pop()
+        self._note_spending_reported(state, reports, results)
+        if not isinstance(result, GrantOpened):
+            return None
+        state.pending_draw = None
+        state.near_end = self._is_near_end(state, result)
+        state.known_unspent = result.unspent
+        self._metrics.count("budget.draws")
+        fields = {
+            "workspace": workspace,
+            "needed": change.needed,
+            "wanted": change.wanted,
+            "amount": result.amount,
+            "available": result.available,
+            "unspent": result.unspent,
+            "purchased": terms.purchased,
+            "free": state.pool.free,
+            "reserved": state.pool.reserved,
+            "took_ms": round(took_seconds * 1000),
+        }
+        _log.info("drew tokens", fields=fields)
+        if result.amount:
+            state.pool.add_grant(change.grant_id, result.amount, own=True)
+        return result
 
     def _is_near_end(self, state: BudgetState, opened: GrantOpened) -> bool:
         """Whether the rest would pay for only a few requests at each router."""
@@ -694,7 +741,7 @@
         if lender is not None:
             self._keep(asyncio.create_task(self._borrow_from(lender, workspace, state)))
         else:
-            self._keep(asyncio.create_task(self._draw(workspace, state, terms, needed=0)))
+            self._start_draw(workspace, state, terms)
 
     async def _return_tokens(self, workspace: str, state: BudgetState, keep: int) -> None:
         raised = state.pool.take_back_free(keep)
--- a/packages/router/laburnumpier_router/budget/shard_writer.py
+++ b/packages/router/laburnumpier_router/budget/shard_writer.py
@@ -28,6 +28,7 @@
     Shard,
 )
 from .slot import Slot
+from .store_reach import StoreReach
 from .transaction import apply_batch, find_slot_key
 from .write_pacer import WritePacer
 
@@ -74,6 +75,7 @@
         "_pacer",
         "_paused_until_seconds",
         "_random",
+        "_reach",
         "_revision",
         "_shard",
         "_slots",
@@ -88,6 +90,7 @@
         *,
         shard: int,
         store: KeyValueService,
+        reach: StoreReach,
         pacer: WritePacer,
         clock: Clock,
         metrics: Metrics,
@@ -99,6 +102,7 @@
         Args:
             shard: Number of the shard.
             store: The platform's key-value service.
+            reach: Told how calls end.
             pacer: Keeps the process within its share of the write rate.
             clock: Source of time.
             metrics: Counters.
@@ -109,6 +113,7 @@
         self._urgent = asyncio.Event()
         self._key = name_shard_key(shard)
         self._store = store
+        self._reach = reach
         self._pacer = pacer
         self._clock = clock
         self._metrics = metrics
@@ -154,6 +159,7 @@
         """
         await self._refresh([])
         assert self._shard is not None
+        self._reach.note_answer()
         return self._shard
 
     async def close(self) -> None:
@@ -178,6 +184,7 @@
             except asyncio.CancelledError:
                 self._waiting.extendleft(batch)
                 raise
+            self._reach.note_answer()
             for entry, result in zip(batch, results, strict=True):
                 if not entry.result.done():
                     entry.result.set_result(result)
@@ -200,6 +207,7 @@
 
     def _note_failure(self, error: StoreError, batch: list[_WaitingChange]) -> None:
         """Fails the batch and all that waits, and leaves the store alone for a moment."""
+        self._reach.note_failure()
         pause = FAILURE_PAUSE_SECONDS * self._random.uniform(0.5, 1.5)
         self._paused_until_seconds = self._clock.monotonic_seconds() + pause
         self._shard = None
--- a/packages/router/laburnumpier_router/budget/state.py
+++ b/packages/router/laburnumpier_router/budget/state.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 
-from .account import OpenGrant
+from .account import GrantOpened, OpenGrant
 from .allocation import Allocation
 from .demand import DemandMeter
 from .grant_pool import GrantPool
@@ -41,7 +41,7 @@
 
     pool: GrantPool
     demand: DemandMeter
-    draw_lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
+    drawing: asyncio.Task[GrantOpened | None] | None = None
     pending_draw: OpenGrant | None = None
     next_sequence: int = 1
     last_refill_seconds: float = float("-inf")
--- a/packages/router/laburnumpier_router/budget/submitter.py
+++ b/packages/router/laburnumpier_router/budget/submitter.py
@@ -1,22 +1,27 @@
-"""Brings changes to the home of their shard, or writes them here when the home is silent."""
+"""Brings changes to the home of their shard, or to another process that reaches the store."""
 
+import asyncio
 import random
 
 from laburnumpier_core.clock import Clock
 from laburnumpier_core.errors import PeerError, StoreError
 from laburnumpier_core.hashing import choose_shard
+from laburnumpier_core.log import get_part_logger
 from laburnumpier_core.metrics import Metrics
 
 from ..ports.key_value_service import KeyValueService
 from .account import Change, ChangeFailed, ChangeResult
 from .peers import BudgetFleet, ChangesSubmitted, SubmitChanges
 from .shard_writer import ShardWriter
+from .store_reach import StoreReach
 from .write_pacer import WritePacer
 
 HOME_TIMEOUT_SECONDS = 0.8
 HOME_SILENCE_SECONDS = 3.0
 FAILURE_MEMORY_SECONDS = 5.0
 
+_log = get_part_logger("budget")
+
 
 class ChangeSubmitter:
     """Routes changes to the one process that batches the writes of their shard."""
@@ -25,12 +30,14 @@
         "_clock",
         "_fleet",
         "_gather_seconds",
-        "_homes_silent_until",
         "_last_failure_seconds",
         "_metrics",
         "_pacer",
+        "_probe",
         "_random",
+        "_reach",
         "_shard_count",
+        "_silent_until",
         "_store",
         "_writers",
     )
@@ -57,7 +64,9 @@
         self._shard_count = shard_count
         self._gather_seconds = gather_seconds
         self._last_failure_seconds = float("-inf")
-        self._homes_silent_until: dict[str, float] = {}
+        self._silent_until: dict[str, float] = {}
+        self._reach = StoreReach(clock=clock)
+        self._probe: asyncio.Task[bool] | None = None
         self._writers: dict[int, ShardWriter] = {}
 
     @property
@@ -65,6 +74,11 @@
         """Number of account shards of the deployment."""
         return self._shard_count
 
+    @property
+    def reach(self) -> StoreReach:
+        """Whether this process reaches the store."""
+        return self._reach
+
     async def submit(self, workspace: str, changes: list[Change]) -> list[ChangeResult]:
         """Has changes of one workspace's shard written.
 
@@ -77,23 +91,72 @@
             reach the store.
         """
         shard = choose_shard(workspace, self._shard_count)
-        home = self._fleet.find_home(f"shard/{shard}")
+        self._probe_if_due()
+        results: list[ChangeResult] = [ChangeFailed(reason="not tried") for _ in changes]
+        for writer in self._list_writers(shard):
+            results = await self._submit_failed(writer, shard, changes, results)
+            if not any(isinstance(result, ChangeFailed) for result in results):
+                break
+        return results
+
+    def _list_writers(self, shard: int) -> list[str]:
+        """Returns who may write a shard now: its home first, this process last."""
+        own = self._fleet.self_name
         now = self._clock.monotonic_seconds()
-        silent = now < self._homes_silent_until.get(home, float("-inf"))
-        if home == self._fleet.self_name or silent:
+        writers = [
+            writer
+            for writer in self._fleet.list_writers(f"shard/{shard}")
+            if now >= self._silent_until.get(writer, float("-inf"))
+        ]
+        others = [writer for writer in writers if writer != own]
+        if writers[:1] == [own] and self._reach.is_reached:
+            return [own, *others]
+        # A process that believes itself cut off tries itself only where nobody else is left.
+        return [*others, own] if self._reach.is_reached or not others else others
+
+    async def _submit_failed(
+        self, writer: str, shard: int, changes: list[Change], results: list[ChangeResult]
+    ) -> list[ChangeResult]:
+        """Submits the changes that have failed so far, and returns all results."""
+        failed = [i for i, result in enumerate(results) if isinstance(result, ChangeFailed)]
+        retried = await self._submit_at(writer, shard, [changes[i] for i in failed])
+        merged = list(results)
+        for i, result in zip(failed, retried, strict=True):
+            merged[i] = result
+        return merged
+
+    async def _submit_at(
+        self, writer: str, shard: int, changes: list[Change]
+    ) -> list[ChangeResult]:
+        """Has one process write changes; one that cannot is left alone for a while."""
+        if writer == self._fleet.self_name:
             return await self.submit_here(shard, changes)
+        message = SubmitChanges(shard=shard, changes=changes)
         try:
-            reply = await self._fleet.call(
-                home, SubmitChanges(shard=shard, changes=changes), HOME_TIMEOUT_SECONDS
-            )
-        except PeerError:
-            # The next changes go past a silent home without waiting for it again.
-            self._homes_silent_until = {home: now + HOME_SILENCE_SECONDS}
-            self._metrics.count("budget.submitter.home_silent")
-            return await self.submit_here(shard, changes)
+            reply = await self._fleet.call(writer, message, HOME_TIMEOUT_SECONDS)
+        except PeerError as error:
+            return self._note_silent(writer, changes, str(error))
         if not isinstance(reply, ChangesSubmitted) or len(reply.results) != len(changes):
-            return await self.submit_here(shard, changes)
-        return await self._retry_failed_here(shard, changes, reply.results)
+            return self._note_silent(writer, changes, "no results")
+        failed = [result for result in reply.results if isinstance(result, ChangeFailed)]
+        if failed:
+            self._note_silent(writer, changes, failed[0].reason)
+        return reply.results
+
+    def _note_silent(self, writer: str, changes: list[Change], reason: str) -> list[ChangeResult]:
+        """Lets the next changes go past a process that does not write, and fails these."""
+        now = self._clock.monotonic_seconds()
+        silent = {name: until for name, until in self._silent_until.items() if until > now}
+        self._silent_until = {**silent, writer: now + HOME_SILENCE_SECONDS}
+        self._metrics.count("budget.submitter.home_silent")
+        _log.info("another writer is tried", fields={"silent": writer, "reason": reason})
+        return [ChangeFailed(reason=reason) for _ in changes]
+
+    def _probe_if_due(self) -> None:
+        """Finds out in the background whether a cut has ended."""
+        if self._reach.is_probe_due:
+            self._reach.note_try()
+            self._probe = asyncio.create_task(self.can_reach_store())
 
     async def submit_here(self, shard: int, changes: list[Change]) -> list[ChangeResult]:
         """Writes changes from this process, batched with others of the same shard."""
@@ -108,6 +171,7 @@
             self._writers[shard] = ShardWriter(
                 shard=shard,
                 store=self._store,
+                reach=self._reach,
                 pacer=self._pacer,
                 clock=self._clock,
                 metrics=self._metrics,
@@ -127,23 +191,14 @@
         try:
             await self.get_writer(0).read()
         except StoreError:
+            self._reach.note_failure()
             return False
         return True
 
     async def close(self) -> None:
         """Closes all writers."""
+        if self._probe is not None:
+            self._probe.cancel()
+            await asyncio.gather(self._probe, return_exceptions=True)
         for writer in self._writers.values():
             await writer.close()
-
-    async def _retry_failed_here(
-        self, shard: int, changes: list[Change], results: list[ChangeResult]
-    ) -> list[ChangeResult]:
-        """Tries failed changes directly: only the home may be cut off from the store."""
-        failed = [i for i, result in enumerate(results) if isinstance(result, ChangeFailed)]
-        if not failed:
-            return results
-        retried = await self.submit_here(shard, [changes[i] for i in failed])
-        merged = list(results)
-        for i, result in zip(failed, retried, strict=True):
-            merged[i] = result
-        return merged
--- a/packages/router/laburnumpier_router/fleet/member.py
+++ b/packages/router/laburnumpier_router/fleet/member.py
@@ -66,11 +66,13 @@
         member: Who it is about.
         counter: Highest heartbeat counter known of it.
         state: Its own word on its state, as of that counter.
+        store_reached: Its own word on whether its calls reach the store, as of that counter.
     """
 
     member: Member
     counter: int
     state: MemberState
+    store_reached: bool = True
 
 
 class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/packages/router/laburnumpier_router/fleet/service.py
+++ b/packages/router/laburnumpier_router/fleet/service.py
@@ -53,6 +53,7 @@
         "_view",
         "get_configuration_number",
         "list_leaving_servers",
+        "reaches_store",
     )
 
     def __init__(
@@ -103,6 +104,7 @@
         self._records: dict[str, MemberRecord] = {}
         self.get_configuration_number: Callable[[], int] = lambda: 0
         self.list_leaving_servers: Callable[[], list[str]] = list
+        self.reaches_store: Callable[[], bool] = lambda: True
         link.handle(Heartbeat, self._answer_heartbeat)
 
     @property
@@ -147,6 +149,10 @@
         """Returns the incarnation that a key is placed on."""
         return self._view.find_home(key) if self._registered else self.self_name
 
+    def list_writers(self, key: str) -> list[str]:
+        """Returns the incarnations to write a key for others, the preferred one first."""
+        return self._view.list_writers(key) if self._registered else [self.self_name]
+
     async def list_possible_holders(self) -> list[str]:
         """Returns every other incarnation that is registered and not proven dead.
 
@@ -289,7 +295,12 @@
 
     def _make_heartbeat(self) -> Heartbeat:
         self._counter += 1
-        own = GossipEntry(member=self._member, counter=self._counter, state=self._state)
+        own = GossipEntry(
+            member=self._member,
+            counter=self._counter,
+            state=self._state,
+            store_reached=self.reaches_store(),
+        )
         others = self._view.select_gossip(GOSSIP_ENTRIES, self._counter * GOSSIP_ENTRIES)
         return Heartbeat(
             entries=[own, *others],
--- a/packages/router/laburnumpier_router/fleet/view.py
+++ b/packages/router/laburnumpier_router/fleet/view.py
@@ -11,6 +11,10 @@
 
 from .member import GossipEntry, Member, MemberState
 
+WRITERS = 3
+"""Members that may write a key for others: the home, and two where it is silent."""
+MAX_CACHED_HOMES = 10_000
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class KnownMember:
@@ -19,18 +23,28 @@
     Attributes:
         counter: Highest heartbeat counter seen.
         heard_seconds: Monotonic time at which the counter last rose.
+        store_reached: Whether its calls reach the store, by its own word.
     """
 
     member: Member
     counter: int
     state: MemberState
     heard_seconds: float
+    store_reached: bool = True
 
 
 class FleetView:
     """Members heard of, and the placement of keys on the live ones."""
 
-    __slots__ = ("_departed", "_homes", "_known", "_live", "_self", "suspect_seconds")
+    __slots__ = (
+        "_departed",
+        "_homes",
+        "_known",
+        "_live",
+        "_self",
+        "_writers",
+        "suspect_seconds",
+    )
 
     def __init__(self, *, self_member: Member, suspect_seconds: float):
         """Creates a view that holds only this process.
@@ -45,6 +59,7 @@
         self._departed: set[str] = set()
         self._live: list[str] = []
         self._homes: dict[str, str] = {}
+        self._writers: dict[str, list[str]] = {}
 
     @property
     def known(self) -> dict[str, KnownMember]:
@@ -73,10 +88,14 @@
                 counter=entry.counter,
                 state=entry.state,
                 heard_seconds=now_seconds,
+                store_reached=entry.store_reached,
             )
         elif entry.counter > known.counter:
             known.counter = entry.counter
             known.state = entry.state
+            if known.store_reached != entry.store_reached:
+                known.store_reached = entry.store_reached
+                self._writers.clear()
             known.heard_seconds = now_seconds
         else:
             return
@@ -88,7 +107,7 @@
         self._known.pop(incarnation, None)
         if incarnation in self._live:
             self._live.remove(incarnation)
-            self._homes.clear()
+            self._forget_homes()
 
     def refresh(self, now_seconds: float) -> None:
         """Recomputes which members count as live at the given monotonic time."""
@@ -103,18 +122,37 @@
         names = [known.member.incarnation for known in live]
         if names != self._live:
             self._live = names
-            self._homes.clear()
+            self._forget_homes()
 
     def find_home(self, key: str) -> str:
         """Returns the incarnation that a key is placed on."""
         home = self._homes.get(key)
         if home is None:
             home = rank_by_rendezvous(key, [self._self.incarnation, *self._live])[0]
-            if len(self._homes) > 10_000:
+            if len(self._homes) > MAX_CACHED_HOMES:
                 self._homes.clear()
             self._homes[key] = home
         return home
 
+    def list_writers(self, key: str) -> list[str]:
+        """Returns the members to write a key for others, the preferred one first.
+
+        This process is among them as it knows best itself whether it reaches the store; the
+        others are those that say that they do.
+        """
+        writers = self._writers.get(key)
+        if writers is None:
+            able = [name for name in self._live if self._known[name].store_reached]
+            writers = rank_by_rendezvous(key, [self._self.incarnation, *able])[:WRITERS]
+            if len(self._writers) > MAX_CACHED_HOMES:
+                self._writers.clear()
+            self._writers[key] = writers
+        return writers
+
+    def _forget_homes(self) -> None:
+        self._homes.clear()
+        self._writers.clear()
+
     def select_gossip(self, limit: int, start: int) -> list[GossipEntry]:
         """Returns up to `limit` entries about others, going round from position `start`."""
         names = list(self._known)
@@ -126,6 +164,7 @@
                 member=self._known[name].member,
                 counter=self._known[name].counter,
                 state=self._known[name].state,
+                store_reached=self._known[name].store_reached,
             )
             for name in chosen
         ]
--- a/packages/standins/laburnumpier_standins/memory_store.py
+++ b/packages/standins/laburnumpier_standins/memory_store.py
@@ -19,9 +19,10 @@
         fault: What every client meets.
         loss_share: Share of writes whose answer is lost after they took effect.
         cut_off: Names of clients that cannot reach the service.
+        silent_for: Names of clients whose calls are lost on the way and end by their time limit.
     """
 
-    __slots__ = ("cut_off", "fault", "loss_share", "random", "state")
+    __slots__ = ("cut_off", "fault", "loss_share", "random", "silent_for", "state")
 
     def __init__(self, *, seed: int = 0):
         """Creates a healthy, empty service."""
@@ -29,6 +30,7 @@
         self.fault = StoreFault.NONE
         self.loss_share = 0.0
         self.cut_off: set[str] = set()
+        self.silent_for: set[str] = set()
         self.random = random.Random(seed)
 
 
@@ -124,6 +126,9 @@
         if self._control.fault is StoreFault.SLOW:
             await asyncio.sleep(CLIENT_TIMEOUT_SECONDS)
             raise StoreUnavailableError("the service is slow")
+        if self._client in self._control.silent_for:
+            await asyncio.sleep(CLIENT_TIMEOUT_SECONDS)
+            raise StoreUnavailableError("the call timed out")
         await asyncio.sleep(CALL_SECONDS / 2)
         if self._is_unreachable():
             raise StoreUnavailableError("the service is down")
