Let few routers watch the registry in large fleets, and tell the others

Ruled out: sending whole configurations between peers (25 copies of it over a link of 10 Mbit/s take a second); the number is told at once and each router reads the store. Now: from 20 routers on, two routers of each data centre watch and tell the others what their watch returned, with the positions between which it holds.

--- a/packages/core/laburnumpier_core/settings.py
+++ b/packages/core/laburnumpier_core/settings.py
@@ -66,6 +66,7 @@
     store_poll_seconds: float
     watch_seconds: float
     watchers: int
+    relay_from_routers: int
     recover_departed: bool
     seed_addresses: tuple[str, ...]
     account_shards: int
@@ -243,6 +244,7 @@
     _number("fleet", "store_poll_seconds", "5", float, 0.1, 3600),
     _number("fleet", "watch_seconds", "30", float, 0.1, 3600),
     _number("fleet", "watchers", "2", int, 1, 100000),
+    _number("fleet", "relay_from_routers", "20", int, 1, 10**9),
     _text("fleet", "recover_departed", _parse_yes_no, "yes or no", "yes"),
     _text(
         "fleet",
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -32,6 +32,7 @@
     ConfigurationService,
     FetchConfiguration,
 )
+from .fleet.broadcast import Broadcast
 from .fleet.departures import DepartureWatch
 from .fleet.member import Heartbeat, Member
 from .fleet.peer_link import PeerLink
@@ -41,6 +42,7 @@
 from .forward.exchange import ServerClient
 from .forward.front import ForwardFront
 from .forward.registry_follower import RegistryFollower
+from .forward.registry_relay import RegistryRelay, RegistryRelayed
 from .forward.retry_budget import RetryBudget
 from .forward.servers import ServerTable
 from .forward.service import ForwardService
@@ -82,6 +84,7 @@
     budget_messages.CollectHoldings,
     budget_messages.HoldingsCollected,
     budget_messages.Acknowledged,
+    RegistryRelayed,
     request_messages.OpenRequest,
     request_messages.RequestOpened,
     request_messages.PlaceRequest,
@@ -195,7 +198,7 @@
             clock=clock,
             metrics=metrics,
             random_source=self._random,
-            is_watcher=self.watches_store,
+            is_watcher=self.watches_configuration,
             on_change=self._take_configuration,
             record_format=ports.record_format,
             watch_seconds=settings.watch_seconds,
@@ -401,6 +404,7 @@
         await self._calls.close()
         await self._budget.close()
         await self._submitter.close()
+        await self._broadcast.close()
         await self._link.close()
         if self._ports.forwarding is not None:
             await self._ports.forwarding.client.close()
@@ -513,8 +517,17 @@
     def _build_forwarding(self) -> None:
         ports, settings = self._ports.forwarding, self._settings
         self._forwarding: ForwardFront | None = None
+        self._relay: RegistryRelay | None = None
+        self._broadcast = Broadcast(fleet=self._fleet, metrics=self._metrics)
         if ports is None:
             return
+        self._relay = RegistryRelay(
+            registry=ports.registry,
+            is_watcher=self.watches_store,
+            send=self._broadcast.send,
+            get_configuration_number=lambda: self._configuration.number,
+            clock=self._clock,
+        )
         self._registered = ServerTable()
         self._retries = RetryBudget(
             ratio=settings.retry_ratio,
@@ -522,7 +535,7 @@
             window_seconds=settings.retry_window_seconds,
         )
         self._follower = RegistryFollower(
-            registry=ports.registry,
+            registry=self._relay,
             table=self._registered,
             clock=self._clock,
             random_source=self._random,
@@ -583,6 +596,7 @@
         handle(budget_messages.TellSpending, self._answer_spending)
         handle(budget_messages.KeepBills, self._answer_keep_bills)
         handle(budget_messages.CollectHoldings, self._answer_collect)
+        handle(RegistryRelayed, self._answer_relayed)
 
     async def _answer_changes(
         self, sender: str, message: budget_messages.SubmitChanges
@@ -616,6 +630,14 @@
     ) -> budget_messages.HoldingsCollected:
         return self._budget.collect_holdings(message)
 
+    async def _answer_relayed(
+        self, sender: str, message: RegistryRelayed
+    ) -> budget_messages.Acknowledged:
+        if self._relay is not None:
+            self._relay.take(message)
+        self._configuration.note_newer_number(sender, message.configuration_number)
+        return budget_messages.Acknowledged()
+
     def _take_heartbeat(self, sender: str, message: Heartbeat) -> None:
         self._configuration.note_peer_number(sender, message.configuration_number)
         self._directory.note_leaving(message.leaving_servers)
@@ -632,19 +654,31 @@
             purchased = entry.budget_tokens if entry else 0
             if purchased < self._purchased.get(workspace, 0):
                 self._budget.return_unspent(workspace)
+        if self._relay is not None:
+            self._relay.announce()
         self._purchased = {
             name: entry.budget_tokens for name, entry in configuration.workspaces.items()
         }
 
     def watches_store(self) -> bool:
-        """Whether this process is one of the few of its data centre that watch the store."""
+        """Whether this process is one of those of its data centre that watch the store.
+
+        Routers that forward requests all watch while they are few, as their calls are then few.
+        """
         view = self._fleet.view
+        is_small = 1 + len(view.live) < self._settings.relay_from_routers
+        if self._forwarding is not None and is_small:
+            return True
         own = self._fleet.member
         names = [
             name for name in view.live if view.known[name].member.data_centre == own.data_centre
         ]
         return sorted([*names, own.incarnation]).index(own.incarnation) < self._settings.watchers
 
+    def watches_configuration(self) -> bool:
+        """Whether this process watches the configuration: also where no watcher is heard."""
+        return self.watches_store() or (self._relay is not None and not self._relay.is_heard)
+
     def _run_in_background(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         task.add_done_callback(_report_failure)
--- a/packages/router/laburnumpier_router/configuration/service.py
+++ b/packages/router/laburnumpier_router/configuration/service.py
@@ -288,6 +288,23 @@
         if self._fetching is None or self._fetching.done():
             self._fetching = asyncio.create_task(self.fetch_from_peer(peer))
 
+    def note_newer_number(self, peer: str, number: int) -> None:
+        """Reads the store when a peer that watches it has a higher number than the one in force.
+
+        The peer itself is asked only where the store does not tell: many routers hear of a change
+        at the same moment, and a peer's connection may be small.
+        """
+        if number > self.number and (self._fetching is None or self._fetching.done()):
+            self._fetching = asyncio.create_task(self._catch_up(peer, number))
+
+    async def _catch_up(self, peer: str, number: int) -> None:
+        try:
+            await self._read()
+        except StoreError as error:
+            _log.info("configuration not read", fields={"number": number, "error": error})
+        if self.number < number:
+            await self.fetch_from_peer(peer)
+
     async def fetch_from_peer(self, peer: str) -> None:
         """Takes a peer's configuration if it is newer; a silent peer changes nothing."""
         try:
--- a/packages/router/laburnumpier_router/fleet/service.py
+++ b/packages/router/laburnumpier_router/fleet/service.py
@@ -27,6 +27,9 @@
 # Heartbeats sent and answered in one interval, each of which carries gossip.
 GOSSIP_MESSAGES = 2 * (NEAR_PARTNERS + FAR_PARTNERS)
 STORE_POLL_SECONDS = 5.0
+POLLING_ROUTERS = 20
+"""Routers up to which each reads the member records at the full rate. Members are heard of by
+heartbeats; the records are for those that nobody has heard of."""
 
 _log = get_part_logger("fleet")
 
@@ -214,7 +217,7 @@
                     await self.read_records()
             except StoreError as error:
                 _log.debug("store not reached", fields={"error": error})
-            await asyncio.sleep(self._store_poll_seconds * self._random.uniform(0.7, 1.3))
+            await asyncio.sleep(self._find_poll_seconds() * self._random.uniform(0.7, 1.3))
 
     async def beat_periodically(self) -> None:
         """Keeps one heartbeat task for each partner; runs until cancelled."""
@@ -239,6 +242,11 @@
             *(self._beat(name) for name in list(self._partners)), return_exceptions=True
         )
 
+    def _find_poll_seconds(self) -> float:
+        """Returns the time between reads of the records, so that their rate has a limit."""
+        routers = 1 + len(self._view.known)
+        return self._store_poll_seconds * max(1.0, routers / POLLING_ROUTERS)
+
     def _find_suspect_seconds(self) -> float:
         """Returns how long a member may be silent; a large fleet hears of each more rarely."""
         rounds = len(self._view.known) / (GOSSIP_MESSAGES * GOSSIP_ENTRIES)
