Hold less as a budget is used up, hand back at the start of a stop, let one lender draw all it wants

Now: budget/holding.py holds the full share above half of a budget and the square of it below; a stopping router hands back at once and holds nothing; a lender draws what it wants, answers in 0.3 s, and draws for whoever asks it. Tests: features/budget/holding.feature, and scenarios in lending and outage.feature; those of the lender's answers, its draw and the stop failed before.

--- a/features/budget/outage.feature
+++ b/features/budget/outage.feature
@@ -26,3 +26,12 @@
     And router vm-1 spends 60 times 100 of 150 reserved tokens within 6 seconds
     Then every router believes that it reaches the store
     And at least 150 of 160 requests were admitted
+
+  Scenario: A stopping router hands back at once and holds nothing from then on
+    Given a forwarding fleet of 6 routers and a budget of 60000 tokens
+    And each router holds tokens
+    When router vm-1 begins to stop
+    Then within 0.5 seconds no grant of vm-1 is open
+    When router vm-1 spends 10 times 100 of 150 reserved tokens within 2 seconds
+    Then at least 10 of 10 requests were admitted
+    And within 3.0 seconds no grant of vm-1 is open
--- a/features/steps/lending_steps.py
+++ b/features/steps/lending_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 from fleet_steps import build_fleet, read_account, run
 from laburnumpier_core.errors import RequestError
-from laburnumpier_router.budget.peers import TellSpending
+from laburnumpier_router.budget.peers import RequestTransfer, TellSpending
 
 REQUEST_TOKENS = 150
 USED_TOKENS = 100
@@ -106,6 +106,61 @@
     assert not context.refused, context.refused
 
 
+@when("the store stays silent for all routers")
+def silence_store(context):
+    context.fleet.store.silent_for.update(context.fleet.routers)
+
+
+@then("at most {count:d} of these requests were refused")
+def check_few_refused(context, count):
+    assert len(context.refused) <= count, (len(context.refused), context.refused[:3])
+
+
+@then("within {seconds:f} seconds the lender answers {count:d} requests of borrowers at once")
+def check_lender_answers(context, seconds, count):
+    lender = context.fleet.routers[find_lender(context).split("@")[0]].application.budget
+
+    async def ask():
+        began = asyncio.get_running_loop().time()
+        messages = [
+            RequestTransfer(
+                workspace="w",
+                transfer_id=f"x/{i}",
+                borrower="x",
+                tokens=10**6,
+                shortage=10**6,
+                draw=True,
+            )
+            for i in range(count)
+        ]
+        await asyncio.gather(*(lender.lend(message) for message in messages))
+        return asyncio.get_running_loop().time() - began
+
+    took = run(context, ask())
+    assert took <= seconds, took
+
+
+@when("a router that is not the lender is asked to draw {tokens:d} tokens for a peer")
+def ask_another(context, tokens):
+    lender = find_lender(context)
+    other = next(r for r in live(context) if r.application.fleet.self_name != lender)
+    message = RequestTransfer(
+        workspace="w", transfer_id="x/1", borrower="x", tokens=tokens, shortage=tokens, draw=True
+    )
+    context.offer = run(context, other.application.budget.lend(message))
+
+
+@then("the peer is lent {tokens:d} tokens")
+def check_lent(context, tokens):
+    assert sum(part.tokens for part in context.offer.parts) == tokens, context.offer
+
+
+@then("the lender holds at least {tokens:d} tokens free")
+def check_lender_holds(context, tokens):
+    lender = context.fleet.routers[find_lender(context).split("@")[0]].application.budget
+    assert lender.states["w"].pool.free >= tokens, lender.states["w"].pool.free
+
+
 @then("the account was written fewer than {count:d} times")
 def check_writes(context, count):
     writes = context.fleet.store.state.revision - context.revision
--- a/features/steps/outage_steps.py
+++ b/features/steps/outage_steps.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from behave import given, then, when
-from fleet_steps import build_fleet, run
+from fleet_steps import build_fleet, read_account, run
 from laburnumpier_core.hashing import choose_shard
 from lending_steps import SETTINGS, live, spend, start_refills
 
@@ -60,3 +60,22 @@
         router.name: router.application.submitter.reach.is_reached for router in live(context)
     }
     assert all(beliefs.values()), beliefs
+
+
+@when("router {name} begins to stop")
+def begin_stop(context, name):
+    async def begin():
+        context.fleet.routers[name].application.budget.begin_stop()
+
+    run(context, begin())
+
+
+@then("within {seconds:f} seconds no grant of {name} is open")
+def check_none_open(context, seconds, name):
+    run(context, asyncio.sleep(seconds))
+    held = {
+        grant_id: grant.amount
+        for grant_id, grant in read_account(context).grants.items()
+        if grant.holder.startswith(f"{name}@") and grant.amount
+    }
+    assert not held, held
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -62,9 +62,9 @@
 
 HOME_VIEWS = 2
 """Processes that may take themselves for the home of one shard at the same time."""
-HAND_BACK_SECONDS = 0.7
-"""Part of the grace kept for handing back tokens and recording the departure; a store call takes
-some milliseconds."""
+HAND_BACK_SECONDS = 1.5
+"""Part of the grace kept for handing back tokens and recording the departure: five calls in a row
+to a store that takes 0.3 s each."""
 EXIT_SECONDS = 0.5
 """Part of the grace kept for closing sockets and leaving the interpreter."""
 
@@ -353,6 +353,7 @@
         self._fleet.announce_stop()
         if self._forwarding is not None:
             self._forwarding.begin_stop()
+            self._budget.begin_stop()
         await self._fleet.tell_partners()
         if self._forwarding is not None:
             await self._end_forwarding(began, close_fronts)
--- a/packages/router/laburnumpier_router/budget/demand.py
+++ b/packages/router/laburnumpier_router/budget/demand.py
@@ -28,7 +28,7 @@
         self._rate = 0.0
         self._last_seconds = now_seconds
         self._last_use_seconds = now_seconds
-        self._started_seconds = now_seconds
+        self._started_seconds: float | None = None
 
     @property
     def last_use_seconds(self) -> float:
@@ -38,12 +38,17 @@
     def record(self, tokens: int, now_seconds: float) -> None:
         """Adds spent tokens at the given monotonic time."""
         self._decay(now_seconds)
+        # A process may wait long for its first request; that time tells nothing.
+        if self._started_seconds is None:
+            self._started_seconds = now_seconds
         self._rate += tokens / self._window_seconds
         self._last_use_seconds = now_seconds
 
     def get_tokens_per_second(self, now_seconds: float) -> float:
         """Returns the rate at the given monotonic time."""
         self._decay(now_seconds)
+        if self._started_seconds is None:
+            return 0.0
         # A young average has not seen a whole window yet.
         age_seconds = max(YOUNGEST_SECONDS, now_seconds - self._started_seconds)
         return self._rate / -math.expm1(-age_seconds / self._window_seconds)
--- a/packages/router/laburnumpier_router/budget/lending.py
+++ b/packages/router/laburnumpier_router/budget/lending.py
@@ -75,7 +75,7 @@
             parts=parts,
             free=state.pool.free,
             coming=state.pool.coming,
-            unspent=state.known_unspent,
+            account=state.account,
         )
         lent = sum(part.tokens for part in parts)
         if lent < message.tokens and not state.pool.waiting_tokens:
@@ -148,7 +148,7 @@
 
     async def borrow_from(
         self, lender: str, workspace: str, state: BudgetState, tokens: int, shortage: int
-    ) -> bool:
+    ) -> TransferOffered | None:
         """Borrows from the one router that draws for the fleet.
 
         Args:
@@ -159,19 +159,19 @@
             shortage: Tokens for which requests wait here.
 
         Returns:
-            Whether the lender answered.
+            The lender's answer; None if there was none.
         """
-        offer = await self._ask_peer(lender, workspace, tokens, shortage)
+        offer = await self._ask_peer(lender, workspace, tokens, shortage, draw=True)
         fields = {"workspace": workspace, "lender": lender, "wanted": tokens, "needed": shortage}
         if offer is None:
             _log.warning("lender is silent", fields=fields)
-            return False
+            return None
         fields["amount"] = self._credit(state, offer)
         fields["left"] = offer.free
         _log.info("borrowed tokens", fields=fields)
-        if offer.unspent is not None:
-            state.known_unspent = offer.unspent
-        return True
+        if offer.account is not None:
+            state.account = offer.account
+        return offer
 
     async def tell_spending(self, workspace: str, state: BudgetState) -> None:
         """Tells lenders what was spent of their tokens; what they do not answer is told again."""
@@ -250,7 +250,7 @@
         self._metrics.count("budget.transfers_lost")
 
     async def _ask_peer(
-        self, peer: str, workspace: str, tokens: int, shortage: int
+        self, peer: str, workspace: str, tokens: int, shortage: int, *, draw: bool = False
     ) -> TransferOffered | None:
         self._transfer_sequence += 1
         message = RequestTransfer(
@@ -259,6 +259,7 @@
             borrower=self._fleet.self_name,
             tokens=tokens,
             shortage=shortage,
+            draw=draw,
         )
         # A lost reply is asked for once more under the same id, so that the debit is not stranded.
         for _ in range(2 if tokens else 1):
--- a/packages/router/laburnumpier_router/budget/peers.py
+++ b/packages/router/laburnumpier_router/budget/peers.py
@@ -33,6 +33,8 @@
     Attributes:
         transfer_id: Identity under which the lender remembers its reply.
         shortage: Tokens for which requests wait at the borrower.
+        draw: Whether the peer is asked as the one that draws for the fleet. It then does, whoever
+            it takes for that itself: views of the fleet differ for a while.
     """
 
     workspace: str
@@ -40,6 +42,24 @@
     borrower: str
     tokens: int
     shortage: int
+    draw: bool = False
+
+
+class AccountSeen(msgspec.Struct, frozen=True, kw_only=True):
+    """What the store told of an account.
+
+    Attributes:
+        unspent: Tokens of the whole budget that are neither billed nor in doubt, wherever they
+            are; it only shrinks until the configuration changes.
+        available: Tokens that could still be granted.
+        in_doubt: Tokens of closed grants that may or may not have been spent.
+        configuration_number: Number of the configuration that the purchased total is from.
+    """
+
+    unspent: int
+    available: int
+    in_doubt: int
+    configuration_number: int
 
 
 class TransferOffered(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -49,13 +69,13 @@
         parts: Tokens lent, already debited at the lender.
         free: Tokens that are free there.
         coming: Tokens there that are reserved or on their way back, and may become free.
-        unspent: What the lender knows to be unspent of the whole budget; None if nothing.
+        account: What the lender knows of the account; None if nothing.
     """
 
     parts: list[TransferPart]
     free: int
     coming: int
-    unspent: int | None = None
+    account: AccountSeen | None = None
 
 
 class TellSpending(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/packages/router/laburnumpier_router/budget/service.py
+++ b/packages/router/laburnumpier_router/budget/service.py
@@ -30,8 +30,10 @@
 from .bill_keeper import BillKeeper
 from .demand import DemandMeter
 from .grant_pool import GrantPool, Reservation
+from .holding import HoldingTerms, find_wanted_tokens
 from .lending import TokenLending
 from .peers import (
+    AccountSeen,
     Acknowledged,
     BudgetConfiguration,
     BudgetFleet,
@@ -57,17 +59,18 @@
 ACCOUNT_REFRESH_SECONDS = 4.0
 """Age of what is known of an account after which a process that holds enough looks again, so that
 it hands back what is too much for a budget that others have spent."""
-LENDER_SECONDS = 4.0
-"""Demand of the whole fleet that its lender wants to hold; it draws again about every second."""
 LENDER_REFILL_SECONDS = 0.25
 """Shortest time between draws of a lender that no request waits for."""
-LENDER_FLOOR_SHARE = 0.04
-"""Least share of the unspent tokens that a lender holds, for demand that it has not met yet."""
-LENDER_SHARE = 0.1
-"""Greatest share of the unspent tokens that a lender wants to hold, which dies with it."""
-LENT_SHARE = 0.25
-"""Greatest share of the unspent tokens that the routers of a lending fleet want to hold; what one
-holds unused no other can borrow."""
+LENDER_FLOOR_SHARE = 0.15
+"""Share of the purchased total that a lender wants to hold at least, for demand that it has not
+met yet: an outage of 8 s in the first minute of a budget that lasts one."""
+BORROWED_SECONDS = 1.0
+"""Demand for which a borrower wants to hold tokens. What one holds unused no other can borrow, and
+the lender answers in milliseconds, also while the store does not."""
+LOAN_DIVISOR = 32
+"""A loan beyond what requests wait for takes at most this fraction of the lender's free tokens."""
+MOST_LOANS = 3
+"""Loans in one round, where requests have come while the lender answered."""
 TELL_SECONDS = 4.0
 """Time between reports of spending to the lender."""
 EXCESS_FACTOR = 1.2
@@ -99,6 +102,7 @@
         "_clock",
         "_configuration",
         "_fleet",
+        "_is_stopping",
         "_lending",
         "_limits",
         "_metrics",
@@ -126,6 +130,7 @@
         self._metrics = metrics
         self._random = random_source
         self._limits = limits
+        self._is_stopping = False
         self._states: dict[str, BudgetState] = {}
         self._lending = TokenLending(states=self._states, fleet=fleet, metrics=metrics)
         self._background: set[asyncio.Task] = set()
@@ -231,11 +236,12 @@
     async def lend(self, message: RequestTransfer) -> TransferOffered:
         """Answers a peer's request for tokens; see `TokenLending.lend`.
 
-        The router that draws for the fleet first draws what a waiting request of the peer lacks.
+        One that is asked to draw for the fleet first draws what waiting requests of the peer lack.
         """
         workspace = message.workspace
-        if message.tokens and self._lends_for_fleet(workspace):
+        if message.tokens and message.draw:
             state = self._get_state(workspace)
+            message = _limit_loan(message, state.pool.free)
             # What others ask for is demand that the next draw has to cover.
             state.demand.record(message.tokens, self._clock.monotonic_seconds())
             await self._draw_for_borrower(workspace, state, message.shortage)
@@ -245,16 +251,21 @@
     async def _draw_for_borrower(self, workspace: str, state: BudgetState, shortage: int) -> None:
         """Draws what a borrower's waiting requests lack, together with what others lack."""
         terms = self._configuration.find_budget_terms(workspace)
-        if terms is None:
+        if terms is None or state.pool.free >= shortage or self._drew_in_vain(state):
             return
+        patience = 0.0 if self._submitter.failed_lately else BORROWER_PATIENCE_SECONDS
         state.asked_tokens += shortage
         try:
-            async with state.borrower_lock:
-                if state.pool.free < shortage:
-                    await self._draw_in_time(workspace, state, terms, BORROWER_PATIENCE_SECONDS)
+            await self._draw_in_time(workspace, state, terms, patience)
         finally:
             state.asked_tokens -= shortage
 
+    def _drew_in_vain(self, state: BudgetState) -> bool:
+        """Whether the account had nothing left to grant a moment ago."""
+        age_seconds = self._clock.monotonic_seconds() - state.last_refill_seconds
+        is_empty = state.account is not None and state.account.available == 0
+        return is_empty and age_seconds < VERDICT_SECONDS
+
     def take_told_spending(self, message: TellSpending) -> Acknowledged:
         """Takes in what a borrower spent of tokens lent here, and returns an empty reply."""
         self._lending.take_told_spending(self._get_state(message.workspace), message)
@@ -285,6 +296,15 @@
         if state is not None and state.pool.free:
             self._keep(asyncio.create_task(self._return_tokens(workspace, state, keep=0)))
 
+    def begin_stop(self) -> None:
+        """Starts to hand back what no request needs, and holds nothing free from now on.
+
+        What a process still holds at the end of its grace is lost if the store is slow then.
+        """
+        self._is_stopping = True
+        for workspace in list(self._states):
+            self.return_unspent(workspace)
+
     async def refill_periodically(self) -> None:
         """Draws tokens of all budgets that run low again and again; runs until cancelled.
 
@@ -319,6 +339,9 @@
         Reservations that are drawn for and not used up leave such tokens behind; they would be in
         doubt if this process died.
         """
+        if self._is_stopping:
+            self.return_unspent(workspace)
+            return
         excess = EXCESS_FACTOR * self._find_wanted(workspace, state)
         busy = state.pool.waiting_tokens or self._submitter.failed_lately
         if self._limits.grant_floor_share > 0 and state.pool.free > excess and not busy:
@@ -400,33 +423,33 @@
         return self._states[workspace]
 
     def _find_wanted(self, workspace: str, state: BudgetState) -> int:
-        """Returns the tokens that this process wants to hold free.
+        """Returns the tokens that this process wants to hold free."""
+        if self._is_stopping:
+            return 0
+        terms = self._configuration.find_budget_terms(workspace)
+        return find_wanted_tokens(
+            terms=self._find_holding_terms(workspace),
+            tokens_per_second=state.demand.get_tokens_per_second(self._clock.monotonic_seconds()),
+            purchased=terms.purchased if terms else 0,
+            unspent=state.account.unspent if state.account else None,
+        )
 
-        These are what the measured demand would use over the grant horizon, or the floor share of
-        the purchased total if that is more. Towards the end of a budget it is less: what all
-        routers hold is lost with them, and must leave enough for those that come after.
-        """
-        rate = state.demand.get_tokens_per_second(self._clock.monotonic_seconds())
+    def _find_holding_terms(self, workspace: str) -> HoldingTerms:
+        """Returns what applies to a lender, a borrower, or a router that draws for itself."""
+        limits = self._limits
+        horizon_seconds, floor_share = limits.grant_horizon_seconds, limits.grant_floor_share
+        held_share, holders = limits.held_share, 1 + len(self._fleet.list_peers())
         if self._lends_for_fleet(workspace):
-            wanted = max(self._limits.grant_minimum_tokens, int(rate * LENDER_SECONDS))
-            if state.known_unspent is None:
-                return wanted
-            least = int(state.known_unspent * LENDER_FLOOR_SHARE)
-            return max(least, min(wanted, int(state.known_unspent * LENDER_SHARE)))
-        terms = self._configuration.find_budget_terms(workspace)
-        purchased = terms.purchased if terms else 0
-        wanted = max(
-            self._limits.grant_minimum_tokens,
-            int(rate * self._limits.grant_horizon_seconds),
-            int(purchased * self._limits.grant_floor_share),
+            floor_share, holders = LENDER_FLOOR_SHARE, 1
+        elif self._is_lending_fleet():
+            horizon_seconds, floor_share, held_share, holders = BORROWED_SECONDS, 0.0, 1.0, 1
+        return HoldingTerms(
+            minimum_tokens=limits.grant_minimum_tokens,
+            horizon_seconds=horizon_seconds,
+            floor_share=floor_share,
+            held_share=held_share,
+            holders=holders,
         )
-        if state.known_unspent is None:
-            return wanted
-        routers = 1 + len(self._fleet.list_peers())
-        share = self._limits.held_share
-        if self._is_lending_fleet():
-            share = min(share, LENT_SHARE)
-        return min(wanted, int(state.known_unspent * share / routers))
 
     async def _reserve_by_gathering(
         self, workspace: str, state: BudgetState, amount: int, deadline_seconds: float
@@ -531,14 +554,10 @@
         started = self._clock.monotonic_seconds()
         pool = state.pool
         lender = self._find_lender(workspace)
-        if lender is not None and await self._borrow_from(lender, workspace, state):
-            return GatherOutcome(
-                at_seconds=started,
-                configuration_number=terms.configuration_number,
-                peers_answered=True,
-                hoped=pool.free,
-                unspent=None,
-            )
+        if lender is not None:
+            offer = await self._borrow_enough(lender, workspace, state)
+            if offer is not None:
+                return self._judge_offer(offer, terms, state, started)
         opened = await self._draw_in_time(workspace, state, terms, self._find_draw_patience())
         available = opened.available if opened else 0
         shortage = max(0, state.pool.waiting_tokens - state.pool.free)
@@ -554,9 +573,26 @@
             in_doubt=opened.in_doubt if opened else 0,
         )
 
+    def _judge_offer(
+        self, offer: TransferOffered, terms: BudgetTerms, state: BudgetState, started: float
+    ) -> GatherOutcome:
+        """Returns what a lender's answer says; it draws for all, so nobody else need be asked."""
+        account = offer.account
+        if account is not None and account.configuration_number < terms.configuration_number:
+            # A top-up may have raised what is unspent.
+            account = None
+        return GatherOutcome(
+            at_seconds=started,
+            configuration_number=terms.configuration_number,
+            peers_answered=True,
+            hoped=state.pool.free + offer.free + offer.coming,
+            unspent=account.unspent if account else None,
+            in_doubt=account.in_doubt if account else 0,
+        )
+
     def _find_draw_patience(self) -> float:
         """Returns how long a waiting request lets the store answer before its peers are asked."""
-        if self._submitter.failed_lately and not self._submitter.reach.is_reached:
+        if self._submitter.failed_lately:
             return 0.0
         return DRAW_PATIENCE_SHARE * self._limits.admission_wait_seconds
 
@@ -613,18 +649,32 @@
             return None
         return self._fleet.find_home(f"budget/{workspace}")
 
-    async def _borrow_from(self, lender: str, workspace: str, state: BudgetState) -> bool:
-        """Borrows what waiting requests lack and what is wanted here.
+    async def _borrow_enough(
+        self, lender: str, workspace: str, state: BudgetState
+    ) -> TransferOffered | None:
+        """Borrows until no request lacks tokens, also those that have come meanwhile.
 
         Returns:
-            Whether no request lacks tokens any more.
+            The last answer of the lender; None if it is silent.
         """
+        offer = None
+        for _ in range(MOST_LOANS):
+            asked = state.pool.waiting_tokens
+            offer = await self._borrow_from(lender, workspace, state)
+            lacks = state.pool.waiting_tokens > state.pool.free
+            has_grown = state.pool.waiting_tokens > asked
+            if offer is None or not lacks or not has_grown:
+                break
+        return offer
+
+    async def _borrow_from(
+        self, lender: str, workspace: str, state: BudgetState
+    ) -> TransferOffered | None:
+        """Borrows what waiting requests lack and what is wanted here."""
         shortage = max(0, state.pool.waiting_tokens - state.pool.free)
         wanted = max(shortage, self._find_wanted(workspace, state) - state.pool.free)
-        if wanted > 0:
-            state.last_refill_seconds = self._clock.monotonic_seconds()
-            await self._lending.borrow_from(lender, workspace, state, wanted, shortage)
-        return state.pool.waiting_tokens <= state.pool.free
+        state.last_refill_seconds = self._clock.monotonic_seconds()
+        return await self._lending.borrow_from(lender, workspace, state, wanted, shortage)
 
     async def _draw(
         self, workspace: str, state: BudgetState, terms: BudgetTerms, needed: int
@@ -650,7 +700,12 @@
             return None
         state.pending_draw = None
         state.near_end = self._is_near_end(state, result)
-        state.known_unspent = result.unspent
+        state.account = AccountSeen(
+            unspent=result.unspent,
+            available=result.available,
+            in_doubt=result.in_doubt,
+            configuration_number=change.configuration_number,
+        )
         self._metrics.count("budget.draws")
         fields = {
             "workspace": workspace,
@@ -687,6 +742,8 @@
     def _make_draw(
         self, workspace: str, state: BudgetState, terms: BudgetTerms, needed: int
     ) -> OpenGrant:
+        # Nobody else draws where this router lends to all.
+        lends = self._lends_for_fleet(workspace)
         sequence = state.next_sequence
         state.next_sequence += 1
         wanted = max(0, self._find_wanted(workspace, state) - state.pool.free)
@@ -705,7 +762,7 @@
             needed=needed,
             least=state.pool.least_shortage if state.near_end else 0,
             wanted=wanted,
-            share_divisor=1 + len(self._fleet.list_peers()),
+            share_divisor=1 if lends else 1 + len(self._fleet.list_peers()),
             configured=terms.purchased,
             configuration_number=terms.configuration_number,
         )
@@ -799,3 +856,9 @@
     def _keep(self, task: asyncio.Task) -> None:
         self._background.add(task)
         task.add_done_callback(self._background.discard)
+
+
+def _limit_loan(message: RequestTransfer, free: int) -> RequestTransfer:
+    """Returns a request for what waiting requests need, or a small part of what is free."""
+    most = max(message.shortage, free // LOAN_DIVISOR)
+    return msgspec.structs.replace(message, tokens=min(message.tokens, most))
--- a/packages/router/laburnumpier_router/budget/shard_writer.py
+++ b/packages/router/laburnumpier_router/budget/shard_writer.py
@@ -242,7 +242,8 @@
                 self._shard = None
                 continue
 
-            if await self._write(outcome.shard, outcome.slots, slot_keys):
+            kinds = collections.Counter(type(change).__name__ for change in changes)
+            if await self._write(outcome.shard, outcome.slots, slot_keys, kinds):
                 return outcome.results
             fresh = self._shard is not None
             self._metrics.count("budget.writer.conflicts")
@@ -251,7 +252,13 @@
             await asyncio.sleep(CONFLICT_PAUSE_SECONDS * self._random.random() * attempt)
         raise StoreError("too many conflicting writes")
 
-    async def _write(self, shard: Shard, changed: dict[str, Slot], slot_keys: list[str]) -> bool:
+    async def _write(
+        self,
+        shard: Shard,
+        changed: dict[str, Slot],
+        slot_keys: list[str],
+        kinds: dict[str, int],
+    ) -> bool:
         """Tries one conditional write; afterwards the cache holds what is known to be stored."""
         expected = {self._key: self._revision}
         for key in slot_keys:
@@ -268,6 +275,7 @@
             self._shard = None
             return False
         if outcome.committed:
+            _log.info("account shard written", fields={"key": self._key, **kinds})
             self._shard = shard
             self._revision = outcome.revision
             for key, slot in changed.items():
--- a/packages/router/laburnumpier_router/budget/state.py
+++ b/packages/router/laburnumpier_router/budget/state.py
@@ -7,6 +7,7 @@
 from .allocation import Allocation
 from .demand import DemandMeter
 from .grant_pool import GrantPool
+from .peers import AccountSeen
 
 AMOUNT_WEIGHT = 0.1
 """Weight of the newest request in the typical cost, so that one very large request does not make
@@ -49,10 +50,9 @@
     verdict: GatherOutcome | None = None
     typical_amount: float = 0.0
     near_end: bool = False
-    known_unspent: int | None = None
+    account: AccountSeen | None = None
     last_report_seconds: float = float("-inf")
     asked_tokens: int = 0
-    borrower_lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
 
     def note_amount(self, amount: int) -> None:
         """Takes in the greatest cost of a request."""
--- a/packages/router/laburnumpier_router/budget/submitter.py
+++ b/packages/router/laburnumpier_router/budget/submitter.py
@@ -96,7 +96,9 @@
         for writer in self._list_writers(shard):
             results = await self._submit_failed(writer, shard, changes, results)
             if not any(isinstance(result, ChangeFailed) for result in results):
-                break
+                self._last_failure_seconds = float("-inf")
+                return results
+        self._last_failure_seconds = self._clock.monotonic_seconds()
         return results
 
     def _list_writers(self, shard: int) -> list[str]:
@@ -160,10 +162,7 @@
 
     async def submit_here(self, shard: int, changes: list[Change]) -> list[ChangeResult]:
         """Writes changes from this process, batched with others of the same shard."""
-        results = await self.get_writer(shard).submit(changes)
-        if any(isinstance(result, ChangeFailed) for result in results):
-            self._last_failure_seconds = self._clock.monotonic_seconds()
-        return results
+        return await self.get_writer(shard).submit(changes)
 
     def get_writer(self, shard: int) -> ShardWriter:
         """Returns this process's writer of a shard."""
@@ -182,7 +181,7 @@
 
     @property
     def failed_lately(self) -> bool:
-        """Whether the store took no decision on a change a short while ago."""
+        """Whether no writer brought the last changes to the store, a short while ago."""
         elapsed = self._clock.monotonic_seconds() - self._last_failure_seconds
         return elapsed < FAILURE_MEMORY_SECONDS
 
