Soak of router processes with faults from outside; a reload while packages load ends nothing

The soak starts routers as processes against the stand-in of the platform's store, plays kills, stops, pauses, reloads, cuts, store faults and changes in an order that a seed sets, and checks promises and budgets from what callers and servers see. Before: no soak.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PY := PYTHONHASHSEED=0 $(VENV)/bin/python
 PACKAGES := core router operator standins measure
 
-.PHONY: setup test lint format demo measure balance bench check-model slopes
+.PHONY: setup test lint format demo measure balance bench check-model slopes soak
 
 $(VENV)/.installed: requirements.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	python3 -m venv $(VENV)
@@ -43,3 +43,8 @@
 
 slopes: setup
 	$(PY) -m laburnumpier_measure.slopes
+
+# SOAK="--seed=7 --runs=3 --seconds=30 --routers=4" plays these runs; without it some fresh ones.
+SOAK ?= --runs=8 --seconds=15
+soak: setup
+	$(PY) -m laburnumpier_platform_standin.soak $(SOAK)
--- a/features/forward/process.feature
+++ b/features/forward/process.feature
@@ -21,3 +21,10 @@
     Given a router process with a grace of 4 seconds
     When a request is answered
     Then the metrics tell 1 answered request
+
+  Scenario: SIGHUP while a process loads its packages ends nothing
+    Given a router process with a grace of 4 seconds that is sent SIGHUP as soon as it may be
+    Then SIGHUP was ignored before it was handled
+    When a request is answered
+    And the process gets SIGTERM
+    Then the process ends with code 0 after 0 to 4 seconds
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -14,10 +14,10 @@
 from behave import given, then, when
 from contract_steps import run
 from laburnumpier_measure.local_fleet import find_free_port
+from laburnumpier_platform_standin.launch import ROOT, fill_template
 from laburnumpier_platform_standin.store import PlatformStoreStandIn
 from scripted_server import ScriptedServer
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
 CONFIGURATION = {
     "Version": 3,
     "Routes": [
@@ -42,31 +42,36 @@
 }
 
 
-def make_settings(ports, store_url, grace):
-    """Fills in the template of the deployment as the platform does."""
-    text = (ROOT / "platform" / "settings.ini").read_text()
-    values = {
-        "NodeName": "vm-1",
-        "Zone": "here",
-        "Listen.Frontend": f"127.0.0.1:{ports[0]}",
-        "Listen.Ready": f"127.0.0.1:{ports[1]}",
-        "Ip": "127.0.0.1",
-        "InternalPortRange.0": str(ports[2]),
-        "Platform.Address": store_url.removeprefix("http://"),
-        "Platform.WritesPerS": "400",
-        "Bounds.GracePeriodS": str(grace),
-        "Bounds.RetryBudgetRatio": "0.2",
-        "Bounds.RetryBudgetExtra": "58",
-        "Bounds.RetryWindowS": "10",
-    }
-    for name, value in values.items():
-        text = text.replace("{{" + name + "}}", value)
-    assert "{{" not in text, text
-    return text.replace(":9464", f":{ports[3]}")
+@given("a router process with a grace of {grace:d} seconds")
+def start_quietly(context, grace):
+    start_process(context, grace, early_hangup=False)
 
 
-@given("a router process with a grace of {grace:d} seconds")
-def start_process(context, grace):
+@given(
+    "a router process with a grace of {grace:d} seconds that is sent SIGHUP as soon as it may be"
+)
+def start_with_hangup(context, grace):
+    start_process(context, grace, early_hangup=True)
+
+
+def read_signals(process, name):
+    """Returns the mask of signals that a process ignores (SigIgn) or handles (SigCgt)."""
+    status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+    line = next(line for line in status.splitlines() if line.startswith(name))
+    return int(line.split()[1], 16)
+
+
+async def hang_up_early(context):
+    """Sends SIGHUP as soon as the process ignores or handles it, and notes which it is."""
+    bit = 1 << (signal.SIGHUP - 1)
+    async with asyncio.timeout(20):
+        while not (read_signals(context.process, "SigIgn") & bit):
+            assert not read_signals(context.process, "SigCgt") & bit, "handled, never ignored"
+            await asyncio.sleep(0.001)
+    context.process.send_signal(signal.SIGHUP)
+
+
+def start_process(context, grace, *, early_hangup):
     context.store = PlatformStoreStandIn()
     context.backend = ScriptedServer("streams")
     context.folder = tempfile.TemporaryDirectory()
@@ -81,7 +86,8 @@
         await context.server.start_server()
         url = str(context.server.make_url("")).rstrip("/")
         path = pathlib.Path(context.folder.name) / "settings.ini"
-        path.write_text(make_settings(context.ports, url, grace))
+        text = fill_template(name="vm-1", ports=context.ports, store_url=url, grace_seconds=grace)
+        path.write_text(text)
         context.session = aiohttp.ClientSession()
         context.process = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -91,6 +97,8 @@
             stdout=asyncio.subprocess.PIPE,
         )
         context.output = asyncio.create_task(context.process.stdout.read())
+        if early_hangup:
+            await hang_up_early(context)
         async with asyncio.timeout(20):
             while await ask_readiness(context) != 200:
                 await asyncio.sleep(0.05)
@@ -147,6 +155,11 @@
     run(context, play())
 
 
+@then("SIGHUP was ignored before it was handled")
+def check_running(context):
+    assert context.process.returncode is None, context.process.returncode
+
+
 @when("a request is answered")
 def answer_request(context):
     status, body = run(context, send(context))
