--- a/features/forward/relay.feature
+++ b/features/forward/relay.feature
@@ -49,3 +49,9 @@
     When a watcher and another router announce configuration 7
     Then only the watcher's message is sent, and the others hear of configuration 7
     And all routers know 6 servers at once
+
+  Scenario: In a small fleet each router watches and nobody is told
+    Given 9 routers that follow a registry of 6 servers, 9 of which watch it
+    When 30 servers enter themselves within 30 seconds
+    Then all routers know 36 servers at once
+    And no message was sent
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -100,6 +100,7 @@
             relay = RegistryRelay(
                 registry=OwnRegistry(self.registry, number),
                 is_watcher=lambda number=number: number in self.watchers,
+                everyone_watches=lambda: len(self.watchers) == self.count,
                 send=self.send,
                 get_configuration_number=lambda: self.configuration_number,
                 clock=VirtualClock(),
@@ -252,6 +253,11 @@
     assert [message.configuration_number for message in context.relays.sent] == [number]
 
 
+@then("no message was sent")
+def check_silence(context):
+    assert not context.relays.sent, len(context.relays.sent)
+
+
 def find_counts(context):
     return [len(table.servers) for table in context.relays.tables if table is not None]
 
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -525,6 +525,7 @@
         self._relay = RegistryRelay(
             registry=ports.registry,
             is_watcher=self.watches_store,
+            everyone_watches=self.is_small_fleet,
             send=self._broadcast.send,
             get_configuration_number=lambda: self._configuration.number,
             clock=self._clock,
@@ -661,14 +662,17 @@
             name: entry.budget_tokens for name, entry in configuration.workspaces.items()
         }
 
+    def is_small_fleet(self) -> bool:
+        """Whether the routers that forward requests are so few that each watches the store."""
+        return 1 + len(self._fleet.view.live) < self._settings.relay_from_routers
+
     def watches_store(self) -> bool:
         """Whether this process is one of those of its data centre that watch the store.
 
         Routers that forward requests all watch while they are few, as their calls are then few.
         """
         view = self._fleet.view
-        is_small = 1 + len(view.live) < self._settings.relay_from_routers
-        if self._forwarding is not None and is_small:
+        if self._forwarding is not None and self.is_small_fleet():
             return True
         own = self._fleet.member
         names = [
--- a/packages/router/laburnumpier_router/forward/registry_relay.py
+++ b/packages/router/laburnumpier_router/forward/registry_relay.py
@@ -58,6 +58,7 @@
 
     __slots__ = (
         "_clock",
+        "_everyone_watches",
         "_get_configuration_number",
         "_heard",
         "_is_watcher",
@@ -73,6 +74,7 @@
         *,
         registry: ServerRegistry,
         is_watcher: Callable[[], bool],
+        everyone_watches: Callable[[], bool],
         send: Callable[[RegistryRelayed], None],
         get_configuration_number: Callable[[], int],
         clock: Clock,
@@ -82,12 +84,14 @@
         Args:
             registry: The registry itself.
             is_watcher: Tells whether this process is one of the few that watch it.
+            everyone_watches: Tells whether the fleet is so small that nobody need be told.
             send: Sends a message to the routers that do not watch; must not wait.
             get_configuration_number: Returns the number of the configuration in force.
             clock: Source of time.
         """
         self._registry = registry
         self._is_watcher = is_watcher
+        self._everyone_watches = everyone_watches
         self._send = send
         self._get_configuration_number = get_configuration_number
         self._clock = clock
@@ -118,6 +122,8 @@
             RegistryHistoryLostError: If changes were missed.
             StoreError: If the own watch is not answered.
         """
+        if self._everyone_watches():
+            return await self._registry.wait_for_servers(position, timeout_seconds)
         if self._is_watcher():
             return await self._watch_for_all(position, timeout_seconds)
         if not self.is_heard:
@@ -136,7 +142,7 @@
 
     def announce(self) -> None:
         """Tells the others at once which configuration is in force, if this process watches."""
-        if self._is_watcher():
+        if self._is_watcher() and not self._everyone_watches():
             nothing = RegistryChanges(written=[], removed=[], position=self._position)
             self._send(self._make_message(self._position, nothing))
 
