--- a/features/forward/process.feature
+++ b/features/forward/process.feature
@@ -28,3 +28,9 @@
     When a request is answered
     And the process gets SIGTERM
     Then the process ends with code 0 after 0 to 4 seconds
+
+  Scenario: A stop does not wait for the interpreter to be taken apart
+    Given a router process with a grace of 4 seconds whose interpreter takes 10 seconds to end
+    When a request is answered
+    And the process gets SIGTERM
+    Then the process ends with code 0 after 2 to 4 seconds
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -18,6 +18,7 @@
 from laburnumpier_platform_standin.store import PlatformStoreStandIn
 from scripted_server import ScriptedServer
 
+SLOW_END = "import atexit, time\natexit.register(time.sleep, 10)\n"
 CONFIGURATION = {
     "Version": 3,
     "Routes": [
@@ -54,6 +55,13 @@
     start_process(context, grace, early_hangup=True)
 
 
+@given(
+    "a router process with a grace of {grace:d} seconds whose interpreter takes 10 seconds to end"
+)
+def start_slow_to_end(context, grace):
+    start_process(context, grace, early_hangup=False, customization=SLOW_END)
+
+
 def read_signals(process, name):
     """Returns the mask of signals that a process ignores (SigIgn) or handles (SigCgt)."""
     status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
@@ -71,7 +79,7 @@
     context.process.send_signal(signal.SIGHUP)
 
 
-def start_process(context, grace, *, early_hangup):
+def start_process(context, grace, *, early_hangup, customization=""):
     context.store = PlatformStoreStandIn()
     context.backend = ScriptedServer("streams")
     context.folder = tempfile.TemporaryDirectory()
@@ -88,12 +96,18 @@
         path = pathlib.Path(context.folder.name) / "settings.ini"
         text = fill_template(name="vm-1", ports=context.ports, store_url=url, grace_seconds=grace)
         path.write_text(text)
+        # Python runs this module when it starts.
+        (path.parent / "sitecustomize.py").write_text(customization)
         context.session = aiohttp.ClientSession()
         context.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "platform/start.py",
             cwd=ROOT,
-            env={**os.environ, "LABURNUMPIER_CONFIG": str(path)},
+            env={
+                **os.environ,
+                "LABURNUMPIER_CONFIG": str(path),
+                "PYTHONPATH": str(path.parent),
+            },
             stdout=asyncio.subprocess.PIPE,
         )
         context.output = asyncio.create_task(context.process.stdout.read())
--- a/packages/router/laburnumpier_router/main.py
+++ b/packages/router/laburnumpier_router/main.py
@@ -15,6 +15,7 @@
 import sys
 import time
 from collections.abc import Callable
+from typing import NoReturn
 
 import aiomisc
 import uvloop
@@ -210,7 +211,7 @@
 
 def serve_router(
     settings: Settings, settings_path: str, make_ports: Callable[[Settings, Metrics], Ports]
-) -> int:
+) -> NoReturn:
     """Runs a router until it is told to stop.
 
     Args:
@@ -219,7 +220,7 @@
         make_ports: Builds the adapters to the outside.
 
     Returns:
-        The exit status.
+        Never: the process ends when it has stopped.
     """
     set_up_logging(settings.log_level)
     service = RouterService(settings=settings, settings_path=settings_path, make_ports=make_ports)
@@ -230,7 +231,16 @@
         shutdown_timeout=float("inf"),
     ) as loop:
         loop.run_forever()
-    return EXIT_OK
+    leave_process(EXIT_OK)
+
+
+def leave_process(status: int) -> NoReturn:
+    """Ends the process without taking the interpreter apart.
+
+    Everything is closed and logged by then. Threads of nng may still call into an interpreter that
+    is being taken apart, and the process then hangs until it is killed.
+    """
+    os._exit(status)
 
 
 def run() -> None:
