An older running total that is written late changes nothing: it made tokens

Since changes go to another writer when one is slow, a writer that held a return back may write it after newer ones. return_tokens and report_spending then set the known total back to the older one, and the next return counted the difference again. Ruled out: draws (a seen sequence keeps its outcome), loans (debited before the reply, credited once by their id), two returns at once (running totals). Before: features/budget/late_totals.feature failed (a grant of 250 tokens held 50; 550 settled instead of 350). After: passes.

--- a/packages/router/laburnumpier_router/budget/account.py
+++ b/packages/router/laburnumpier_router/budget/account.py
@@ -296,7 +296,10 @@
     if grant is None:
         return account, ChangeApplied(tokens=0)
     fresh = change.returned_total - grant.returned.get(change.returner, 0)
-    fresh = max(0, min(fresh, grant.amount))
+    # A writer that held the change back may write it after newer ones.
+    if fresh <= 0:
+        return account, ChangeApplied(tokens=0)
+    fresh = min(fresh, grant.amount)
     grant = msgspec.structs.replace(
         grant,
         amount=grant.amount - fresh,
@@ -320,7 +323,10 @@
     if grant is None:
         return account, ChangeApplied(tokens=0)
     fresh = change.spent_total - grant.spent.get(change.spender, 0)
-    fresh = max(0, min(fresh, grant.amount))
+    # A writer that held the change back may write it after newer ones.
+    if fresh <= 0:
+        return account, ChangeApplied(tokens=0)
+    fresh = min(fresh, grant.amount)
     grant = msgspec.structs.replace(
         grant,
         amount=grant.amount - fresh,
