Count the new part of a running total in one place; one name for what waiting requests lack

Cause: read again, return_tokens and report_spending each held the check against late totals, and three places worked out the shortage of a pool. Ruled out: changing what either does. account._count_fresh and GrantPool.shortage serve them now; the time limits of the submitter say where they come from.

--- a/packages/router/laburnumpier_router/budget/account.py
+++ b/packages/router/laburnumpier_router/budget/account.py
@@ -295,11 +295,9 @@
     grant = account.grants.get(change.grant_id)
     if grant is None:
         return account, ChangeApplied(tokens=0)
-    fresh = change.returned_total - grant.returned.get(change.returner, 0)
-    # A writer that held the change back may write it after newer ones.
-    if fresh <= 0:
+    fresh = _count_fresh(grant, change.returned_total, grant.returned.get(change.returner, 0))
+    if not fresh:
         return account, ChangeApplied(tokens=0)
-    fresh = min(fresh, grant.amount)
     grant = msgspec.structs.replace(
         grant,
         amount=grant.amount - fresh,
@@ -322,11 +320,9 @@
     grant = account.grants.get(change.grant_id)
     if grant is None:
         return account, ChangeApplied(tokens=0)
-    fresh = change.spent_total - grant.spent.get(change.spender, 0)
-    # A writer that held the change back may write it after newer ones.
-    if fresh <= 0:
+    fresh = _count_fresh(grant, change.spent_total, grant.spent.get(change.spender, 0))
+    if not fresh:
         return account, ChangeApplied(tokens=0)
-    fresh = min(fresh, grant.amount)
     grant = msgspec.structs.replace(
         grant,
         amount=grant.amount - fresh,
@@ -444,6 +440,14 @@
     )
 
 
+def _count_fresh(grant: Grant, total: int, known: int) -> int:
+    """Returns the part of a running total that is new, as far as the grant can cover it.
+
+    A writer that held a change back may write it after newer ones; nothing of it is new then.
+    """
+    return max(0, min(total - known, grant.amount))
+
+
 def _replace_grant(account: Account, grant_id: str, grant: Grant) -> Account:
     """Stores a changed grant; one with nothing open is dropped."""
     grants = dict(account.grants)
--- a/packages/router/laburnumpier_router/budget/grant_pool.py
+++ b/packages/router/laburnumpier_router/budget/grant_pool.py
@@ -130,6 +130,11 @@
         """Tokens for which requests are waiting in this process."""
         return sum(self._waiting)
 
+    @property
+    def shortage(self) -> int:
+        """Tokens that all waiting requests together lack."""
+        return max(0, self.waiting_tokens - self.free)
+
     @property
     def least_shortage(self) -> int:
         """Tokens that the smallest waiting request lacks; 0 when none waits."""
--- a/packages/router/laburnumpier_router/budget/lending.py
+++ b/packages/router/laburnumpier_router/budget/lending.py
@@ -289,7 +289,7 @@
         Of two processes that both wait, the one with the smaller shortage is served first, so that
         they do not swap the same tokens for ever.
         """
-        own_shortage = max(0, state.pool.waiting_tokens - state.pool.free)
+        own_shortage = state.pool.shortage
         if not state.pool.waiting_tokens:
             return state.pool.free
         if (message.shortage, message.borrower) < (own_shortage, self._fleet.self_name):
--- a/packages/router/laburnumpier_router/budget/service.py
+++ b/packages/router/laburnumpier_router/budget/service.py
@@ -560,7 +560,7 @@
                 return self._judge_offer(offer, terms, state, started)
         opened = await self._draw_in_time(workspace, state, terms, self._find_draw_patience())
         available = opened.available if opened else 0
-        shortage = max(0, state.pool.waiting_tokens - state.pool.free)
+        shortage = state.pool.shortage
         peers_answered, held_by_peers = True, 0
         if shortage and lender is None and isinstance(self._limits.allocation, DemandGrants):
             peers_answered, held_by_peers = await self._lending.borrow(workspace, state, shortage)
@@ -671,7 +671,7 @@
         self, lender: str, workspace: str, state: BudgetState
     ) -> TransferOffered | None:
         """Borrows what waiting requests lack and what is wanted here."""
-        shortage = max(0, state.pool.waiting_tokens - state.pool.free)
+        shortage = state.pool.shortage
         wanted = max(shortage, self._find_wanted(workspace, state) - state.pool.free)
         state.last_refill_seconds = self._clock.monotonic_seconds()
         return await self._lending.borrow_from(lender, workspace, state, wanted, shortage)
--- a/packages/router/laburnumpier_router/budget/submitter.py
+++ b/packages/router/laburnumpier_router/budget/submitter.py
@@ -17,8 +17,13 @@
 from .write_pacer import WritePacer
 
 HOME_TIMEOUT_SECONDS = 0.8
+"""Time limit of a call to another writer, which may read and write a shard at a store that takes
+0.3 s for each."""
 HOME_SILENCE_SECONDS = 3.0
+"""Time for which a writer that failed is passed over: three heartbeats of 1 s, which tell whether
+it reaches the store."""
 FAILURE_MEMORY_SECONDS = 5.0
+"""Time for which the store counts as failing after no writer reached it."""
 
 _log = get_part_logger("budget")
 
