Log how a server's answer ended, and whether the caller's was finished

The record of a request said 'answered' for every response that was not aborted, also for one that nobody had ended, and nothing told how the server's answer said where it ends. 'request ended' now has 'server_end' (length, chunks or close), and its outcome is 'answered' only if the whole response was sent.

--- a/packages/router/laburnumpier_router/forward/exchange.py
+++ b/packages/router/laburnumpier_router/forward/exchange.py
@@ -1,6 +1,7 @@
 """Interfaces of a forwarded request: the response to the caller and the exchange with a server."""
 
 import dataclasses
+import enum
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager
 from typing import Protocol
@@ -39,6 +40,17 @@
     body: bytes
 
 
+class EndMarker(enum.Enum):
+    """How a response says where its body ends.
+
+    Without a length or chunks the body ends with its connection, which a crash ends as well.
+    """
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CLOSE = "close"
+
+
 class ServerExchange(Protocol):
     """The response of a server while it is being received."""
 
@@ -50,6 +62,10 @@
     def headers(self) -> CIMultiDictProxy[str]:
         """Response headers."""
 
+    @property
+    def end_marker(self) -> EndMarker:
+        """How the response says where its body ends."""
+
     def iterate_chunks(self) -> AsyncIterator[bytes]:
         """Yields the body as it arrives; raises `ServerConnectionLostError` if it ends early."""
 
@@ -78,6 +94,10 @@
     def started(self) -> bool:
         """Whether a part of the response was sent."""
 
+    @property
+    def finished(self) -> bool:
+        """Whether the whole response was sent."""
+
     @property
     def aborted(self) -> bool:
         """Whether the response was aborted."""
--- a/packages/router/laburnumpier_router/forward/frontend.py
+++ b/packages/router/laburnumpier_router/forward/frontend.py
@@ -36,7 +36,7 @@
 class HttpResponseSink:
     """Sends a response over the connection of a caller."""
 
-    __slots__ = ("_aborted", "_is_stopping", "_request", "_response")
+    __slots__ = ("_aborted", "_finished", "_is_stopping", "_request", "_response")
 
     def __init__(self, *, request: web.BaseRequest, is_stopping: Callable[[], bool]):
         """Creates a sink for the response to a request.
@@ -49,6 +49,7 @@
         self._request = request
         self._is_stopping = is_stopping
         self._response: web.StreamResponse | None = None
+        self._finished = False
         self._aborted = False
 
     @property
@@ -61,6 +62,11 @@
         """Whether a part of the response was sent."""
         return self._response is not None
 
+    @property
+    def finished(self) -> bool:
+        """Whether the whole response was sent."""
+        return self._finished
+
     @property
     def aborted(self) -> bool:
         """Whether the response was aborted."""
@@ -71,6 +77,7 @@
         response = web.Response(status=status, headers=headers, body=body)
         await self._send_head(response)
         await response.write_eof()
+        self._finished = True
 
     async def start_stream(self, status: int, headers: CIMultiDict[str]) -> None:
         """Sends the response head; the body follows in chunks."""
@@ -88,6 +95,7 @@
     async def finish_stream(self) -> None:
         """Ends the body, which marks the response as complete."""
         await self._response.write_eof()
+        self._finished = True
 
     def abort(self) -> None:
         """Closes the connection, so that the caller detects the response as incomplete."""
--- a/packages/router/laburnumpier_router/forward/http_client.py
+++ b/packages/router/laburnumpier_router/forward/http_client.py
@@ -14,13 +14,16 @@
 from multidict import CIMultiDictProxy
 from yarl import URL
 
-from .exchange import ServerCall
+from .exchange import EndMarker, ServerCall
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 """Timeout for connecting; servers are a few milliseconds away, and a lost packet costs 200 ms."""
 READ_BUFFER_BYTES = 65536
 """Size of the buffer for reading a response body."""
 
+EMPTY_STATUSES = (204, 304)
+"""Statuses of responses that have no body."""
+
 
 class ResetAwareResponseHandler(ResponseHandler):
     """Records whether a connection was reset or closed normally.
@@ -57,6 +60,11 @@
         """Response headers."""
         return self._response.headers
 
+    @property
+    def end_marker(self) -> EndMarker:
+        """How the response says where its body ends."""
+        return get_end_marker(self._response)
+
     async def iterate_chunks(self) -> AsyncIterator[bytes]:
         """Yields the body as it arrives.
 
@@ -84,14 +92,24 @@
         return body
 
     def _check_not_reset(self) -> None:
-        headers = self._response.headers
-        has_length = "Content-Length" in headers or "Transfer-Encoding" in headers
-        if not has_length and getattr(self._protocol, "was_reset", False):
+        ends_with_connection = self.end_marker is EndMarker.CLOSE
+        if ends_with_connection and getattr(self._protocol, "was_reset", False):
             raise ServerConnectionLostError(
                 "the connection was reset during a response without a length"
             )
 
 
+def get_end_marker(response: aiohttp.ClientResponse) -> EndMarker:
+    """Returns how a response says where its body ends, as RFC 9112, section 6.3 has it."""
+    coding = response.headers.get("Transfer-Encoding", "").rpartition(",")[2].strip().lower()
+    if coding == "chunked":
+        return EndMarker.CHUNKS
+    is_empty = response.method == "HEAD" or response.status in EMPTY_STATUSES
+    if is_empty or (not coding and "Content-Length" in response.headers):
+        return EndMarker.LENGTH
+    return EndMarker.CLOSE
+
+
 class HttpServerClient:
     """Sends requests to servers over HTTP/1.1."""
 
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -78,6 +78,8 @@
         send_count: Number of times that it was sent to a server.
         may_have_run: Whether it may have run at a server.
         response_status: Status of the response to the caller; 0 before there is one.
+        server_end: How the last server's response said where it ends: `length`, `chunks` or
+            `close`, the end of its connection; empty before there is one.
         waited_ms: Time for which the request waited for tokens.
         is_cut: Whether it was ended because the router has to exit.
         attempt_log: Ids of the servers tried, in order, each with the reason of its failure, for
@@ -96,6 +98,7 @@
     send_count: int = 0
     may_have_run: bool = False
     response_status: int = 0
+    server_end: str = ""
     waited_ms: int = 0
     is_cut: bool = False
     attempt_log: list[str] = dataclasses.field(default_factory=list)
@@ -201,7 +204,7 @@
         try:
             progress = self._admit(request)
             await self._reserve_and_run(progress, sink)
-            outcome = "broken_off" if sink.aborted else "answered"
+            outcome = "answered" if sink.finished else "broken_off"
             if progress.is_cut:
                 outcome = "cut"
         except asyncio.CancelledError:
@@ -496,6 +499,7 @@
             _ServerAttemptError: If the response is not a final one.
             ServerConnectionLostError: If it ends early.
         """
+        progress.server_end = exchange.end_marker.value
         head = self._dialect.read_response(exchange.status, exchange.headers)
         if head.running is not None:
             server.record_report(head.running, head.waiting, self._clock.monotonic_seconds())
@@ -632,6 +636,7 @@
             fields["route"] = progress.route_name
             fields["workspace"] = progress.workspace
             fields["status"] = progress.response_status
+            fields["server_end"] = progress.server_end
             fields["sends"] = progress.send_count
             fields["tokens"] = progress.charged_tokens
             fields["tried"] = ",".join(progress.attempt_log)
