--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -115,7 +115,7 @@
         context.servers[1].behaviour = "answers"
     context.configuration = FakeConfiguration()
     context.budget = FakeBudget()
-    table = ServerTable()
+    context.server_table = table = ServerTable()
     client = HttpServerClient()
     clock = SystemClock()
     metrics = Metrics()
--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -50,7 +50,7 @@
             lines = head.split(b"\r\n")
             headers = dict(line.split(b": ", 1) for line in lines[1:] if b": " in line)
             headers = {name.lower(): value for name, value in headers.items()}
-            skip_body = self.behaviour == "answers before it has read the body"
+            skip_body = self.behaviour.endswith("before it has read the body")
             body_length = 0 if skip_body else int(headers.get(b"content-length", 0))
             body = await reader.readexactly(body_length)
             self.requests.append((head, body))
@@ -89,6 +89,11 @@
                 await self._send(writer, head + b"\r\nhel")
                 await asyncio.sleep(0.05)
                 _reset_connection(writer)
+            case "closes an answer without a length":
+                await self._send(writer, head + b"\r\nhel")
+            case "answers and resets before it has read the body":
+                await self._send(writer, head + b"\r\nhel")
+                _reset_connection(writer)
             case "fails":
                 error = b"HTTP/1.1 500 X\r\nX-Attempt-Id: %b\r\nContent-Length: 0\r\n\r\n"
                 await self._send(writer, error % attempt_id)
@@ -117,6 +122,12 @@
                 await self._send(writer, chunked_head + _encode_chunk(part))
                 await asyncio.sleep(0.05)
                 _reset_connection(writer)
+            case "closes a stream without a length after 2 events":
+                await self._send(writer, stream_head + b"\r\n" + b"".join(events[:2]))
+            case "resets a stream without a length after 2 events":
+                await self._send(writer, stream_head + b"\r\n" + b"".join(events[:2]))
+                await asyncio.sleep(0.05)
+                _reset_connection(writer)
             case "closes after 2 events and a half":
                 part = b"".join(events[:2]) + events[2][:8]
                 await self._send(writer, stream_head + b"\r\n" + part)
