Never complete a response that nobody has ended

Cause: the HTTP library completes every response that a handler returns. The retry after a server's error status had a path of its own, which reported a response as delivered as soon as one had started. If the second server broke it off, nobody aborted it.

Evidence: three examples of features/forward/answer_ends.feature failed on the code before, with 'framed and complete' after events 1 and 2 of 5, and pass now.

Change: an error response goes through the same loop as every other failed attempt and is kept for the caller in case no other server responds, so a stream broken off after it also goes on at a third server. The frontend returns a response to the library only if the sink was told that it is finished; any other is aborted, with an error line. forwarding.feature and decisions.feature pass.

--- a/packages/router/laburnumpier_router/forward/frontend.py
+++ b/packages/router/laburnumpier_router/forward/frontend.py
@@ -264,7 +264,16 @@
                 error = RequestError(ResultCode.INTERNAL_ERROR)
                 return self._make_error_response(error, attempt_id, closing=True)
             sink.abort()
-        return sink.response or web.Response(status=502)
+        return self._end_response(sink, attempt_id)
+
+    def _end_response(self, sink: HttpResponseSink, attempt_id: str) -> web.StreamResponse:
+        """Returns the response for the HTTP library, which completes whatever is not aborted."""
+        if sink.response is None:
+            return web.Response(status=502)
+        if not sink.finished and not sink.aborted:
+            _log.error("response left unfinished", fields={"request": attempt_id})
+            sink.abort()
+        return sink.response
 
     async def _read_body(self, request: web.BaseRequest) -> bytes:
         if not request.can_read_body:
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -21,6 +21,7 @@
 from laburnumpier_core.log import get_part_logger
 from laburnumpier_core.metrics import Metrics
 from laburnumpier_core.result_codes import RESULT_CODE_TABLE, Ran, ResultCode
+from multidict import CIMultiDict
 
 from ..budget.grant_pool import Reservation
 from ..budget.service import BudgetService
@@ -70,6 +71,15 @@
     """A server sent nothing for longer than the silence timeout of the request."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _ErrorResponse:
+    """A server's error response, for the caller if no other server responds."""
+
+    status: int
+    headers: CIMultiDict[str]
+    body: bytes
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class RequestProgress:
     """State of a request while it is served.
@@ -80,6 +90,8 @@
         response_status: Status of the response to the caller; 0 before there is one.
         server_end: How the last server's response said where it ends: `length`, `chunks` or
             `close`, the end of its connection; empty before there is one.
+        error_response: Last error response of a server that was not delivered; None if there is
+            none.
         waited_ms: Time for which the request waited for tokens.
         is_cut: Whether it was ended because the router has to exit.
         attempt_log: Ids of the servers tried, in order, each with the reason of its failure, for
@@ -99,6 +111,7 @@
     may_have_run: bool = False
     response_status: int = 0
     server_end: str = ""
+    error_response: _ErrorResponse | None = None
     waited_ms: int = 0
     is_cut: bool = False
     attempt_log: list[str] = dataclasses.field(default_factory=list)
@@ -331,7 +344,7 @@
         while True:
             server = self._choose_server(progress)
             if server is None:
-                self._fail_request(progress, sink, "no_server")
+                await self._fail_request(progress, sink, "no_server")
                 return
             try:
                 await self._send_to_server(progress, server, sink)
@@ -341,7 +354,7 @@
                 if failure.reason == "unreached":
                     unreachable_count += 1
                 if not self._may_retry(progress, failure, unreachable_count):
-                    self._fail_request(progress, sink, failure.reason)
+                    await self._fail_request(progress, sink, failure.reason)
                     return
 
     def _choose_server(self, progress: RequestProgress) -> ServerLoad | None:
@@ -373,15 +386,24 @@
         self._metrics.count("forward.retry_budget_empty")
         return False
 
-    def _fail_request(self, progress: RequestProgress, sink: ResponseSink, reason: str) -> None:
+    async def _fail_request(
+        self, progress: RequestProgress, sink: ResponseSink, reason: str
+    ) -> None:
         """Ends a request that no server completed.
 
+        A response that was started is aborted. Otherwise the caller gets the last error response
+        of a server, if there is one.
+
         Raises:
-            RequestError: If no part of the response was sent; otherwise the response is aborted.
+            RequestError: If there is no response of a server.
         """
         self._metrics.count("forward.given_up")
+        error = progress.error_response
         if sink.started:
             sink.abort()
+        elif error is not None:
+            progress.response_status = error.status
+            await sink.send_complete(error.status, error.headers, error.body)
         elif progress.may_have_run:
             raise RequestError(ResultCode.OUTCOME_UNKNOWN, ran=Ran.UNKNOWN, detail=reason)
         else:
@@ -514,37 +536,21 @@
             server.record_failure()
             raise _ServerAttemptError(f"status_{exchange.status}", Ran.UNKNOWN)
         body = await exchange.read()
+        headers = self._dialect.make_caller_headers(exchange.headers)
         if exchange.status >= 500:
-            progress.attempt_log[-1] += f":status_{exchange.status}"
             server.record_failure()
-            if self._may_retry(
-                progress, _ServerAttemptError("server_error", Ran.YES), unreachable_count=0
-            ):
-                delivered = await self._retry_after_error(progress, sink)
-                if delivered:
-                    return
+            reason = f"status_{exchange.status}"
+            if progress.is_retryable:
+                progress.error_response = _ErrorResponse(
+                    status=exchange.status, headers=headers, body=body
+                )
+                raise _ServerAttemptError(reason, Ran.YES)
+            progress.attempt_log[-1] += f":{reason}"
         else:
             server.record_success()
         progress.response_status = exchange.status
-        headers = self._dialect.make_caller_headers(exchange.headers)
         await sink.send_complete(exchange.status, headers, body)
 
-    async def _retry_after_error(self, progress: RequestProgress, sink: ResponseSink) -> bool:
-        """Sends a request to another server after an error response.
-
-        Returns:
-            Whether that server's response was delivered; if not, the error response is used.
-        """
-        server = self._choose_server(progress)
-        if server is None:
-            return False
-        try:
-            await self._send_to_server(progress, server, sink)
-        except _ServerAttemptError as failure:
-            progress.attempt_log[-1] = f"{server.entry.server_id}:{failure.reason}"
-            return sink.started
-        return True
-
     def _check_response(
         self,
         progress: RequestProgress,
