Reset the connection of a broken answer that has no length or chunks

What callers saw: with HTTP/1.0, which has no chunks, a stream that was broken off ended by an orderly close, as if it were whole.

Cause: an abort closes the socket, and the kernel then sends FIN. That is the end of a whole answer where the answer ends with its connection.

Answers in chunks keep the plain abort, so that what was sent still arrives; a reset may drop it.

--- a/packages/router/laburnumpier_router/forward/frontend.py
+++ b/packages/router/laburnumpier_router/forward/frontend.py
@@ -1,6 +1,8 @@
 """HTTP frontend of forwarded requests: callers' connections, readiness checks and stops."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable
 
 import msgspec
@@ -27,6 +29,8 @@
 """Largest share of a stop in which every new request is served."""
 IDLE_POLL_SECONDS = 0.05
 """Interval at which a stopping router checks whether its requests have ended."""
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which a socket is reset when it is closed."""
 MIN_IDLE_SECONDS = 0.5
 """Time without a new request after which a stopping router closes its connections."""
 
@@ -98,10 +102,18 @@
         self._finished = True
 
     def abort(self) -> None:
-        """Closes the connection, so that the caller detects the response as incomplete."""
+        """Closes the connection, so that the caller detects the response as incomplete.
+
+        A response that ends with its connection is incomplete only if the connection is reset.
+        """
         self._aborted = True
-        if self._request.transport is not None:
-            self._request.transport.abort()
+        transport = self._request.transport
+        if transport is None:
+            return
+        if self._response is not None and not self._response.chunked:
+            connection = transport.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        transport.abort()
 
     async def _send_head(self, response: web.StreamResponse) -> None:
         if self._is_stopping():
