Pass on an answer without a length as one, and ask another server what follows it

Cause: such an answer ends with its connection, which a crash ends in the same way. The router framed every answer anew and so claimed an end that the server had not claimed.

Change: an exchange tells how its response says where its body ends. A response without a length or chunks goes to the caller without them and ends with the connection. Where the stream can be resumed, another server is asked for what follows the last event, within the attempts and the retry budget; if it cannot say, the caller learns as much as the first server said, and an answer that has chunks already is broken off. A later server that brings events and breaks off breaks the answer.

One example of the first scenario expects a reset where it expected a broken chunk framing: its server sends without a length, so its caller now has no chunks either.

--- a/features/forward/answer_ends.feature
+++ b/features/forward/answer_ends.feature
@@ -7,12 +7,12 @@
     Given a server that fails and one that <behaviour>
     When a caller of HTTP/1.1 sends a resumable stream request with at most 2 attempts
     Then the caller has the events <events>
-    And the caller sees an answer that is framed and incomplete
+    And the caller sees an answer that is <end>
 
     Examples:
-      | behaviour                            | events |
-      | breaks off after 2 events and a half | 1 2    |
-      | closes after 2 events and a half     | 1 2    |
+      | behaviour                            | events | end                   |
+      | breaks off after 2 events and a half | 1 2    | framed and incomplete |
+      | closes after 2 events and a half     | 1 2    | reset                 |
 
   # Guards against a retry after an error that is the last one although attempts are left.
   Scenario: A stream that breaks off after the retry of an error goes on at the next server
--- a/packages/router/laburnumpier_router/forward/exchange.py
+++ b/packages/router/laburnumpier_router/forward/exchange.py
@@ -50,6 +50,11 @@
     CHUNKS = "chunks"
     CLOSE = "close"
 
+    @property
+    def is_explicit(self) -> bool:
+        """Whether an early end can be told from the end of the whole body."""
+        return self is not EndMarker.CLOSE
+
 
 class ServerExchange(Protocol):
     """The response of a server while it is being received."""
@@ -102,17 +107,28 @@
     def aborted(self) -> bool:
         """Whether the response was aborted."""
 
-    async def send_complete(self, status: int, headers: CIMultiDict[str], body: bytes) -> None:
-        """Sends a complete response."""
+    @property
+    def has_explicit_end(self) -> bool:
+        """Whether the caller sees the end of the response that was started by its framing.
+
+        Otherwise the response ends with its connection.
+        """
+
+    async def send_complete(
+        self, status: int, headers: CIMultiDict[str], body: bytes, *, has_explicit_end: bool
+    ) -> None:
+        """Sends a complete response, with its length if it has an explicit end."""
 
-    async def start_stream(self, status: int, headers: CIMultiDict[str]) -> None:
-        """Sends the response head; the body follows in chunks."""
+    async def start_stream(
+        self, status: int, headers: CIMultiDict[str], *, has_explicit_end: bool
+    ) -> None:
+        """Sends the response head; the body follows in chunks if it has an explicit end."""
 
     async def send_chunk(self, data: bytes) -> None:
         """Sends a chunk of the body."""
 
     async def finish_stream(self) -> None:
-        """Ends the body, which marks the response as complete."""
+        """Ends the body: by the last chunk, or by an orderly close of the connection."""
 
     def abort(self) -> None:
         """Ends the response in a way that the caller detects as incomplete."""
--- a/packages/router/laburnumpier_router/forward/frontend.py
+++ b/packages/router/laburnumpier_router/forward/frontend.py
@@ -37,10 +37,28 @@
 _log = get_part_logger("forward")
 
 
+class _ResponseUntilClose(web.StreamResponse):
+    """A response without a length or chunks, which ends with its connection."""
+
+    # aiohttp adds chunks to responses of HTTP/1.1 that have no length, unless this is unset.
+    _length_check = False
+
+    def __init__(self, *, status: int, headers: CIMultiDict[str]):
+        super().__init__(status=status, headers=headers)
+        self.force_close()
+
+
 class HttpResponseSink:
     """Sends a response over the connection of a caller."""
 
-    __slots__ = ("_aborted", "_finished", "_is_stopping", "_request", "_response")
+    __slots__ = (
+        "_aborted",
+        "_finished",
+        "_has_explicit_end",
+        "_is_stopping",
+        "_request",
+        "_response",
+    )
 
     def __init__(self, *, request: web.BaseRequest, is_stopping: Callable[[], bool]):
         """Creates a sink for the response to a request.
@@ -53,6 +71,7 @@
         self._request = request
         self._is_stopping = is_stopping
         self._response: web.StreamResponse | None = None
+        self._has_explicit_end = False
         self._finished = False
         self._aborted = False
 
@@ -76,20 +95,39 @@
         """Whether the response was aborted."""
         return self._aborted
 
-    async def send_complete(self, status: int, headers: CIMultiDict[str], body: bytes) -> None:
-        """Sends a complete response."""
-        response = web.Response(status=status, headers=headers, body=body)
-        await self._send_head(response)
+    @property
+    def has_explicit_end(self) -> bool:
+        """Whether the caller sees the end of the response by its framing."""
+        return self._has_explicit_end
+
+    async def send_complete(
+        self, status: int, headers: CIMultiDict[str], body: bytes, *, has_explicit_end: bool
+    ) -> None:
+        """Sends a complete response, with its length if it has an explicit end."""
+        if has_explicit_end:
+            response = web.Response(status=status, headers=headers, body=body)
+            await self._send_head(response)
+        else:
+            response = _ResponseUntilClose(status=status, headers=headers)
+            await self._send_head(response)
+            await response.write(body)
+        self._has_explicit_end = has_explicit_end
         await response.write_eof()
         self._finished = True
 
-    async def start_stream(self, status: int, headers: CIMultiDict[str]) -> None:
-        """Sends the response head; the body follows in chunks."""
-        response = web.StreamResponse(status=status, headers=headers)
-        if self._request.version >= (1, 1):
+    async def start_stream(
+        self, status: int, headers: CIMultiDict[str], *, has_explicit_end: bool
+    ) -> None:
+        """Sends the response head; the body follows in chunks if it has an explicit end.
+
+        HTTP/1.0 has no chunks, so its streams always end with the connection.
+        """
+        self._has_explicit_end = has_explicit_end and self._request.version >= (1, 1)
+        if self._has_explicit_end:
+            response = web.StreamResponse(status=status, headers=headers)
             response.enable_chunked_encoding()
         else:
-            response.force_close()
+            response = _ResponseUntilClose(status=status, headers=headers)
         await self._send_head(response)
 
     async def send_chunk(self, data: bytes) -> None:
@@ -97,7 +135,7 @@
         await self._response.write(data)
 
     async def finish_stream(self) -> None:
-        """Ends the body, which marks the response as complete."""
+        """Ends the body: by the last chunk, or by an orderly close of the connection."""
         await self._response.write_eof()
         self._finished = True
 
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -78,6 +78,7 @@
     status: int
     headers: CIMultiDict[str]
     body: bytes
+    has_explicit_end: bool
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -90,6 +91,8 @@
         response_status: Status of the response to the caller; 0 before there is one.
         server_end: How the last server's response said where it ends: `length`, `chunks` or
             `close`, the end of its connection; empty before there is one.
+        has_open_end: Whether the last server ended its stream with its connection after whole
+            events, which may be the end or a crash.
         error_response: Last error response of a server that was not delivered; None if there is
             none.
         waited_ms: Time for which the request waited for tokens.
@@ -111,6 +114,7 @@
     may_have_run: bool = False
     response_status: int = 0
     server_end: str = ""
+    has_open_end: bool = False
     error_response: _ErrorResponse | None = None
     waited_ms: int = 0
     is_cut: bool = False
@@ -120,9 +124,12 @@
     @property
     def is_retryable(self) -> bool:
         """Whether the request may be sent again although it may have run already."""
-        kind = self.route.kind
-        resumable = kind is RouteKind.STREAM and self.route.resumable
-        return kind is RouteKind.IDEMPOTENT or resumable
+        return self.route.kind is RouteKind.IDEMPOTENT or self.is_resumable
+
+    @property
+    def is_resumable(self) -> bool:
+        """Whether its stream can go on at another server."""
+        return self.route.kind is RouteKind.STREAM and self.route.resumable
 
     @property
     def charged_tokens(self) -> int:
@@ -302,7 +309,7 @@
             if progress.attempt_log:
                 progress.attempt_log[-1] += ":stopping" if progress.is_cut else ":time_over"
             if sink.started:
-                sink.abort()
+                await self._end_started_response(progress, sink)
                 return
             raise self._make_timeout_error(progress) from error
         finally:
@@ -391,8 +398,8 @@
     ) -> None:
         """Ends a request that no server completed.
 
-        A response that was started is aborted. Otherwise the caller gets the last error response
-        of a server, if there is one.
+        A response that was started is broken off. Otherwise the caller gets the last error
+        response of a server, if there is one.
 
         Raises:
             RequestError: If there is no response of a server.
@@ -400,16 +407,32 @@
         self._metrics.count("forward.given_up")
         error = progress.error_response
         if sink.started:
-            sink.abort()
+            await self._end_started_response(progress, sink)
         elif error is not None:
             progress.response_status = error.status
-            await sink.send_complete(error.status, error.headers, error.body)
+            await sink.send_complete(
+                error.status,
+                error.headers,
+                error.body,
+                has_explicit_end=error.has_explicit_end,
+            )
         elif progress.may_have_run:
             raise RequestError(ResultCode.OUTCOME_UNKNOWN, ran=Ran.UNKNOWN, detail=reason)
         else:
             code = ResultCode.NO_SERVER if reason == "no_server" else ResultCode.SERVER_REFUSED
             raise RequestError(code, retry_after_seconds=RETRY_AFTER_SECONDS, detail=reason)
 
+    async def _end_started_response(self, progress: RequestProgress, sink: ResponseSink) -> None:
+        """Ends a response of which more may follow that no server delivered.
+
+        If the server ended its stream with its connection, and the caller's response has no other
+        end either, the caller learns as much as the server said. Every other response is aborted.
+        """
+        if progress.has_open_end and not sink.has_explicit_end:
+            await sink.finish_stream()
+        else:
+            sink.abort()
+
     async def _send_to_server(
         self, progress: RequestProgress, server: ServerLoad, sink: ResponseSink
     ) -> None:
@@ -542,14 +565,19 @@
             reason = f"status_{exchange.status}"
             if progress.is_retryable:
                 progress.error_response = _ErrorResponse(
-                    status=exchange.status, headers=headers, body=body
+                    status=exchange.status,
+                    headers=headers,
+                    body=body,
+                    has_explicit_end=exchange.end_marker.is_explicit,
                 )
                 raise _ServerAttemptError(reason, Ran.YES)
             progress.attempt_log[-1] += f":{reason}"
         else:
             server.record_success()
         progress.response_status = exchange.status
-        await sink.send_complete(exchange.status, headers, body)
+        await sink.send_complete(
+            exchange.status, headers, body, has_explicit_end=exchange.end_marker.is_explicit
+        )
 
     def _check_response(
         self,
@@ -581,6 +609,7 @@
         Raises:
             ServerConnectionLostError: If the stream ends early.
             _ServerSilentError: If a stream that can be resumed elsewhere is silent for too long.
+            _ServerAttemptError: If it ended with its connection and can be resumed elsewhere.
         """
         splitter = progress.splitter
         chunks = exchange.iterate_chunks()
@@ -594,19 +623,32 @@
                 raise ServerConnectionLostError(str(error)) from error
             if not events:
                 continue
-            if not sink.started:
-                progress.response_status = exchange.status
-                headers = self._dialect.make_caller_headers(exchange.headers)
-                await sink.start_stream(exchange.status, headers)
+            progress.has_open_end = False
+            await self._start_stream(progress, exchange, sink)
             await sink.send_chunk(events)
         if splitter.has_partial_event:
             raise ServerConnectionLostError("the stream ended within an event")
-        if not sink.started:
-            progress.response_status = exchange.status
-            headers = self._dialect.make_caller_headers(exchange.headers)
-            await sink.start_stream(exchange.status, headers)
+        await self._start_stream(progress, exchange, sink)
+        if exchange.end_marker.is_explicit:
+            await sink.finish_stream()
+            return
+        progress.has_open_end = True
+        if progress.is_resumable or sink.has_explicit_end:
+            raise _ServerAttemptError("open_end", Ran.UNKNOWN)
         await sink.finish_stream()
 
+    async def _start_stream(
+        self, progress: RequestProgress, exchange: ServerExchange, sink: ResponseSink
+    ) -> None:
+        """Starts the caller's response with the head of the first server that has one."""
+        if sink.started:
+            return
+        progress.response_status = exchange.status
+        headers = self._dialect.make_caller_headers(exchange.headers)
+        await sink.start_stream(
+            exchange.status, headers, has_explicit_end=exchange.end_marker.is_explicit
+        )
+
     async def _read_next_chunk(self, progress: RequestProgress, chunks, sink: ResponseSink):
         """Returns the next chunk of a stream, or None at its end."""
         timeout_seconds = None
