--- a/packages/router/laburnumpier_router/forward/exchange.py
+++ b/packages/router/laburnumpier_router/forward/exchange.py
@@ -1,6 +1,7 @@
 """Interfaces of a forwarded request: the response to the caller and the exchange with a server."""
 
 import dataclasses
+import enum
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager
 from typing import Protocol
@@ -39,6 +40,22 @@
     body: bytes
 
 
+class EndMarker(enum.Enum):
+    """How a response says where its body ends.
+
+    Without a length or chunks the body ends with its connection, which a crash ends as well.
+    """
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CLOSE = "close"
+
+    @property
+    def is_explicit(self) -> bool:
+        """Whether an early end can be told from the end of the whole body."""
+        return self is not EndMarker.CLOSE
+
+
 class ServerExchange(Protocol):
     """The response of a server while it is being received."""
 
@@ -50,6 +67,10 @@
     def headers(self) -> CIMultiDictProxy[str]:
         """Response headers."""
 
+    @property
+    def end_marker(self) -> EndMarker:
+        """How the response says where its body ends."""
+
     def iterate_chunks(self) -> AsyncIterator[bytes]:
         """Yields the body as it arrives; raises `ServerConnectionLostError` if it ends early."""
 
@@ -78,21 +99,36 @@
     def started(self) -> bool:
         """Whether a part of the response was sent."""
 
+    @property
+    def finished(self) -> bool:
+        """Whether the whole response was sent."""
+
     @property
     def aborted(self) -> bool:
         """Whether the response was aborted."""
 
-    async def send_complete(self, status: int, headers: CIMultiDict[str], body: bytes) -> None:
-        """Sends a complete response."""
+    @property
+    def has_explicit_end(self) -> bool:
+        """Whether the caller sees the end of the response that was started by its framing.
+
+        Otherwise the response ends with its connection.
+        """
+
+    async def send_complete(
+        self, status: int, headers: CIMultiDict[str], body: bytes, *, has_explicit_end: bool
+    ) -> None:
+        """Sends a complete response, with its length if it has an explicit end."""
 
-    async def start_stream(self, status: int, headers: CIMultiDict[str]) -> None:
-        """Sends the response head; the body follows in chunks."""
+    async def start_stream(
+        self, status: int, headers: CIMultiDict[str], *, has_explicit_end: bool
+    ) -> None:
+        """Sends the response head; the body follows in chunks if it has an explicit end."""
 
     async def send_chunk(self, data: bytes) -> None:
         """Sends a chunk of the body."""
 
     async def finish_stream(self) -> None:
-        """Ends the body, which marks the response as complete."""
+        """Ends the body: by the last chunk, or by an orderly close of the connection."""
 
     def abort(self) -> None:
         """Ends the response in a way that the caller detects as incomplete."""
--- a/packages/router/laburnumpier_router/forward/frontend.py
+++ b/packages/router/laburnumpier_router/forward/frontend.py
@@ -1,6 +1,8 @@
 """HTTP frontend of forwarded requests: callers' connections, readiness checks and stops."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable
 
 import msgspec
@@ -27,16 +29,36 @@
 """Largest share of a stop in which every new request is served."""
 IDLE_POLL_SECONDS = 0.05
 """Interval at which a stopping router checks whether its requests have ended."""
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which a socket is reset when it is closed."""
 MIN_IDLE_SECONDS = 0.5
 """Time without a new request after which a stopping router closes its connections."""
 
 _log = get_part_logger("forward")
 
 
+class _ResponseUntilClose(web.StreamResponse):
+    """A response without a length or chunks, which ends with its connection."""
+
+    # aiohttp adds chunks to responses of HTTP/1.1 that have no length, unless this is unset.
+    _length_check = False
+
+    def __init__(self, *, status: int, headers: CIMultiDict[str]):
+        super().__init__(status=status, headers=headers)
+        self.force_close()
+
+
 class HttpResponseSink:
     """Sends a response over the connection of a caller."""
 
-    __slots__ = ("_aborted", "_is_stopping", "_request", "_response")
+    __slots__ = (
+        "_aborted",
+        "_finished",
+        "_has_explicit_end",
+        "_is_stopping",
+        "_request",
+        "_response",
+    )
 
     def __init__(self, *, request: web.BaseRequest, is_stopping: Callable[[], bool]):
         """Creates a sink for the response to a request.
@@ -49,6 +71,8 @@
         self._request = request
         self._is_stopping = is_stopping
         self._response: web.StreamResponse | None = None
+        self._has_explicit_end = False
+        self._finished = False
         self._aborted = False
 
     @property
@@ -61,24 +85,49 @@
         """Whether a part of the response was sent."""
         return self._response is not None
 
+    @property
+    def finished(self) -> bool:
+        """Whether the whole response was sent."""
+        return self._finished
+
     @property
     def aborted(self) -> bool:
         """Whether the response was aborted."""
         return self._aborted
 
-    async def send_complete(self, status: int, headers: CIMultiDict[str], body: bytes) -> None:
-        """Sends a complete response."""
-        response = web.Response(status=status, headers=headers, body=body)
-        await self._send_head(response)
+    @property
+    def has_explicit_end(self) -> bool:
+        """Whether the caller sees the end of the response by its framing."""
+        return self._has_explicit_end
+
+    async def send_complete(
+        self, status: int, headers: CIMultiDict[str], body: bytes, *, has_explicit_end: bool
+    ) -> None:
+        """Sends a complete response, with its length if it has an explicit end."""
+        if has_explicit_end:
+            response = web.Response(status=status, headers=headers, body=body)
+            await self._send_head(response)
+        else:
+            response = _ResponseUntilClose(status=status, headers=headers)
+            await self._send_head(response)
+            await response.write(body)
+        self._has_explicit_end = has_explicit_end
         await response.write_eof()
+        self._finished = True
 
-    async def start_stream(self, status: int, headers: CIMultiDict[str]) -> None:
-        """Sends the response head; the body follows in chunks."""
-        response = web.StreamResponse(status=status, headers=headers)
-        if self._request.version >= (1, 1):
+    async def start_stream(
+        self, status: int, headers: CIMultiDict[str], *, has_explicit_end: bool
+    ) -> None:
+        """Sends the response head; the body follows in chunks if it has an explicit end.
+
+        HTTP/1.0 has no chunks, so its streams always end with the connection.
+        """
+        self._has_explicit_end = has_explicit_end and self._request.version >= (1, 1)
+        if self._has_explicit_end:
+            response = web.StreamResponse(status=status, headers=headers)
             response.enable_chunked_encoding()
         else:
-            response.force_close()
+            response = _ResponseUntilClose(status=status, headers=headers)
         await self._send_head(response)
 
     async def send_chunk(self, data: bytes) -> None:
@@ -86,14 +135,23 @@
         await self._response.write(data)
 
     async def finish_stream(self) -> None:
-        """Ends the body, which marks the response as complete."""
+        """Ends the body: by the last chunk, or by an orderly close of the connection."""
         await self._response.write_eof()
+        self._finished = True
 
     def abort(self) -> None:
-        """Closes the connection, so that the caller detects the response as incomplete."""
+        """Closes the connection, so that the caller detects the response as incomplete.
+
+        A response that ends with its connection is incomplete only if the connection is reset.
+        """
         self._aborted = True
-        if self._request.transport is not None:
-            self._request.transport.abort()
+        transport = self._request.transport
+        if transport is None:
+            return
+        if self._response is not None and not self._response.chunked:
+            connection = transport.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        transport.abort()
 
     async def _send_head(self, response: web.StreamResponse) -> None:
         if self._is_stopping():
@@ -256,7 +314,16 @@
                 error = RequestError(ResultCode.INTERNAL_ERROR)
                 return self._make_error_response(error, attempt_id, closing=True)
             sink.abort()
-        return sink.response or web.Response(status=502)
+        return self._end_response(sink, attempt_id)
+
+    def _end_response(self, sink: HttpResponseSink, attempt_id: str) -> web.StreamResponse:
+        """Returns the response for the HTTP library, which completes whatever is not aborted."""
+        if sink.response is None:
+            return web.Response(status=502)
+        if not sink.finished and not sink.aborted:
+            _log.error("response left unfinished", fields={"request": attempt_id})
+            sink.abort()
+        return sink.response
 
     async def _read_body(self, request: web.BaseRequest) -> bytes:
         if not request.can_read_body:
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -21,6 +21,7 @@
 from laburnumpier_core.log import get_part_logger
 from laburnumpier_core.metrics import Metrics
 from laburnumpier_core.result_codes import RESULT_CODE_TABLE, Ran, ResultCode
+from multidict import CIMultiDict
 
 from ..budget.grant_pool import Reservation
 from ..budget.service import BudgetService
@@ -70,6 +71,16 @@
     """A server sent nothing for longer than the silence timeout of the request."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _ErrorResponse:
+    """A server's error response, for the caller if no other server responds."""
+
+    status: int
+    headers: CIMultiDict[str]
+    body: bytes
+    has_explicit_end: bool
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class RequestProgress:
     """State of a request while it is served.
@@ -78,6 +89,12 @@
         send_count: Number of times that it was sent to a server.
         may_have_run: Whether it may have run at a server.
         response_status: Status of the response to the caller; 0 before there is one.
+        server_end: How the last server's response said where it ends: `length`, `chunks` or
+            `close`, the end of its connection; empty before there is one.
+        has_open_end: Whether the last server ended its stream with its connection after whole
+            events, which may be the end or a crash.
+        error_response: Last error response of a server that was not delivered; None if there is
+            none.
         waited_ms: Time for which the request waited for tokens.
         is_cut: Whether it was ended because the router has to exit.
         attempt_log: Ids of the servers tried, in order, each with the reason of its failure, for
@@ -96,6 +113,9 @@
     send_count: int = 0
     may_have_run: bool = False
     response_status: int = 0
+    server_end: str = ""
+    has_open_end: bool = False
+    error_response: _ErrorResponse | None = None
     waited_ms: int = 0
     is_cut: bool = False
     attempt_log: list[str] = dataclasses.field(default_factory=list)
@@ -104,9 +124,12 @@
     @property
     def is_retryable(self) -> bool:
         """Whether the request may be sent again although it may have run already."""
-        kind = self.route.kind
-        resumable = kind is RouteKind.STREAM and self.route.resumable
-        return kind is RouteKind.IDEMPOTENT or resumable
+        return self.route.kind is RouteKind.IDEMPOTENT or self.is_resumable
+
+    @property
+    def is_resumable(self) -> bool:
+        """Whether its stream can go on at another server."""
+        return self.route.kind is RouteKind.STREAM and self.route.resumable
 
     @property
     def charged_tokens(self) -> int:
@@ -201,7 +224,7 @@
         try:
             progress = self._admit(request)
             await self._reserve_and_run(progress, sink)
-            outcome = "broken_off" if sink.aborted else "answered"
+            outcome = "answered" if sink.finished else "broken_off"
             if progress.is_cut:
                 outcome = "cut"
         except asyncio.CancelledError:
@@ -286,7 +309,7 @@
             if progress.attempt_log:
                 progress.attempt_log[-1] += ":stopping" if progress.is_cut else ":time_over"
             if sink.started:
-                sink.abort()
+                await self._end_started_response(progress, sink)
                 return
             raise self._make_timeout_error(progress) from error
         finally:
@@ -328,7 +351,7 @@
         while True:
             server = self._choose_server(progress)
             if server is None:
-                self._fail_request(progress, sink, "no_server")
+                await self._fail_request(progress, sink, "no_server")
                 return
             try:
                 await self._send_to_server(progress, server, sink)
@@ -338,7 +361,7 @@
                 if failure.reason == "unreached":
                     unreachable_count += 1
                 if not self._may_retry(progress, failure, unreachable_count):
-                    self._fail_request(progress, sink, failure.reason)
+                    await self._fail_request(progress, sink, failure.reason)
                     return
 
     def _choose_server(self, progress: RequestProgress) -> ServerLoad | None:
@@ -370,21 +393,46 @@
         self._metrics.count("forward.retry_budget_empty")
         return False
 
-    def _fail_request(self, progress: RequestProgress, sink: ResponseSink, reason: str) -> None:
+    async def _fail_request(
+        self, progress: RequestProgress, sink: ResponseSink, reason: str
+    ) -> None:
         """Ends a request that no server completed.
 
+        A response that was started is broken off. Otherwise the caller gets the last error
+        response of a server, if there is one.
+
         Raises:
-            RequestError: If no part of the response was sent; otherwise the response is aborted.
+            RequestError: If there is no response of a server.
         """
         self._metrics.count("forward.given_up")
+        error = progress.error_response
         if sink.started:
-            sink.abort()
+            await self._end_started_response(progress, sink)
+        elif error is not None:
+            progress.response_status = error.status
+            await sink.send_complete(
+                error.status,
+                error.headers,
+                error.body,
+                has_explicit_end=error.has_explicit_end,
+            )
         elif progress.may_have_run:
             raise RequestError(ResultCode.OUTCOME_UNKNOWN, ran=Ran.UNKNOWN, detail=reason)
         else:
             code = ResultCode.NO_SERVER if reason == "no_server" else ResultCode.SERVER_REFUSED
             raise RequestError(code, retry_after_seconds=RETRY_AFTER_SECONDS, detail=reason)
 
+    async def _end_started_response(self, progress: RequestProgress, sink: ResponseSink) -> None:
+        """Ends a response of which more may follow that no server delivered.
+
+        If the server ended its stream with its connection, and the caller's response has no other
+        end either, the caller learns as much as the server said. Every other response is aborted.
+        """
+        if progress.has_open_end and not sink.has_explicit_end:
+            await sink.finish_stream()
+        else:
+            sink.abort()
+
     async def _send_to_server(
         self, progress: RequestProgress, server: ServerLoad, sink: ResponseSink
     ) -> None:
@@ -496,6 +544,7 @@
             _ServerAttemptError: If the response is not a final one.
             ServerConnectionLostError: If it ends early.
         """
+        progress.server_end = exchange.end_marker.value
         head = self._dialect.read_response(exchange.status, exchange.headers)
         if head.running is not None:
             server.record_report(head.running, head.waiting, self._clock.monotonic_seconds())
@@ -510,36 +559,25 @@
             server.record_failure()
             raise _ServerAttemptError(f"status_{exchange.status}", Ran.UNKNOWN)
         body = await exchange.read()
+        headers = self._dialect.make_caller_headers(exchange.headers)
         if exchange.status >= 500:
-            progress.attempt_log[-1] += f":status_{exchange.status}"
             server.record_failure()
-            if self._may_retry(
-                progress, _ServerAttemptError("server_error", Ran.YES), unreachable_count=0
-            ):
-                delivered = await self._retry_after_error(progress, sink)
-                if delivered:
-                    return
+            reason = f"status_{exchange.status}"
+            if progress.is_retryable:
+                progress.error_response = _ErrorResponse(
+                    status=exchange.status,
+                    headers=headers,
+                    body=body,
+                    has_explicit_end=exchange.end_marker.is_explicit,
+                )
+                raise _ServerAttemptError(reason, Ran.YES)
+            progress.attempt_log[-1] += f":{reason}"
         else:
             server.record_success()
         progress.response_status = exchange.status
-        headers = self._dialect.make_caller_headers(exchange.headers)
-        await sink.send_complete(exchange.status, headers, body)
-
-    async def _retry_after_error(self, progress: RequestProgress, sink: ResponseSink) -> bool:
-        """Sends a request to another server after an error response.
-
-        Returns:
-            Whether that server's response was delivered; if not, the error response is used.
-        """
-        server = self._choose_server(progress)
-        if server is None:
-            return False
-        try:
-            await self._send_to_server(progress, server, sink)
-        except _ServerAttemptError as failure:
-            progress.attempt_log[-1] = f"{server.entry.server_id}:{failure.reason}"
-            return sink.started
-        return True
+        await sink.send_complete(
+            exchange.status, headers, body, has_explicit_end=exchange.end_marker.is_explicit
+        )
 
     def _check_response(
         self,
@@ -571,6 +609,7 @@
         Raises:
             ServerConnectionLostError: If the stream ends early.
             _ServerSilentError: If a stream that can be resumed elsewhere is silent for too long.
+            _ServerAttemptError: If it ended with its connection and can be resumed elsewhere.
         """
         splitter = progress.splitter
         chunks = exchange.iterate_chunks()
@@ -584,19 +623,32 @@
                 raise ServerConnectionLostError(str(error)) from error
             if not events:
                 continue
-            if not sink.started:
-                progress.response_status = exchange.status
-                headers = self._dialect.make_caller_headers(exchange.headers)
-                await sink.start_stream(exchange.status, headers)
+            progress.has_open_end = False
+            await self._start_stream(progress, exchange, sink)
             await sink.send_chunk(events)
         if splitter.has_partial_event:
             raise ServerConnectionLostError("the stream ended within an event")
-        if not sink.started:
-            progress.response_status = exchange.status
-            headers = self._dialect.make_caller_headers(exchange.headers)
-            await sink.start_stream(exchange.status, headers)
+        await self._start_stream(progress, exchange, sink)
+        if exchange.end_marker.is_explicit:
+            await sink.finish_stream()
+            return
+        progress.has_open_end = True
+        if progress.is_resumable or sink.has_explicit_end:
+            raise _ServerAttemptError("open_end", Ran.UNKNOWN)
         await sink.finish_stream()
 
+    async def _start_stream(
+        self, progress: RequestProgress, exchange: ServerExchange, sink: ResponseSink
+    ) -> None:
+        """Starts the caller's response with the head of the first server that has one."""
+        if sink.started:
+            return
+        progress.response_status = exchange.status
+        headers = self._dialect.make_caller_headers(exchange.headers)
+        await sink.start_stream(
+            exchange.status, headers, has_explicit_end=exchange.end_marker.is_explicit
+        )
+
     async def _read_next_chunk(self, progress: RequestProgress, chunks, sink: ResponseSink):
         """Returns the next chunk of a stream, or None at its end."""
         timeout_seconds = None
@@ -632,6 +684,7 @@
             fields["route"] = progress.route_name
             fields["workspace"] = progress.workspace
             fields["status"] = progress.response_status
+            fields["server_end"] = progress.server_end
             fields["sends"] = progress.send_count
             fields["tokens"] = progress.charged_tokens
             fields["tried"] = ",".join(progress.attempt_log)
