Soak: choose ports that no outgoing connection can take

With 30 routers and more a router did not start, 'address already in use': its ports came from a bind to port 0, which draws from the range that the kernel also assigns to outgoing connections, and one of those took the port before the router listened.

--- a/features/platform/soak.feature
+++ b/features/platform/soak.feature
@@ -14,3 +14,8 @@
       | 3       | 200  | 15      |
       | 4       | 300  | 20      |
       | 6       | 301  | 15      |
+
+  # Guards against routers that do not start because an outgoing connection has taken their port.
+  Scenario: Routers listen on ports that no outgoing connection can take
+    When the ports of 60 routers are chosen
+    Then they are all different and outside the range of outgoing connections
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,6 +1,7 @@
 """Steps for the fault soak of router processes."""
 
 from behave import then, when
+from laburnumpier_platform_standin.launch import choose_listen_ports, read_outgoing_ports
 from laburnumpier_platform_standin.soak import run_soak
 
 
@@ -19,3 +20,16 @@
         context.traffic_record.violations,
         context.directory,
     )
+
+
+@when("the ports of {routers:d} routers are chosen")
+def choose_ports(context, routers):
+    context.ports = [port for _ in range(routers) for port in choose_listen_ports(4)]
+
+
+@then("they are all different and outside the range of outgoing connections")
+def check_ports(context):
+    outgoing_ports = read_outgoing_ports()
+    assert len(set(context.ports)) == len(context.ports), context.ports
+    taken = [port for port in context.ports if port in outgoing_ports]
+    assert not taken, (taken, outgoing_ports)
