Failing tests: a stream goes on at another software version than the one that began it

Callers could see one stream with events of two software versions of a service: within one answer after its server broke off or fell silent, and over their tries at two or three routers. Servers do not check this. The registry entry's version is not decoded and the header `Resumes` is not read.

Seen: events 1 2 of v1, then 3 4 5 of v1.2, within one answer; callers at another router with events of both versions; 200 instead of a refusal for a stream of unknown origin while two versions serve, and after the version that began it has gone.

Routers run in the test's process with real sockets for callers, peers, servers and the store.

--- a/features/platform/registry.feature
+++ b/features/platform/registry.feature
@@ -15,14 +15,15 @@
     Then the registry returns 2 servers
 
     Examples:
-      | entry                                                           |
-      | {"Service":"s","Address":"10.0.0.1:1","State":"ready","Zone":7} |
-      | {"Service":"s","Address":"10.0.0.1:1","State":"asleep"}         |
-      | {"Service":["s"],"Address":"10.0.0.1:1","State":"ready"}        |
-      | {"Service":"s","State":"ready"}                                 |
-      | {"Service":"s","Address":"nowhere","State":"ready"}             |
-      | no JSON                                                         |
-      | [1,2]                                                           |
+      | entry                                                              |
+      | {"Service":"s","Address":"10.0.0.1:1","State":"ready","Zone":7}    |
+      | {"Service":"s","Address":"10.0.0.1:1","State":"asleep"}            |
+      | {"Service":["s"],"Address":"10.0.0.1:1","State":"ready"}           |
+      | {"Service":"s","State":"ready"}                                    |
+      | {"Service":"s","Address":"nowhere","State":"ready"}                |
+      | no JSON                                                            |
+      | [1,2]                                                              |
+      | {"Service":"s","Address":"10.0.0.1:1","State":"ready","Version":7} |
 
   Scenario Outline: A registry follower updates the server table
     Given the platform key-value service
--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -6,6 +6,7 @@
 import struct
 
 EVENTS = {n: b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6)}
+SLOW_EVENT_SECONDS = 0.06
 RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Server-Signature: sig\r\n"
 STREAM_HEAD = RESPONSE_HEAD + b"Content-Type: text/event-stream\r\n"
 
@@ -15,18 +16,21 @@
 
     Attributes:
         behaviour: Name of the behaviour.
+        version: Software version that its events tell; empty for events that tell none.
         runs: Number of requests that it executed, not counting refused ones.
         requests: Head and body of each request, as received.
         client_closed: Set when a client closed its connection while it waited for the answer.
         address: Host and port of the server; empty before `start`.
     """
 
-    def __init__(self, behaviour: str):
+    def __init__(self, behaviour: str, version: str = ""):
         """Creates a server; `start` makes it listen."""
         self.behaviour = behaviour
+        self.version = version
         self.runs = 0
         self.requests: list[tuple[bytes, bytes]] = []
         self.client_closed = asyncio.Event()
+        self._told_to_break_off = asyncio.Event()
         self._server: asyncio.Server | None = None
         self.address = ""
 
@@ -44,6 +48,10 @@
             self._server.close()
             self._server = None
 
+    def break_off(self) -> None:
+        """Resets the connections of the behaviour `streams until told to break off`."""
+        self._told_to_break_off.set()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             head = await reader.readuntil(b"\r\n\r\n")
@@ -64,7 +72,8 @@
         response = head + b"Content-Length: 5\r\n\r\nhello"
         stream_head = STREAM_HEAD % attempt_id
         chunked_head = stream_head + b"Transfer-Encoding: chunked\r\n\r\n"
-        events = [event for event_id, event in EVENTS.items() if event_id > last_event_id]
+        known_events = _make_events(self.version) if self.version else EVENTS
+        events = [event for event_id, event in known_events.items() if event_id > last_event_id]
         match self.behaviour:
             case "refuses as full":
                 refusal = b"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -115,6 +124,16 @@
                 await self._send(
                     writer, chunked_head + _encode_chunk(b"".join(events)) + b"0\r\n\r\n"
                 )
+            case "streams slowly":
+                await self._send(writer, chunked_head)
+                for event in events:
+                    await self._send(writer, _encode_chunk(event))
+                    await asyncio.sleep(SLOW_EVENT_SECONDS)
+                await self._send(writer, b"0\r\n\r\n")
+            case "streams until told to break off":
+                await self._send(writer, chunked_head + _encode_chunk(b"".join(events[:2])))
+                await self._told_to_break_off.wait()
+                _reset_connection(writer)
             case "streams without a length":
                 await self._send(writer, stream_head + b"\r\n" + b"".join(events))
             case "breaks off after 2 events and a half":
@@ -154,5 +173,11 @@
     writer.transport.abort()
 
 
+def _make_events(version: str) -> dict[int, bytes]:
+    """Returns the events of a stream by id; each tells the version that wrote it."""
+    template = b"id: %d\ndata: piece %d\ndata: by %b\n\n"
+    return {n: template % (n, n, version.encode()) for n in EVENTS}
+
+
 def _encode_chunk(data: bytes) -> bytes:
     return b"%x\r\n%b\r\n" % (len(data), data)
