--- a/packages/standins/laburnumpier_standins/memory_backends.py
+++ b/packages/standins/laburnumpier_standins/memory_backends.py
@@ -50,6 +50,7 @@
     """One backend server, the faults injected into it and the record of its work.
 
     Attributes:
+        version: Software version that its events tell; empty for events that tell none.
         token_seconds: Time to generate one token.
         prefill_seconds: Time before the first token of an uncached prompt.
         capacity: Number of concurrent runs; further runs wait, higher priority first.
@@ -79,6 +80,7 @@
 
     name: str
     models: list[str] = dataclasses.field(default_factory=lambda: ["m"])
+    version: str = ""
     token_seconds: float = 0.01
     prefill_seconds: float = 0.05
     capacity: int = 16
@@ -175,7 +177,8 @@
         self, run: MemoryRun, call: EngineCall, generated: int, finish_reason: str | None
     ) -> None:
         usage = {"total_tokens": run.prompt_tokens + generated, "completion_tokens": generated}
-        content = f"{call.run_id}#{len(run.events)};"
+        version = f"@{self.version}" if self.version else ""
+        content = f"{call.run_id}#{len(run.events)}{version};"
         choice = {"index": 0, "delta": {"content": content}, "finish_reason": finish_reason}
         run.events.append({"id": call.run_id, "choices": [choice], "usage": usage})
         run.changed.set()
