A stream goes on only at the software version that began it, within one answer

Callers could see one answer with events of two software versions: when its server broke off or fell silent after the first events, the router took any other server of the service. The version of a registry entry was not decoded, so the router could not tell the servers apart.

The version that brought the first event is taken from the entry to which the request was sent, as of that moment, because a server may come back under its id at another version. From then on only servers of that version are candidates, for a resumed stream and for a second one after an error, and silence ends a server's turn only if another server of the version is left. Without one the answer is broken off. A request without an event is as free as before. An entry without a version counts as a version of its own.

The log record of a request tells the version.

--- a/packages/router/laburnumpier_router/forward/servers.py
+++ b/packages/router/laburnumpier_router/forward/servers.py
@@ -141,12 +141,19 @@
         """From now on ignores entries that show a departed server as ready."""
         self._retained_departures.update(self._departures)
 
-    def list_usable(self, service: str) -> list[ServerLoad]:
-        """Returns the servers of a service that accept new requests."""
+    def list_usable(self, service: str, software_version: str | None = None) -> list[ServerLoad]:
+        """Returns the servers of a service that accept new requests.
+
+        Args:
+            service: Name of the service.
+            software_version: Version of all returned servers; None for any version.
+        """
         return [
             server
             for server in self._servers.values()
-            if server.entry.service == service and not server.entry.leaving
+            if server.entry.service == service
+            and not server.entry.leaving
+            and software_version in (None, server.entry.software_version)
         ]
 
     def forget_departure(self, server_id: str) -> None:
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -28,6 +28,7 @@
 from ..configuration.document import Configuration, Route, RouteKind
 from ..configuration.service import ConfigurationService
 from ..ports.dialect import Dialect, ForwardedRequestInfo, ResponseHead
+from ..ports.server_registry import RegisteredServer
 from .event_stream import EventSplitter, EventTooLargeError
 from .exchange import ForwardRequest, ResponseSink, ServerCall, ServerClient, ServerExchange
 from .placement import PlacementRequest, choose_server
@@ -100,6 +101,9 @@
         attempt_log: Ids of the servers tried, in order, each with the reason of its failure, for
             logs.
         tried_server_ids: Servers that are not chosen again.
+        sent_to: Registry entry of the server to which it was last sent, as of that moment.
+        software_version: Version at which the stream began, and the only one at which it may go
+            on; None before its first event.
     """
 
     request: ForwardRequest
@@ -120,6 +124,8 @@
     is_cut: bool = False
     attempt_log: list[str] = dataclasses.field(default_factory=list)
     tried_server_ids: set[str] = dataclasses.field(default_factory=set)
+    sent_to: RegisteredServer | None = None
+    software_version: str | None = None
 
     @property
     def is_retryable(self) -> bool:
@@ -370,7 +376,7 @@
             data_centre=self._data_centre,
             exclude=frozenset(progress.tried_server_ids),
         )
-        usable = self._table.list_usable(progress.service)
+        usable = self._table.list_usable(progress.service, progress.software_version)
         now = self._clock.monotonic_seconds()
         return choose_server(usable, request, now, self._random)
 
@@ -442,6 +448,7 @@
             _ServerAttemptError: If no response was delivered.
         """
         progress.tried_server_ids.add(server.entry.server_id)
+        progress.sent_to = server.entry
         progress.attempt_log.append(server.entry.server_id)
         prompt_tokens = progress.request.head.prompt_tokens
         server.record_start(prompt_tokens)
@@ -496,7 +503,7 @@
         is_last_send = progress.send_count + 1 >= route.max_attempts and not sink_started
         if not progress.is_retryable or is_last_send:
             return None
-        if len(self._table.list_usable(progress.service)) < 2:
+        if not self._has_other_server(progress):
             return None
         if route.kind is RouteKind.IDEMPOTENT:
             return RESPONSE_TIMEOUT_FACTOR * route.target_latency_seconds
@@ -506,6 +513,13 @@
             MIN_STREAM_TIMEOUT_SECONDS, FIRST_EVENT_TIMEOUT_FACTOR * route.target_latency_seconds
         )
 
+    def _has_other_server(self, progress: RequestProgress) -> bool:
+        """Whether the request could go on at a server other than the current one."""
+        usable = self._table.list_usable(progress.service, progress.software_version)
+        if progress.software_version is None:
+            return len(usable) > 1
+        return any(server.entry.server_id not in progress.tried_server_ids for server in usable)
+
     def _build_call(self, progress: RequestProgress, server: ServerLoad) -> ServerCall:
         request = progress.request
         remaining_seconds = progress.deadline_seconds - self._clock.monotonic_seconds()
@@ -624,6 +638,7 @@
             if not events:
                 continue
             progress.has_open_end = False
+            self._record_version(progress)
             await self._start_stream(progress, exchange, sink)
             await sink.send_chunk(events)
         if splitter.has_partial_event:
@@ -649,6 +664,11 @@
             exchange.status, headers, has_explicit_end=exchange.end_marker.is_explicit
         )
 
+    def _record_version(self, progress: RequestProgress) -> None:
+        """Binds a stream to the version of the server that sends its first event."""
+        if progress.software_version is None:
+            progress.software_version = progress.sent_to.software_version
+
     async def _read_next_chunk(self, progress: RequestProgress, chunks, sink: ResponseSink):
         """Returns the next chunk of a stream, or None at its end."""
         timeout_seconds = None
@@ -690,6 +710,7 @@
             fields["tried"] = ",".join(progress.attempt_log)
             fields["waited_ms"] = progress.waited_ms
             fields["started"] = is_started
+            fields["version"] = progress.software_version
         if refusal is not None:
             fields["status"] = RESULT_CODE_TABLE[refusal.code].http_status
             fields["retry_after"] = refusal.retry_after_seconds
--- a/packages/router/laburnumpier_router/ports/server_registry.py
+++ b/packages/router/laburnumpier_router/ports/server_registry.py
@@ -29,6 +29,8 @@
         leaving: Whether the server asks for no new requests.
         started_ms: Start of the server process in Unix milliseconds; 0 if unknown. A server may
             start again under the id that it had.
+        software_version: Version of the server's software; empty if it states none. Streams may
+            go on only at servers of the version that began them.
     """
 
     server_id: str
@@ -38,6 +40,7 @@
     slots: int = 1
     leaving: bool = False
     started_ms: int = 0
+    software_version: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
