Remember across the fleet at which software version each stream began

A stream may go on only at the version that began it, and its caller may come back at any router. Until now no router knew the version: streams that were broken off went on at another one.

StreamOrigins keeps the service and the version by the attempt that brought the first event. The router that records an origin remembers it at once and tells two others, chosen by hash of the attempt id, in batches that no request waits for. A lookup asks three routers in each of up to four data centres, for 0.15 s in all, and tells the holders anew what it finds, so that the record survives the router that found it. Memory, queue and lookups are bounded; the first origin of an attempt is never replaced. The application creates and closes it; requests do not use it yet.

--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -40,6 +40,7 @@
 from .fleet.peer_network import PeerNetwork
 from .fleet.registry import MemberRegistry
 from .fleet.service import FleetService
+from .forward import origin_messages
 from .forward.exchange import ServerClient
 from .forward.frontend import ForwardFrontend
 from .forward.registry_follower import RegistryFollower
@@ -47,6 +48,7 @@
 from .forward.retry_budget import RetryBudget
 from .forward.servers import ServerTable
 from .forward.service import ForwardService
+from .forward.stream_origins import StreamOrigins
 from .forward.time_limits import TimeLimits
 from .graceful_stop import GracefulStop, StopTimes, plan_stop
 from .operators.frontend import OperatorFrontend
@@ -86,6 +88,7 @@
     budget_messages.HoldingsCollected,
     budget_messages.Acknowledged,
     RegistryRelayed,
+    *origin_messages.MESSAGE_TYPES,
     request_messages.OpenRequest,
     request_messages.RequestOpened,
     request_messages.PlaceRequest,
@@ -207,6 +210,7 @@
         )
         self._build_budget()
         self._build_backend(policy or ExpectedWait())
+        self._stream_origins = StreamOrigins(fleet=self._fleet, clock=clock, metrics=metrics)
         self._build_requests()
         self._build_forwarding()
         self._build_controller()
@@ -220,6 +224,7 @@
             request_directory=self._request_directory,
             backend_directory=self._backend_directory,
             dispatcher=self._dispatcher,
+            stream_origins=self._stream_origins,
             fleet=self._fleet,
             metrics=metrics,
         )
@@ -283,6 +288,11 @@
         """Serves calls of plain services."""
         return self._calls
 
+    @property
+    def stream_origins(self) -> StreamOrigins:
+        """Remembers at which software version each stream began."""
+        return self._stream_origins
+
     @property
     def caller_frontend(self) -> CallerFrontend:
         """HTTP frontend for callers."""
@@ -402,6 +412,7 @@
         await self._calls.close()
         await self._budget.close()
         await self._submitter.close()
+        await self._stream_origins.close()
         await self._broadcaster.close()
         await self._peer_link.close()
         if self._ports.forwarding is not None:
@@ -607,6 +618,8 @@
         register(budget_messages.KeepBills, self._handle_keep_bills)
         register(budget_messages.CollectHoldings, self._handle_collect_holdings)
         register(RegistryRelayed, self._handle_registry_relayed)
+        register(origin_messages.TellOrigins, self._stream_origins.handle_tell)
+        register(origin_messages.FindOrigin, self._stream_origins.handle_find)
 
     async def _handle_submit_changes(
         self, sender: str, message: budget_messages.SubmitChanges
--- a/packages/router/laburnumpier_router/operators/reports.py
+++ b/packages/router/laburnumpier_router/operators/reports.py
@@ -18,6 +18,7 @@
 from ..budget.submitter import ChangeSubmitter
 from ..configuration.service import ConfigurationService
 from ..fleet.service import FleetService
+from ..forward.stream_origins import StreamOrigins
 from ..ports.key_value_service import KeyValueService
 from ..request.call_service import CallService
 from ..request.chat_service import ChatService
@@ -40,6 +41,7 @@
         "_metrics",
         "_request_directory",
         "_store",
+        "_stream_origins",
         "_submitter",
     )
 
@@ -55,6 +57,7 @@
         request_directory: RequestDirectory,
         backend_directory: BackendDirectory,
         dispatcher: Dispatcher,
+        stream_origins: StreamOrigins,
         fleet: FleetService,
         metrics: Metrics,
     ):
@@ -68,6 +71,7 @@
         self._request_directory = request_directory
         self._backend_directory = backend_directory
         self._dispatcher = dispatcher
+        self._stream_origins = stream_origins
         self._fleet = fleet
         self._metrics = metrics
 
@@ -235,6 +239,8 @@
             "chats_active": self._chats.active_count,
             "calls_active": self._calls.active_count,
             "requests_at_home": self._request_directory.entry_count,
+            "stream_origins": self._stream_origins.kept_count,
+            "stream_origins_untold": self._stream_origins.untold_count,
             "counters": self._metrics.counters,
             "gauges": self._metrics.gauges,
         }
