--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,7 @@
 
 slopes: setup
 	$(PY) -m laburnumpier_measure.slopes
+	$(PY) -m laburnumpier_measure.stream_origin_slopes
 
 store-returns: setup
 	$(PY) -m laburnumpier_measure.store_returns
--- a/packages/measure/laburnumpier_measure/slopes.py
+++ b/packages/measure/laburnumpier_measure/slopes.py
@@ -206,7 +206,7 @@
     print_slope("router", "budget_in_use", run_in_virtual_time(measure_growth()), "bytes")
 
 
-def read_memory_megabytes(pid: int) -> float:
+def read_memory_megabytes(pid: int | str) -> float:
     """Returns the resident set size of a process in mebibytes."""
     status = pathlib.Path(f"/proc/{pid}/status").read_text()
     line = next(line for line in status.splitlines() if line.startswith("VmRSS"))
