Give the end of responses modules of its own

Both interfaces need to know how a server's response ends and to end or break a caller's response; the code for it moves out of the forwarding client and frontend, unchanged. answer_ends.feature and forwarding.feature pass (88 scenarios).

--- a/packages/router/laburnumpier_router/callers/responses.py
+++ b/packages/router/laburnumpier_router/callers/responses.py
@@ -1,6 +1,9 @@
 """Builds the HTTP responses to callers."""
 
 import math
+import socket
+import struct
+from collections.abc import Mapping
 from typing import Any
 
 import msgspec
@@ -13,6 +16,38 @@
 REQUEST_ID_HEADER = "X-Request-Id"
 IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
 RESULT_CODE_HEADER = "X-Result-Code"
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which a socket is reset when it is closed."""
+
+
+class ResponseUntilClose(web.StreamResponse):
+    """A response without a length or chunks, which ends with its connection."""
+
+    # aiohttp adds chunks to responses of HTTP/1.1 that have no length, unless this is unset.
+    _length_check = False
+
+    def __init__(self, *, status: int, headers: Mapping[str, str]):
+        """Creates a response after which the connection is closed."""
+        super().__init__(status=status, headers=headers)
+        self.force_close()
+
+
+def abort_response(request: web.BaseRequest, response: web.StreamResponse | None) -> None:
+    """Closes the connection of a response, so that the caller detects it as incomplete.
+
+    A response that ends with its connection is incomplete only if the connection is reset.
+
+    Args:
+        request: Request of the caller.
+        response: Its response; None if none has started.
+    """
+    transport = request.transport
+    if transport is None:
+        return
+    if response is not None and not response.chunked:
+        connection = transport.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    transport.abort()
 
 
 def make_error_body(error: RequestError, request_id: str) -> dict[str, Any]:
--- a/packages/router/laburnumpier_router/forward/exchange.py
+++ b/packages/router/laburnumpier_router/forward/exchange.py
@@ -1,7 +1,6 @@
 """Interfaces of a forwarded request: the response to the caller and the exchange with a server."""
 
 import dataclasses
-import enum
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager
 from typing import Protocol
@@ -9,6 +8,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from ..ports.dialect import RequestHead
+from ..response_end import EndMarker
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -40,22 +40,6 @@
     body: bytes
 
 
-class EndMarker(enum.Enum):
-    """How a response says where its body ends.
-
-    Without a length or chunks the body ends with its connection, which a crash ends as well.
-    """
-
-    LENGTH = "length"
-    CHUNKS = "chunks"
-    CLOSE = "close"
-
-    @property
-    def is_explicit(self) -> bool:
-        """Whether an early end can be told from the end of the whole body."""
-        return self is not EndMarker.CLOSE
-
-
 class ServerExchange(Protocol):
     """The response of a server while it is being received."""
 
--- a/packages/router/laburnumpier_router/forward/frontend.py
+++ b/packages/router/laburnumpier_router/forward/frontend.py
@@ -1,8 +1,6 @@
 """HTTP frontend of forwarded requests: callers' connections, readiness checks and stops."""
 
 import asyncio
-import socket
-import struct
 from collections.abc import Callable
 
 import msgspec
@@ -14,7 +12,12 @@
 from laburnumpier_core.result_codes import RESULT_CODE_TABLE, ResultCode
 from multidict import CIMultiDict
 
-from ..callers.responses import RESULT_CODE_HEADER, make_error_body
+from ..callers.responses import (
+    RESULT_CODE_HEADER,
+    ResponseUntilClose,
+    abort_response,
+    make_error_body,
+)
 from ..ports.dialect import Dialect
 from .exchange import ForwardRequest
 from .service import ForwardService
@@ -29,25 +32,12 @@
 """Largest share of a stop in which every new request is served."""
 IDLE_POLL_SECONDS = 0.05
 """Interval at which a stopping router checks whether its requests have ended."""
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""Value of SO_LINGER with which a socket is reset when it is closed."""
 MIN_IDLE_SECONDS = 0.5
 """Time without a new request after which a stopping router closes its connections."""
 
 _log = get_part_logger("forward")
 
 
-class _ResponseUntilClose(web.StreamResponse):
-    """A response without a length or chunks, which ends with its connection."""
-
-    # aiohttp adds chunks to responses of HTTP/1.1 that have no length, unless this is unset.
-    _length_check = False
-
-    def __init__(self, *, status: int, headers: CIMultiDict[str]):
-        super().__init__(status=status, headers=headers)
-        self.force_close()
-
-
 class HttpResponseSink:
     """Sends a response over the connection of a caller."""
 
@@ -108,7 +98,7 @@
             response = web.Response(status=status, headers=headers, body=body)
             await self._send_head(response)
         else:
-            response = _ResponseUntilClose(status=status, headers=headers)
+            response = ResponseUntilClose(status=status, headers=headers)
             await self._send_head(response)
             await response.write(body)
         self._has_explicit_end = has_explicit_end
@@ -127,7 +117,7 @@
             response = web.StreamResponse(status=status, headers=headers)
             response.enable_chunked_encoding()
         else:
-            response = _ResponseUntilClose(status=status, headers=headers)
+            response = ResponseUntilClose(status=status, headers=headers)
         await self._send_head(response)
 
     async def send_chunk(self, data: bytes) -> None:
@@ -140,18 +130,9 @@
         self._finished = True
 
     def abort(self) -> None:
-        """Closes the connection, so that the caller detects the response as incomplete.
-
-        A response that ends with its connection is incomplete only if the connection is reset.
-        """
+        """Closes the connection, so that the caller detects the response as incomplete."""
         self._aborted = True
-        transport = self._request.transport
-        if transport is None:
-            return
-        if self._response is not None and not self._response.chunked:
-            connection = transport.get_extra_info("socket")
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        transport.abort()
+        abort_response(self._request, self._response)
 
     async def _send_head(self, response: web.StreamResponse) -> None:
         if self._is_stopping():
--- a/packages/router/laburnumpier_router/forward/http_client.py
+++ b/packages/router/laburnumpier_router/forward/http_client.py
@@ -5,39 +5,21 @@
 """
 
 import contextlib
-import functools
 from collections.abc import AsyncIterator
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from laburnumpier_core.errors import ServerConnectionLostError, ServerUnreachableError
 from multidict import CIMultiDictProxy
 from yarl import URL
 
-from .exchange import EndMarker, ServerCall
+from ..response_end import EndMarker, get_end_marker, make_reset_aware_connector
+from .exchange import ServerCall
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 """Timeout for connecting; servers are a few milliseconds away, and a lost packet costs 200 ms."""
 READ_BUFFER_BYTES = 65536
 """Size of the buffer for reading a response body."""
 
-EMPTY_STATUSES = (204, 304)
-"""Statuses of responses that have no body."""
-
-
-class ResetAwareResponseHandler(ResponseHandler):
-    """Records whether a connection was reset or closed normally.
-
-    aiohttp treats a body without a length as complete even if the connection was reset.
-    """
-
-    was_reset = False
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Records whether the connection ended with an error."""
-        self.was_reset = exc is not None
-        super().connection_lost(exc)
-
 
 class HttpServerExchange:
     """A response that is received over HTTP."""
@@ -99,17 +81,6 @@
             )
 
 
-def get_end_marker(response: aiohttp.ClientResponse) -> EndMarker:
-    """Returns how a response says where its body ends, as RFC 9112, section 6.3 has it."""
-    coding = response.headers.get("Transfer-Encoding", "").rpartition(",")[2].strip().lower()
-    if coding == "chunked":
-        return EndMarker.CHUNKS
-    is_empty = response.method == "HEAD" or response.status in EMPTY_STATUSES
-    if is_empty or (not coding and "Content-Length" in response.headers):
-        return EndMarker.LENGTH
-    return EndMarker.CLOSE
-
-
 class HttpServerClient:
     """Sends requests to servers over HTTP/1.1."""
 
@@ -151,10 +122,8 @@
 
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            connector = aiohttp.TCPConnector(limit=0, force_close=True)
-            connector._factory = functools.partial(ResetAwareResponseHandler, loop=connector._loop)
             self._session = aiohttp.ClientSession(
-                connector=connector,
+                connector=make_reset_aware_connector(),
                 auto_decompress=False,
                 cookie_jar=aiohttp.DummyCookieJar(),
                 skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
