Break a stream off once an event that follows has begun

Callers of a resumable stream whose first server closed without a length saw an orderly close although the next server had begun the event that follows: the router knew that the stream was not whole. Only whole events counted as more of it.

--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -150,6 +150,13 @@
             case "closes after 2 events and a half":
                 part = b"".join(events[:2]) + events[2][:8]
                 await self._send(writer, stream_head + b"\r\n" + part)
+            case "breaks off within its first event":
+                await self._send(writer, chunked_head + _encode_chunk(events[0][:8]))
+                await asyncio.sleep(0.05)
+                _reset_connection(writer)
+            case "falls silent within its first event":
+                await self._send(writer, chunked_head + _encode_chunk(events[0][:8]))
+                await self._wait_for_close(reader)
             case "falls silent after 2 events":
                 await self._send(writer, chunked_head + _encode_chunk(b"".join(events[:2])))
                 await self._wait_for_close(reader)
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -635,9 +635,10 @@
                 events = splitter.feed(chunk)
             except EventTooLargeError as error:
                 raise ServerConnectionLostError(str(error)) from error
+            if events or splitter.has_partial_event:
+                progress.has_open_end = False
             if not events:
                 continue
-            progress.has_open_end = False
             self._record_version(progress)
             await self._start_stream(progress, exchange, sink)
             await sink.send_chunk(events)
