--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -160,6 +160,9 @@
             case "falls silent after 2 events":
                 await self._send(writer, chunked_head + _encode_chunk(b"".join(events[:2])))
                 await self._wait_for_close(reader)
+            case "falls silent after 2 events without a length":
+                await self._send(writer, stream_head + b"\r\n" + b"".join(events[:2]))
+                await self._wait_for_close(reader)
             case other:
                 raise ValueError(f"unknown behaviour: {other}")
 
