Pass on a service's answer without a length as one, and notice its reset

What callers of services saw: 200 with Content-Length 3 for 'hel' of 'hello', if the service reset or closed the connection of an answer without a length; the part was billed and stored for retries with the same key. The client now notices the reset, which is a lost connection. An answer that ended with its connection is marked so, also where it is stored, and goes to callers without a length.

--- a/packages/router/laburnumpier_router/backend/engine_port.py
+++ b/packages/router/laburnumpier_router/backend/engine_port.py
@@ -113,11 +113,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ServiceResponse:
-    """Complete HTTP response of a plain service."""
+    """HTTP response of a plain service.
+
+    Attributes:
+        has_explicit_end: Whether a length or chunks showed that the body is whole. Otherwise it
+            ended with its connection, which a crash ends as well.
+    """
 
     status: int
     content_type: str
     body: bytes
+    has_explicit_end: bool = True
 
 
 class ServicePort(Protocol):
--- a/packages/router/laburnumpier_router/backend/http_clients.py
+++ b/packages/router/laburnumpier_router/backend/http_clients.py
@@ -11,6 +11,7 @@
     ServerUnreachableError,
 )
 
+from ..response_end import get_end_marker, make_reset_aware_connector
 from .engine_port import (
     EngineCall,
     EngineEvent,
@@ -181,8 +182,9 @@
             ServerConnectionLostError: If the outcome is unknown.
         """
         if self._session is None:
-            connector = aiohttp.TCPConnector(limit=0, force_close=True)
-            self._session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
+            self._session = aiohttp.ClientSession(
+                connector=make_reset_aware_connector(), auto_decompress=False
+            )
         target = f"{url}/{call.path}" + (f"?{call.query}" if call.query else "")
         timeout = aiohttp.ClientTimeout(
             total=timeout_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS
@@ -196,10 +198,19 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
+                has_explicit_end = get_end_marker(response).is_explicit
+                handler = response.connection.protocol if response.connection else None
                 body = await response.read()
+                if not has_explicit_end and getattr(handler, "was_reset", False):
+                    raise ServerConnectionLostError(
+                        "the connection was reset during a response without a length"
+                    )
                 content_type = response.headers.get("Content-Type", "application/octet-stream")
                 return ServiceResponse(
-                    status=response.status, content_type=content_type, body=body
+                    status=response.status,
+                    content_type=content_type,
+                    body=body,
+                    has_explicit_end=has_explicit_end,
                 )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise ServerUnreachableError(str(error)) from error
--- a/packages/router/laburnumpier_router/budget/slot.py
+++ b/packages/router/laburnumpier_router/budget/slot.py
@@ -22,11 +22,13 @@
         status: HTTP status of the response.
         content_type: Value of the Content-Type header.
         body: Response body; None if it was too large to store.
+        has_explicit_end: Whether a length or chunks showed that the body is whole.
     """
 
     status: int
     content_type: str
     body: bytes | None
+    has_explicit_end: bool = True
 
 
 class Bill(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/router/laburnumpier_router/callers/frontend.py
+++ b/packages/router/laburnumpier_router/callers/frontend.py
@@ -24,6 +24,7 @@
     IDEMPOTENCY_KEY_HEADER,
     REQUEST_ID_HEADER,
     RESULT_CODE_HEADER,
+    ResponseUntilClose,
     format_event,
     make_error_body,
     make_error_response,
@@ -257,13 +258,19 @@
             await response.write(b"event: error\ndata: " + event.encode() + b"\n\n")
             await response.write_eof()
 
-    async def _handle_call(self, request: web.Request, request_id: str) -> web.Response:
+    async def _handle_call(self, request: web.Request, request_id: str) -> web.StreamResponse:
         workspace = self._authenticate(request)
         call = await self._parse_call_request(request, workspace, request_id)
         response = await self._calls.call(call)
         self._metrics.count("callers.calls_served")
         headers = {**_make_response_headers(request_id), "Content-Type": response.content_type}
-        return web.Response(status=response.status, body=response.body, headers=headers)
+        if response.has_explicit_end:
+            return web.Response(status=response.status, body=response.body, headers=headers)
+        unbounded = ResponseUntilClose(status=response.status, headers=headers)
+        await unbounded.prepare(request)
+        await unbounded.write(response.body)
+        await unbounded.write_eof()
+        return unbounded
 
     async def _parse_call_request(
         self, request: web.Request, workspace: str, request_id: str
--- a/packages/router/laburnumpier_router/request/call_service.py
+++ b/packages/router/laburnumpier_router/request/call_service.py
@@ -366,7 +366,10 @@
             raise RequestError(ResultCode.REQUEST_EXPIRED, ran=Ran.YES)
         self._metrics.count("request.replayed")
         return ServiceResponse(
-            status=outcome.status, content_type=outcome.content_type, body=outcome.body
+            status=outcome.status,
+            content_type=outcome.content_type,
+            body=outcome.body,
+            has_explicit_end=outcome.has_explicit_end,
         )
 
     async def _run(
@@ -470,7 +473,12 @@
     if response is None:
         return StoredOutcome(status=UNKNOWN_STATUS, content_type="", body=None)
     body = response.body if len(response.body) <= MAX_STORED_BODY_BYTES else None
-    return StoredOutcome(status=response.status, content_type=response.content_type, body=body)
+    return StoredOutcome(
+        status=response.status,
+        content_type=response.content_type,
+        body=body,
+        has_explicit_end=response.has_explicit_end,
+    )
 
 
 def _make_work_item(request: CallRequest, failed_servers: set[str]) -> WorkItem:
