--- a/features/forward/open_ends.feature
+++ b/features/forward/open_ends.feature
@@ -29,3 +29,67 @@
       | 1.1     | falls silent after 2 events                  | framed and incomplete |
       | 1.1     | falls silent after 2 events without a length | reset                 |
       | 1.0     | falls silent after 2 events                  | reset                 |
+
+  # Guards against a request that outlives its deadline and a stop: the end of its response is
+  # waited for once more, without a limit, after its time is over.
+  Scenario Outline: A stream without a length ends at its deadline although its caller takes nothing
+    Given a server that streams without a length and one that <next>
+    When a caller that does not take the end sends a <kind> request with a limit of 1 second
+    Then the request has ended within 1.5 seconds, and its response is aborted
+
+    Examples:
+      | kind             | next      |
+      | plain stream     | streams   |
+      | resumable stream | is silent |
+
+  # Guards against a stream that is sent twice: events without ids cannot be taken up after the last.
+  Scenario Outline: A stream without ids or a length is not sent twice
+    Given a server that <behaviour> and one that <behaviour>
+    When a caller of HTTP/1.1 sends a resumable stream request with at most 2 attempts
+    Then its events hold each piece once at most
+    And the caller sees an answer that is <end>
+
+    Examples:
+      | behaviour                                                 | end                   |
+      | streams without ids or a length                           | closed                |
+      | breaks off a stream without ids after 2 events and a half | framed and incomplete |
+
+  # Guards against a last chunk that the server did not send: the last coding of all lines decides.
+  Scenario Outline: An answer whose last transfer coding is not chunked ends with its connection
+    Given a server that <behaviour> and one that answers
+    When a caller of HTTP/1.1 sends a non-idempotent request with at most 1 attempts
+    Then the caller sees no answer that is complete
+
+    Examples:
+      | behaviour                                      |
+      | closes an answer with codings on two lines     |
+      | closes an answer with two codings on one line  |
+      | closes an answer with a coding of another name |
+
+  # Guards against a request body that the HTTP library decodes although its coding is passed on:
+  # the server gets other bytes, and a part of a coded body looks whole.
+  Scenario Outline: A request body with a content coding reaches the server unchanged
+    Given a server that answers and one that answers
+    When a caller sends a body that is coded with gzip and <state>
+    Then the server has the bytes of the caller, or no request
+
+    Examples:
+      | state     |
+      | whole     |
+      | cut short |
+
+  # Guards against retries that are used up by asking for ends, so that none is left for failures.
+  Scenario: Streams that break off go on in a service whose whole streams have no length
+    Given a server that streams without a length and one that streams without a length
+    When callers send 100 resumable stream requests with at most 2 attempts
+    And the first server breaks off after 2 events and a half from now on, and the second streams
+    And callers send 10 resumable stream requests with at most 2 attempts
+    Then no caller has fewer than 5 events in any answer
+
+  # Guards against retries that are spent on an end of which two servers have said the same.
+  Scenario: A whole stream without a length is asked for at one other server
+    Given a server that streams without a length and one that streams without a length
+    And a third server that streams without a length
+    When callers send 10 resumable stream requests with at most 3 attempts
+    Then no caller has fewer than 5 events in an answer that looks complete
+    And the third server was not asked
--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -163,6 +163,20 @@
             case "falls silent after 2 events without a length":
                 await self._send(writer, stream_head + b"\r\n" + b"".join(events[:2]))
                 await self._wait_for_close(reader)
+            case "streams without ids or a length":
+                await self._send(writer, stream_head + b"\r\n" + _remove_ids(events))
+            case "breaks off a stream without ids after 2 events and a half":
+                part = _remove_ids(events[:2]) + b"data: pie"
+                await self._send(writer, chunked_head + _encode_chunk(part))
+                await asyncio.sleep(0.05)
+                _reset_connection(writer)
+            case "closes an answer with codings on two lines":
+                codings = b"Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n\r\n"
+                await self._send(writer, head + codings + b"hel")
+            case "closes an answer with two codings on one line":
+                await self._send(writer, head + b"Transfer-Encoding: chunked, gzip\r\n\r\nhel")
+            case "closes an answer with a coding of another name":
+                await self._send(writer, head + b"Transfer-Encoding: gzip\r\n\r\nhel")
             case other:
                 raise ValueError(f"unknown behaviour: {other}")
 
@@ -191,3 +205,7 @@
 
 def _encode_chunk(data: bytes) -> bytes:
     return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def _remove_ids(events: list[bytes]) -> bytes:
+    return b"".join(event.partition(b"\n")[2] for event in events)
