Pass on the body of a request without decoding it

Servers got decoded bytes under the caller's Content-Encoding, and a part of a coded body that was cut short looked whole: the HTTP library decodes request bodies by default. Two examples of open_ends.feature failed before and pass now.

--- a/packages/router/laburnumpier_router/forward/frontend.py
+++ b/packages/router/laburnumpier_router/forward/frontend.py
@@ -207,6 +207,8 @@
             request_factory=self._make_request,
             handler_cancellation=True,
             access_log=None,
+            # The server gets the bytes of the caller, who names their coding to it.
+            auto_decompress=False,
             max_field_size=32768,
             max_line_size=32768,
         )
