Judge the end of an answer by the last of all its transfer codings

An answer with 'chunked' and 'gzip' on two lines is read until its connection ends, and the router gave it a length, since it looked at the first line only. The example failed before and passes now.

--- a/packages/router/laburnumpier_router/response_end.py
+++ b/packages/router/laburnumpier_router/response_end.py
@@ -50,7 +50,8 @@
 
 def get_end_marker(response: aiohttp.ClientResponse) -> EndMarker:
     """Returns how a response says where its body ends, as RFC 9112, section 6.3 has it."""
-    coding = response.headers.get("Transfer-Encoding", "").rpartition(",")[2].strip().lower()
+    codings = ",".join(response.headers.getall("Transfer-Encoding", ()))
+    coding = codings.rpartition(",")[2].strip().lower()
     if coding == "chunked":
         return EndMarker.CHUNKS
     is_empty = response.method == "HEAD" or response.status in EMPTY_STATUSES
