Break off a streamed chat that is given up

After the write timeout of a slow caller the handler returned an unfinished response, and the HTTP library added the last chunk. Two examples of stream_ends.feature failed before ('framed and complete', 'closed') and pass now.

--- a/packages/router/laburnumpier_router/callers/frontend.py
+++ b/packages/router/laburnumpier_router/callers/frontend.py
@@ -25,6 +25,7 @@
     REQUEST_ID_HEADER,
     RESULT_CODE_HEADER,
     ResponseUntilClose,
+    abort_response,
     format_event,
     make_error_body,
     make_error_response,
@@ -241,6 +242,7 @@
             return response
         except TimeoutError:
             self._metrics.count("callers.too_slow")
+            abort_response(request, response)
             return response
         if not response.prepared:
             await response.prepare(request)
