Do not resume a stream that has events without ids

Such a stream is now broken off, or ends as its server ended it. Two examples of open_ends.feature failed before and pass now.

--- a/packages/router/laburnumpier_router/forward/event_stream.py
+++ b/packages/router/laburnumpier_router/forward/event_stream.py
@@ -17,9 +17,11 @@
     Attributes:
         last_event_id: Id of the last event that was returned or that the caller had before.
         event_count: Number of events with an id that were returned.
+        has_unnumbered_event: Whether an event without an id was returned. The stream cannot be
+            resumed then, because the next server would send that event again.
     """
 
-    __slots__ = ("_buffer", "event_count", "last_event_id")
+    __slots__ = ("_buffer", "event_count", "has_unnumbered_event", "last_event_id")
 
     def __init__(self, *, last_event_id: int | None):
         """Creates a splitter.
@@ -30,6 +32,7 @@
         self._buffer = b""
         self.last_event_id = last_event_id
         self.event_count = 0
+        self.has_unnumbered_event = False
 
     @property
     def has_partial_event(self) -> bool:
@@ -64,10 +67,17 @@
                     continue
                 self.last_event_id = event_id
                 self.event_count += 1
+            elif _has_data(event):
+                self.has_unnumbered_event = True
             complete.append(event + b"\n\n")
         return b"".join(complete)
 
 
+def _has_data(event: bytes) -> bool:
+    """Whether an event has data; comments that keep a connection open have none."""
+    return any(line.startswith(b"data:") for line in event.split(b"\n"))
+
+
 def _parse_event_id(event: bytes) -> int | None:
     for line in event.split(b"\n"):
         if line.startswith(b"id:"):
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -135,7 +135,8 @@
     @property
     def is_resumable(self) -> bool:
         """Whether its stream can go on at another server."""
-        return self.route.kind is RouteKind.STREAM and self.route.resumable
+        is_resumable = self.route.kind is RouteKind.STREAM and self.route.resumable
+        return is_resumable and not self.splitter.has_unnumbered_event
 
     @property
     def charged_tokens(self) -> int:
