End a response at its deadline although its caller takes nothing

At the deadline, and at the end of a stop, the end of a response without a length was waited for outside every time limit; a caller who read nothing kept the request and its reservation open. Such a response is aborted now. So that a silent server does not use up the time, one that is asked what follows an open end has the timeout of a silent stream also on the last attempt. Two examples of open_ends.feature were still open after 4 s, limit 1 s, and pass now; answer_ends.feature passes.

--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -316,7 +316,7 @@
             if progress.attempt_log:
                 progress.attempt_log[-1] += ":stopping" if progress.is_cut else ":time_over"
             if sink.started:
-                await self._end_started_response(progress, sink)
+                sink.abort()
                 return
             raise self._make_timeout_error(progress) from error
         finally:
@@ -501,6 +501,8 @@
     ) -> float | None:
         """Returns the seconds of silence after which another server is tried; None for never."""
         route = progress.route
+        if progress.has_open_end:
+            return self._get_gap_timeout(route)
         is_last_send = progress.send_count + 1 >= route.max_attempts and not sink_started
         if not progress.is_retryable or is_last_send:
             return None
@@ -509,7 +511,7 @@
         if route.kind is RouteKind.IDEMPOTENT:
             return RESPONSE_TIMEOUT_FACTOR * route.target_latency_seconds
         if sink_started:
-            return max(MIN_STREAM_TIMEOUT_SECONDS, GAP_TIMEOUT_FACTOR * route.target_gap_seconds)
+            return self._get_gap_timeout(route)
         return max(
             MIN_STREAM_TIMEOUT_SECONDS, FIRST_EVENT_TIMEOUT_FACTOR * route.target_latency_seconds
         )
@@ -521,6 +523,9 @@
             return len(usable) > 1
         return any(server.entry.server_id not in progress.tried_server_ids for server in usable)
 
+    def _get_gap_timeout(self, route: Route) -> float:
+        return max(MIN_STREAM_TIMEOUT_SECONDS, GAP_TIMEOUT_FACTOR * route.target_gap_seconds)
+
     def _build_call(self, progress: RequestProgress, server: ServerLoad) -> ServerCall:
         request = progress.request
         remaining_seconds = progress.deadline_seconds - self._clock.monotonic_seconds()
@@ -674,7 +679,7 @@
     async def _read_next_chunk(self, progress: RequestProgress, chunks, sink: ResponseSink):
         """Returns the next chunk of a stream, or None at its end."""
         timeout_seconds = None
-        if progress.send_count < progress.route.max_attempts:
+        if progress.has_open_end or progress.send_count < progress.route.max_attempts:
             timeout_seconds = self._get_silence_timeout(progress, sink_started=sink.started)
         try:
             async with asyncio.timeout(timeout_seconds):
