Leave half of the retries to failures that are certain, and ask one server what follows an open end

In a service whose streams never have a length, each whole stream took a retry to ask another server what follows it, and with three attempts a third server too. None was left when a server did break streams off. Asking may use half of the retry budget now, and ends once two servers have said the same.

A stream without a length that cannot be asked for ends with its connection, as its server ended it. A crash between two events then looks like the end to its caller, as it does to the router.

--- a/packages/router/laburnumpier_router/forward/retry_budget.py
+++ b/packages/router/laburnumpier_router/forward/retry_budget.py
@@ -53,14 +53,22 @@
         times.append(now_seconds)
         self._discard_expired(times, now_seconds)
 
-    def try_acquire(self, service: str, now_seconds: float) -> bool:
-        """Records a retry and returns True if the budget allows one."""
+    def try_acquire(self, service: str, now_seconds: float, *, share: float = 1.0) -> bool:
+        """Records a retry and returns True if the budget allows one.
+
+        Args:
+            service: Service to which the request is sent again.
+            now_seconds: Current monotonic time.
+            share: Part of the allowance that retries of this kind may use up.
+        """
         first_sends = self._first_sends.setdefault(service, collections.deque())
         retries = self._retries.setdefault(service, collections.deque())
         self._discard_expired(first_sends, now_seconds)
         self._discard_expired(retries, now_seconds)
-        allowed = SAFETY_FACTOR * (
-            self._ratio * len(first_sends) + self._extra / self._member_count
+        allowed = (
+            share
+            * SAFETY_FACTOR
+            * (self._ratio * len(first_sends) + self._extra / self._member_count)
         )
         if len(retries) + 1 > allowed:
             return False
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -49,6 +49,11 @@
 """Timeout for the response to an idempotent call, as a multiple of the target latency."""
 RETRY_AFTER_SECONDS = 0.3
 """Retry-After of refusals; most are resolved by the next registry change or free slot."""
+OPEN_END_RETRY_SHARE = 0.5
+"""Part of the retry budget that asking for what follows an open end may use up; failures that are
+certain need the rest."""
+OPEN_END = "open_end"
+"""Reason of a server attempt whose stream ended with its connection after whole events."""
 EVENT_STREAM = "text/event-stream"
 
 _log = get_part_logger("forward")
@@ -394,7 +399,9 @@
             return unreachable_count < MAX_UNREACHABLE_SERVERS
         if progress.send_count >= progress.route.max_attempts:
             return False
-        if self._retry_budget.try_acquire(progress.service, self._clock.monotonic_seconds()):
+        share = OPEN_END_RETRY_SHARE if failure.reason == OPEN_END else 1.0
+        now = self._clock.monotonic_seconds()
+        if self._retry_budget.try_acquire(progress.service, now, share=share):
             self._metrics.count("forward.repeats")
             return True
         self._metrics.count("forward.retry_budget_empty")
@@ -654,10 +661,13 @@
         if exchange.end_marker.is_explicit:
             await sink.finish_stream()
             return
+        if progress.has_open_end or not progress.is_resumable:
+            # Asked what follows, a second server has said the same; or no other can be asked.
+            progress.has_open_end = True
+            await self._end_started_response(progress, sink)
+            return
         progress.has_open_end = True
-        if progress.is_resumable or sink.has_explicit_end:
-            raise _ServerAttemptError("open_end", Ran.UNKNOWN)
-        await sink.finish_stream()
+        raise _ServerAttemptError(OPEN_END, Ran.UNKNOWN)
 
     async def _start_stream(
         self, progress: RequestProgress, exchange: ServerExchange, sink: ResponseSink
