A stream that a caller takes up goes on at the software version that began it

Callers that came back with Last-Event-Id could get the later events of another software version than the earlier ones, at the same router and at every other one: the header `Resumes` was not read, and nothing was kept of an attempt after its end.

The router that passes on the first event of a resumable stream records its service and version with the directory of origins before the caller can have the event. The key is the attempt that brought the first event, also when the stream is taken up again, so that a third router finds it. A request of a caller that has events asks for the origin before anything is reserved or sent, and only servers of that version are candidates.

A known version without a server that takes requests is refused at once as not run (5001). An unknown origin is refused as not run (5005, new) while servers of two versions are registered; with one version only, the stream goes on there. Last-Event-Id 0 begins a new stream.

Log records tell the attempt that is resumed, and the lines of a server its service and version.

--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -29,6 +29,7 @@
 from laburnumpier_router.forward.retry_budget import RetryBudget
 from laburnumpier_router.forward.servers import ServerTable
 from laburnumpier_router.forward.service import ForwardService
+from laburnumpier_router.forward.stream_versions import StreamVersions
 from laburnumpier_router.forward.time_limits import TimeLimits
 from laburnumpier_router.ports.server_registry import RegisteredServer
 from scripted_server import ScriptedServer
@@ -74,6 +75,21 @@
         self.charged += min(used, reservation.amount)
 
 
+class FakeOrigins:
+    """Remembers where streams began, in memory."""
+
+    def __init__(self):
+        self._origins = {}
+
+    def record(self, attempt_id, origin, keep_seconds):
+        """Remembers an origin."""
+        self._origins[attempt_id] = origin
+
+    async def find(self, attempt_id):
+        """Returns a remembered origin or None."""
+        return self._origins.get(attempt_id)
+
+
 class RecordHandler(logging.Handler):
     """Appends log records to a list."""
 
@@ -126,6 +142,7 @@
             budget=context.budget,
             table=table,
             client=client,
+            stream_versions=StreamVersions(origins=FakeOrigins(), table=table, metrics=metrics),
             dialect=PlatformDialect(),
             retry_budget=RetryBudget(ratio=0.2, extra=20, window_seconds=10),
             time_limits=time_limits,
--- a/packages/core/laburnumpier_core/result_codes.py
+++ b/packages/core/laburnumpier_core/result_codes.py
@@ -49,6 +49,7 @@
     SERVER_REFUSED = 5002
     SERVER_FAILED = 5003
     OUTCOME_UNKNOWN = 5004
+    STREAM_ORIGIN_UNKNOWN = 5005
     CONFLICT = 6001
     OPERATOR_UNAUTHORIZED = 6002
     INVALID_CONFIGURATION = 6003
@@ -106,6 +107,9 @@
     ResultCode.SERVER_REFUSED: _info(503, "The backend server refused the request."),
     ResultCode.SERVER_FAILED: _info(502, "The backend server failed while it ran the request."),
     ResultCode.OUTCOME_UNKNOWN: _info(502, "The call was sent and its outcome cannot be known."),
+    ResultCode.STREAM_ORIGIN_UNKNOWN: _info(
+        503, "It is unknown at which software version the stream began."
+    ),
     ResultCode.CONFLICT: _info(409, "The patch was written against an outdated number."),
     ResultCode.OPERATOR_UNAUTHORIZED: _info(401, "The operator token is missing or wrong."),
     ResultCode.INVALID_CONFIGURATION: _info(422, "The patched configuration is not valid."),
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -49,6 +49,7 @@
 from .forward.servers import ServerTable
 from .forward.service import ForwardService
 from .forward.stream_origins import StreamOrigins
+from .forward.stream_versions import StreamVersions
 from .forward.time_limits import TimeLimits
 from .graceful_stop import GracefulStop, StopTimes, plan_stop
 from .operators.frontend import OperatorFrontend
@@ -565,6 +566,11 @@
                 budget=self._budget,
                 table=self._server_table,
                 client=ports.client,
+                stream_versions=StreamVersions(
+                    origins=self._stream_origins,
+                    table=self._server_table,
+                    metrics=self._metrics,
+                ),
                 dialect=ports.dialect,
                 retry_budget=self._retry_budget,
                 time_limits=time_limits,
--- a/packages/router/laburnumpier_router/forward/servers.py
+++ b/packages/router/laburnumpier_router/forward/servers.py
@@ -123,11 +123,10 @@
         known = self._servers.get(entry.server_id)
         if known is None or known.entry.address != entry.address:
             self._servers[entry.server_id] = ServerLoad(entry=entry)
-            _log.info("server seen", fields={"server": entry.server_id, "leaving": entry.leaving})
+            _log.info("server seen", fields=_describe(entry))
             return
-        if known.entry.leaving != entry.leaving:
-            fields = {"server": entry.server_id, "leaving": entry.leaving}
-            _log.info("server changed", fields=fields)
+        if _describe(known.entry) != _describe(entry):
+            _log.info("server changed", fields=_describe(entry))
         known.entry = entry
 
     def remove(self, server_id: str) -> None:
@@ -156,6 +155,14 @@
             and software_version in (None, server.entry.software_version)
         ]
 
+    def list_versions(self, service: str) -> set[str]:
+        """Returns the software versions of all registered servers of a service."""
+        return {
+            server.entry.software_version
+            for server in self._servers.values()
+            if server.entry.service == service
+        }
+
     def forget_departure(self, server_id: str) -> None:
         """Accepts a server again, as its outdated entry is gone from the registry."""
         self._retained_departures.pop(server_id, None)
@@ -165,3 +172,13 @@
         self._departures.move_to_end(entry.server_id)
         while len(self._departures) > MAX_REMEMBERED_DEPARTURES:
             self._departures.popitem(last=False)
+
+
+def _describe(entry: RegisteredServer) -> dict[str, str | bool]:
+    """Returns the fields of an entry that are logged."""
+    return {
+        "server": entry.server_id,
+        "service": entry.service,
+        "version": entry.software_version,
+        "leaving": entry.leaving,
+    }
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -35,6 +35,7 @@
 from .retry_budget import RetryBudget
 from .routes import RouteTable, choose_service
 from .servers import ServerLoad, ServerTable
+from .stream_versions import StreamVersions
 from .time_limits import TimeLimits
 
 MAX_UNREACHABLE_SERVERS = 4
@@ -109,6 +110,7 @@
         sent_to: Registry entry of the server to which it was last sent, as of that moment.
         software_version: Version at which the stream began, and the only one at which it may go
             on; None before its first event.
+        is_version_recorded: Whether this response has passed on an event.
     """
 
     request: ForwardRequest
@@ -131,6 +133,7 @@
     tried_server_ids: set[str] = dataclasses.field(default_factory=set)
     sent_to: RegisteredServer | None = None
     software_version: str | None = None
+    is_version_recorded: bool = False
 
     @property
     def is_retryable(self) -> bool:
@@ -143,6 +146,11 @@
         is_resumable = self.route.kind is RouteKind.STREAM and self.route.resumable
         return is_resumable and not self.splitter.has_unnumbered_event
 
+    @property
+    def is_taken_up(self) -> bool:
+        """Whether it goes on with a stream of which its caller has events."""
+        return self.route.kind is RouteKind.STREAM and self.request.head.has_events
+
     @property
     def charged_tokens(self) -> int:
         """Tokens to be charged: the prompt once, and the events delivered to the caller."""
@@ -168,6 +176,7 @@
         "_routes",
         "_routes_configuration",
         "_stop_accept_until_seconds",
+        "_stream_versions",
         "_table",
         "_time_limits",
     )
@@ -179,6 +188,7 @@
         budget: BudgetService,
         table: ServerTable,
         client: ServerClient,
+        stream_versions: StreamVersions,
         dialect: Dialect,
         retry_budget: RetryBudget,
         time_limits: TimeLimits,
@@ -194,6 +204,7 @@
             budget: Reserves and settles tokens.
             table: Registered servers.
             client: Sends requests to servers.
+            stream_versions: Decides at which version streams go on that callers take up.
             dialect: Translates headers between callers, this router and servers.
             retry_budget: Limits the retries to each service.
             time_limits: Time limits of all open requests.
@@ -206,6 +217,7 @@
         self._budget = budget
         self._table = table
         self._client = client
+        self._stream_versions = stream_versions
         self._dialect = dialect
         self._retry_budget = retry_budget
         self._time_limits = time_limits
@@ -235,6 +247,8 @@
         outcome = "failed"
         try:
             progress = self._admit(request)
+            if progress.is_taken_up:
+                await self._find_origin(progress)
             await self._reserve_and_run(progress, sink)
             outcome = "answered" if sink.finished else "broken_off"
             if progress.is_cut:
@@ -265,13 +279,13 @@
             raise RequestError(ResultCode.NOT_FOUND)
         name, route = match
         workspace = self._find_workspace(request, route)
-        service = choose_service(route, request.head.attempt_id)
+        first_attempt_id = request.head.resumes_attempt_id if request.head.has_events else ""
+        service = choose_service(route, first_attempt_id or request.head.attempt_id)
         limit_seconds = route.time_limit_seconds
         if request.head.timeout_seconds is not None:
             limit_seconds = min(limit_seconds, request.head.timeout_seconds)
         deadline_seconds = request.received_seconds + limit_seconds
         self._check_time_before_stop(request, deadline_seconds)
-        engine = configuration.services[service].engine
         return RequestProgress(
             request=request,
             route_name=name,
@@ -280,9 +294,25 @@
             workspace=workspace,
             deadline_seconds=deadline_seconds,
             splitter=EventSplitter(last_event_id=request.head.resume_after),
-            tokens_per_event=engine.tokens_per_event if engine else 1,
+            tokens_per_event=self._get_tokens_per_event(service),
         )
 
+    async def _find_origin(self, progress: RequestProgress) -> None:
+        """Limits a stream that its caller takes up to the version that began it.
+
+        Raises:
+            RequestError: If that version is unknown or has no server.
+        """
+        head, route = progress.request.head, progress.route
+        origin = await self._stream_versions.find(head, route, progress.service)
+        progress.service = origin.service
+        progress.software_version = origin.software_version
+        progress.tokens_per_event = self._get_tokens_per_event(origin.service)
+
+    def _get_tokens_per_event(self, service: str) -> int:
+        engine = self._configuration.configuration.services[service].engine
+        return engine.tokens_per_event if engine else 1
+
     def _check_time_before_stop(self, request: ForwardRequest, deadline_seconds: float) -> None:
         """Refuses a request that the end of a stop could cut.
 
@@ -669,6 +699,14 @@
         progress.has_open_end = True
         raise _ServerAttemptError(OPEN_END, Ran.UNKNOWN)
 
+    def _record_version(self, progress: RequestProgress) -> None:
+        """Binds a stream to the version that sends its first event, at all routers."""
+        if progress.is_version_recorded:
+            return
+        progress.is_version_recorded = True
+        progress.software_version = progress.sent_to.software_version
+        self._stream_versions.record(progress.request.head, progress.route, progress.sent_to)
+
     async def _start_stream(
         self, progress: RequestProgress, exchange: ServerExchange, sink: ResponseSink
     ) -> None:
@@ -717,6 +755,8 @@
             "configuration": self._configuration.number,
             "cost": request.head.max_cost_tokens,
         }
+        if request.head.has_events:
+            fields["resumes"] = request.head.resumes_attempt_id
         if progress is not None:
             fields["route"] = progress.route_name
             fields["workspace"] = progress.workspace
--- /dev/null
+++ b/packages/router/laburnumpier_router/forward/stream_versions.py
@@ -0,0 +1,112 @@
+"""Decides at which software version a stream that a caller takes up may go on.
+
+Servers do not check that a stream goes on at the version that began it, and what two versions
+write does not fit together. A version that is not known is never guessed: the request is refused
+before anything is reserved or sent.
+"""
+
+from typing import Protocol
+
+from laburnumpier_core.errors import RequestError
+from laburnumpier_core.metrics import Metrics
+from laburnumpier_core.result_codes import ResultCode
+
+from ..configuration.document import Route
+from ..ports.dialect import RequestHead
+from ..ports.server_registry import RegisteredServer
+from .servers import ServerTable
+from .stream_origin import StreamOrigin
+
+KEEP_FACTOR = 2.0
+"""Time for which an origin is kept, as a multiple of the route's time limit. A caller may come
+back with its last try at the end of the first limit."""
+UNKNOWN_RETRY_AFTER_SECONDS = 0.5
+"""Retry-After of streams of unknown origin: a router that has just started needs about that long
+to know its peers."""
+NO_SERVER_RETRY_AFTER_SECONDS = 0.3
+"""Retry-After of streams whose version has no server that takes requests."""
+
+
+class OriginDirectory(Protocol):
+    """Remembers across the fleet where streams began."""
+
+    def record(self, attempt_id: str, origin: StreamOrigin, keep_seconds: float) -> None:
+        """Remembers where the stream of an attempt began."""
+
+    async def find(self, attempt_id: str) -> StreamOrigin | None:
+        """Returns where the stream of an attempt began; None if that is unknown."""
+
+
+class StreamVersions:
+    """Records where streams begin, and finds it for those that callers take up."""
+
+    __slots__ = ("_metrics", "_origins", "_table")
+
+    def __init__(self, *, origins: OriginDirectory, table: ServerTable, metrics: Metrics):
+        """Creates the decisions for the streams of one router.
+
+        Args:
+            origins: Remembers where streams began.
+            table: Registered servers.
+            metrics: Counters.
+        """
+        self._origins = origins
+        self._table = table
+        self._metrics = metrics
+
+    def record(self, head: RequestHead, route: Route, server: RegisteredServer) -> None:
+        """Records that an event of a stream is about to be passed on.
+
+        Args:
+            head: Request that brings the event.
+            route: Its route.
+            server: Server that sent the event, as registered when the request was sent to it.
+        """
+        attempt_id = head.resumes_attempt_id if head.has_events else head.attempt_id
+        if route.resumable and attempt_id:
+            origin = StreamOrigin(service=server.service, software_version=server.software_version)
+            self._origins.record(attempt_id, origin, _get_keep_seconds(route))
+
+    async def find(self, head: RequestHead, route: Route, service: str) -> StreamOrigin:
+        """Returns where a stream that a caller takes up has to go on.
+
+        Args:
+            head: Request of a caller that has events of the stream.
+            route: Its route.
+            service: Service of a stream whose origin is unknown.
+
+        Raises:
+            RequestError: If its version is unknown or has no server that takes requests.
+        """
+        origin = None
+        if head.resumes_attempt_id:
+            origin = await self._origins.find(head.resumes_attempt_id)
+        if origin is None:
+            origin = self._find_only_origin(service)
+        if origin is None:
+            self._metrics.count("forward.taken_up_unknown")
+            raise RequestError(
+                ResultCode.STREAM_ORIGIN_UNKNOWN, retry_after_seconds=UNKNOWN_RETRY_AFTER_SECONDS
+            )
+        is_routed = any(weighted.service == origin.service for weighted in route.services)
+        if not is_routed or not self._table.list_usable(origin.service, origin.software_version):
+            self._metrics.count("forward.taken_up_without_server")
+            raise RequestError(
+                ResultCode.NO_SERVER,
+                retry_after_seconds=NO_SERVER_RETRY_AFTER_SECONDS,
+                detail="no server of the version that began the stream takes requests",
+            )
+        self._metrics.count("forward.taken_up")
+        return origin
+
+    def _find_only_origin(self, service: str) -> StreamOrigin | None:
+        """Returns the origin of every stream of a service with a single version."""
+        versions = self._table.list_versions(service)
+        if len(versions) != 1:
+            return None
+        return StreamOrigin(service=service, software_version=versions.pop())
+
+
+def _get_keep_seconds(route: Route) -> float:
+    """Returns for how long a caller may take up a stream of a route."""
+    return KEEP_FACTOR * route.time_limit_seconds
--- a/packages/router/laburnumpier_router/ports/dialect.py
+++ b/packages/router/laburnumpier_router/ports/dialect.py
@@ -29,6 +29,8 @@
         max_output_tokens: Upper limit of tokens in the response.
         prompt_parts: Parts of the prompt in order; shared parts come first.
         resume_after: Id of the last event that the caller received; None for a new stream.
+        resumes_attempt_id: Attempt that brought the caller the first event of the stream that it
+            takes up; empty if not stated.
     """
 
     attempt_id: str = ""
@@ -38,6 +40,12 @@
     max_output_tokens: int = 0
     prompt_parts: tuple[PromptPart, ...] = ()
     resume_after: int | None = None
+    resumes_attempt_id: str = ""
+
+    @property
+    def has_events(self) -> bool:
+        """Whether the caller has events of the stream already; ids of events start at 1."""
+        return bool(self.resume_after and self.resume_after > 0)
 
     @property
     def max_cost_tokens(self) -> int:
