Do not take a stream up at a server that may be back at another version

A stream could go on at another version although both registry entries said the same: a server that starts again under its id runs the new version before its entry shows it. The router that saw its connection break asked it again as soon as the caller came back.

A connection that was refused, reset or closed makes a restart possible for five seconds, or until the entry of a new start is read. Within that time other servers of the stream's version are preferred for streams that go on. New streams are placed as before.

'After a reset the stream goes on at another server of its version while the entry may lag' failed before with events 1 2 of v1 and 3 4 5 of v1.2.

--- a/packages/router/laburnumpier_router/forward/placement.py
+++ b/packages/router/laburnumpier_router/forward/placement.py
@@ -69,6 +69,28 @@
     return _choose_least_loaded(candidates, request.data_centre, now_seconds, random_source)
 
 
+def prefer_certain_versions(
+    servers: list[ServerLoad], request: PlacementRequest, now_seconds: float
+) -> list[ServerLoad]:
+    """Removes servers that may have started again at another version, unless no others are left.
+
+    A registry entry lags behind its server, so a stream that goes on could meet a version that the
+    entry does not show yet.
+
+    Args:
+        servers: Servers whose entries have the version at which a stream goes on.
+        request: Properties of the request; servers that were tried before are not left.
+        now_seconds: Current monotonic time.
+    """
+    certain = [
+        server
+        for server in servers
+        if now_seconds >= server.restart_suspected_until_seconds
+        and server.entry.server_id not in request.exclude
+    ]
+    return certain or servers
+
+
 def get_affinity_key(parts: tuple[PromptPart, ...]) -> str:
     """Returns the id of the last shared part of a prompt; empty if there is no prompt.
 
--- a/packages/router/laburnumpier_router/forward/servers.py
+++ b/packages/router/laburnumpier_router/forward/servers.py
@@ -14,6 +14,9 @@
 MAX_BACKOFF_SECONDS = 4.0
 """Upper bound of the backoff, so that a recovered server gets requests again within the
 time allowed for a recovery."""
+RESTART_SUSPICION_SECONDS = 5.0
+"""Time after a lost connection within which a server may have started again without its registry
+entry showing it; a watch that has to be repeated takes about as long."""
 MAX_REMEMBERED_DEPARTURES = 500
 """Limit of the servers that left and are remembered for a return of the registry's older copy."""
 REPORT_MAX_AGE_SECONDS = 1.0
@@ -36,6 +39,8 @@
         failure_share: Exponentially smoothed share of failed requests.
         consecutive_unreachable: Consecutive requests that did not reach it or timed out.
         backoff_until_seconds: Monotonic time before which other servers are preferred.
+        restart_suspected_until_seconds: Monotonic time before which the server may run another
+            software version than its entry says.
     """
 
     entry: RegisteredServer
@@ -47,6 +52,7 @@
     failure_share: float = 0.0
     consecutive_unreachable: int = 0
     backoff_until_seconds: float = float("-inf")
+    restart_suspected_until_seconds: float = float("-inf")
 
     def record_start(self, tokens: int) -> None:
         """Adds a request that is sent to the server."""
@@ -79,6 +85,16 @@
         )
         self.backoff_until_seconds = now_seconds + backoff
 
+    def record_connection_lost(self, now_seconds: float) -> None:
+        """Records that a connection was refused, reset or closed early, as by a restart."""
+        self.restart_suspected_until_seconds = now_seconds + RESTART_SUSPICION_SECONDS
+
+    def replace_entry(self, entry: RegisteredServer) -> None:
+        """Takes over a changed entry; one of a new start shows the version that runs."""
+        if entry.started_ms != self.entry.started_ms:
+            self.restart_suspected_until_seconds = float("-inf")
+        self.entry = entry
+
     def record_report(self, running: int, waiting: int, now_seconds: float) -> None:
         """Records the server's own report of its load."""
         self.running = running
@@ -127,7 +143,7 @@
             return
         if _describe(known.entry) != _describe(entry):
             _log.info("server changed", fields=_describe(entry))
-        known.entry = entry
+        known.replace_entry(entry)
 
     def remove(self, server_id: str) -> None:
         """Removes a server; its requests in progress continue."""
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -31,7 +31,7 @@
 from ..ports.server_registry import RegisteredServer
 from .event_stream import EventSplitter, EventTooLargeError
 from .exchange import ForwardRequest, ResponseSink, ServerCall, ServerClient, ServerExchange
-from .placement import PlacementRequest, choose_server
+from .placement import PlacementRequest, choose_server, prefer_certain_versions
 from .retry_budget import RetryBudget
 from .routes import RouteTable, choose_service
 from .servers import ServerLoad, ServerTable
@@ -414,6 +414,8 @@
         )
         usable = self._table.list_usable(progress.service, progress.software_version)
         now = self._clock.monotonic_seconds()
+        if progress.software_version is not None:
+            usable = prefer_certain_versions(usable, request, now)
         return choose_server(usable, request, now, self._random)
 
     def _may_retry(
@@ -501,12 +503,15 @@
                 prompt_tokens = 0
                 await self._relay_response(progress, server, exchange, sink)
         except ServerUnreachableError as error:
-            server.record_unreachable(self._clock.monotonic_seconds())
+            now = self._clock.monotonic_seconds()
+            server.record_unreachable(now)
+            server.record_connection_lost(now)
             progress.may_have_run = may_have_run_before
             raise _ServerAttemptError("unreached", Ran.NO) from error
         except ServerConnectionLostError as error:
             progress.send_count += exchange is None
             server.record_failure()
+            server.record_connection_lost(self._clock.monotonic_seconds())
             progress.splitter.discard_partial_event()
             raise _ServerAttemptError("broke_off", Ran.UNKNOWN) from error
         except _ServerSilentError as error:
@@ -517,6 +522,8 @@
         except _ServerAttemptError as failure:
             if failure.ran is Ran.NO:
                 progress.may_have_run = may_have_run_before
+            if failure.reason == "open_end":
+                server.record_connection_lost(self._clock.monotonic_seconds())
             raise
         finally:
             server.record_prompt_processed(prompt_tokens)
