--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -726,11 +726,6 @@
             exchange.status, headers, has_explicit_end=exchange.end_marker.is_explicit
         )
 
-    def _record_version(self, progress: RequestProgress) -> None:
-        """Binds a stream to the version of the server that sends its first event."""
-        if progress.software_version is None:
-            progress.software_version = progress.sent_to.software_version
-
     async def _read_next_chunk(self, progress: RequestProgress, chunks, sink: ResponseSink):
         """Returns the next chunk of a stream, or None at its end."""
         timeout_seconds = None
