Go on with a stream of unknown origin only if no other version can have begun it

A caller whose stream began at a version that left a moment ago could get the later events of the only version still registered: an origin that no router knows was taken for that version. A router that had just started knew of no other version at all.

Each router now keeps when it last saw a version of a service serve. A stream of unknown origin goes on if a single version has served for twice the route's time limit, and is refused as not run (5005) otherwise. What served before a router's start, or while it could not read the registry, is listed in one record of the store. It is read once by a router that starts, and written when a version appears or has been gone for long. While the registry or the store does not answer, unknown origins are refused.

--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -90,6 +90,14 @@
         return self._origins.get(attempt_id)
 
 
+class FakeHistory:
+    """A history of servers that state no version."""
+
+    def find_only_version(self, service, seconds):
+        """Returns the only version."""
+        return ""
+
+
 class RecordHandler(logging.Handler):
     """Appends log records to a list."""
 
@@ -142,7 +150,9 @@
             budget=context.budget,
             table=table,
             client=client,
-            stream_versions=StreamVersions(origins=FakeOrigins(), table=table, metrics=metrics),
+            stream_versions=StreamVersions(
+                origins=FakeOrigins(), history=FakeHistory(), table=table, metrics=metrics
+            ),
             dialect=PlatformDialect(),
             retry_budget=RetryBudget(ratio=0.2, extra=20, window_seconds=10),
             time_limits=time_limits,
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import random
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
@@ -49,8 +50,9 @@
 from .forward.servers import ServerTable
 from .forward.service import ForwardService
 from .forward.stream_origins import StreamOrigins
-from .forward.stream_versions import StreamVersions
+from .forward.stream_versions import StreamVersions, get_keep_seconds
 from .forward.time_limits import TimeLimits
+from .forward.version_history import VersionHistory
 from .graceful_stop import GracefulStop, StopTimes, plan_stop
 from .operators.frontend import OperatorFrontend
 from .operators.reports import OperatorReports
@@ -68,6 +70,8 @@
 
 MAX_HOMES_PER_SHARD = 2
 """Maximum number of processes that consider themselves the home of one shard at the same time."""
+REGISTRY_MARGIN_SECONDS = 1.0
+"""Time that a watch of the registry may take beyond its own duration."""
 
 _log = get_part_logger("app")
 
@@ -347,6 +351,7 @@
             self._run_in_background(self._departure_monitor.check_periodically())
         if self._forward_frontend is not None:
             self._run_in_background(self._registry_follower.follow_periodically())
+            self._run_in_background(self._version_history.update_periodically())
             self._run_in_background(self._budget.refill_periodically())
         if self._settings.give_engine_orders:
             self._run_in_background(self._controller.send_orders_periodically())
@@ -559,6 +564,15 @@
             watch_seconds=settings.watch_seconds,
             lapsed_entry_seconds=settings.lapsed_entry_seconds,
         )
+        self._version_history = VersionHistory(
+            store=self._ports.store,
+            table=self._server_table,
+            clock=self._clock,
+            random_source=self._random,
+            is_registry_current=self.is_registry_current,
+            get_rank=self.get_rank,
+            get_retention_seconds=self._get_version_retention,
+        )
         time_limits = TimeLimits()
         self._forward_frontend = ForwardFrontend(
             service=ForwardService(
@@ -568,6 +582,7 @@
                 client=ports.client,
                 stream_versions=StreamVersions(
                     origins=self._stream_origins,
+                    history=self._version_history,
                     table=self._server_table,
                     metrics=self._metrics,
                 ),
@@ -739,6 +754,20 @@
             < self._settings.watchers
         )
 
+    def is_registry_current(self) -> bool:
+        """Whether the registry has confirmed the table of servers lately."""
+        age_seconds = self._clock.monotonic_seconds() - self._registry_follower.confirmed_seconds
+        return age_seconds <= self._settings.watch_seconds + REGISTRY_MARGIN_SECONDS
+
+    def get_rank(self) -> int:
+        """Returns the position of this process among the live routers, in the order of names."""
+        own_name = self._fleet.member.incarnation
+        return sum(name < own_name for name in self._fleet.view.live)
+
+    def _get_version_retention(self) -> float:
+        routes = self._configuration.configuration.routes.values()
+        return max((get_keep_seconds(route) for route in routes), default=math.inf)
+
     def watches_configuration(self) -> bool:
         """Whether this process watches the configuration.
 
--- a/packages/router/laburnumpier_router/forward/registry_follower.py
+++ b/packages/router/laburnumpier_router/forward/registry_follower.py
@@ -36,6 +36,7 @@
 
     __slots__ = (
         "_clock",
+        "_confirmed_seconds",
         "_era",
         "_lapsed_entry_seconds",
         "_last_failure_seconds",
@@ -74,11 +75,17 @@
         self._random = random_source
         self._watch_seconds = watch_seconds
         self._lapsed_entry_seconds = lapsed_entry_seconds
+        self._confirmed_seconds = float("-inf")
         self._era = UNKNOWN_ERA
         self._position: StorePosition | None = None
         self._last_failure_seconds = float("-inf")
         self._missing_timers: dict[str, asyncio.TimerHandle] = {}
 
+    @property
+    def confirmed_seconds(self) -> float:
+        """Monotonic time at which the registry last confirmed the table or changed it."""
+        return self._confirmed_seconds
+
     async def follow_periodically(self) -> None:
         """Follows the registry until cancelled."""
         while True:
@@ -99,6 +106,7 @@
         """
         if self._position is None:
             self._apply_snapshot(await self._registry.read_servers())
+            self._confirmed_seconds = self._clock.monotonic_seconds()
             return
         changes = await self._registry.wait_for_changes(self._position, self._watch_seconds)
         for entry in changes.written:
@@ -106,6 +114,7 @@
         for server_id in changes.removed:
             self._handle_removal(server_id)
         self._position = changes.position
+        self._confirmed_seconds = self._clock.monotonic_seconds()
 
     def _apply_snapshot(self, snapshot: RegistrySnapshot) -> None:
         if self._era not in (UNKNOWN_ERA, snapshot.position.era):
--- a/packages/router/laburnumpier_router/forward/servers.py
+++ b/packages/router/laburnumpier_router/forward/servers.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+from collections.abc import Callable
 
 from laburnumpier_core.log import get_part_logger
 
@@ -115,19 +116,24 @@
     leaving or gone. Such an entry is ignored, unless the server has started again.
     """
 
-    __slots__ = ("_departures", "_retained_departures", "_servers")
+    __slots__ = ("_departures", "_listeners", "_retained_departures", "_servers")
 
     def __init__(self):
         """Creates an empty table."""
         self._servers: dict[str, ServerLoad] = {}
         self._departures: collections.OrderedDict[str, int] = collections.OrderedDict()
         self._retained_departures: dict[str, int] = {}
+        self._listeners: list[Callable[[RegisteredServer], None]] = []
 
     @property
     def servers(self) -> dict[str, ServerLoad]:
         """Registered servers by id."""
         return self._servers
 
+    def add_listener(self, listener: Callable[[RegisteredServer], None]) -> None:
+        """Adds a function that is called with each entry that is added, replaced or removed."""
+        self._listeners.append(listener)
+
     def upsert(self, entry: RegisteredServer) -> None:
         """Adds or updates a registry entry; a new address resets load and failures."""
         if entry.leaving:
@@ -137,6 +143,9 @@
         else:
             self._departures.pop(entry.server_id, None)
         known = self._servers.get(entry.server_id)
+        if known is not None:
+            self._notify(known.entry)
+        self._notify(entry)
         if known is None or known.entry.address != entry.address:
             self._servers[entry.server_id] = ServerLoad(entry=entry)
             _log.info("server seen", fields=_describe(entry))
@@ -150,6 +159,7 @@
         server = self._servers.pop(server_id, None)
         if server is not None:
             self._record_departure(server.entry)
+            self._notify(server.entry)
             _log.info("server gone", fields={"server": server_id})
 
     def retain_departures(self) -> None:
@@ -171,18 +181,14 @@
             and software_version in (None, server.entry.software_version)
         ]
 
-    def list_versions(self, service: str) -> set[str]:
-        """Returns the software versions of all registered servers of a service."""
-        return {
-            server.entry.software_version
-            for server in self._servers.values()
-            if server.entry.service == service
-        }
-
     def forget_departure(self, server_id: str) -> None:
         """Accepts a server again, as its outdated entry is gone from the registry."""
         self._retained_departures.pop(server_id, None)
 
+    def _notify(self, entry: RegisteredServer) -> None:
+        for listener in self._listeners:
+            listener(entry)
+
     def _record_departure(self, entry: RegisteredServer) -> None:
         self._departures[entry.server_id] = entry.started_ms
         self._departures.move_to_end(entry.server_id)
--- a/packages/router/laburnumpier_router/forward/stream_versions.py
+++ b/packages/router/laburnumpier_router/forward/stream_versions.py
@@ -16,10 +16,11 @@
 from ..ports.server_registry import RegisteredServer
 from .servers import ServerTable
 from .stream_origin import StreamOrigin
+from .version_history import VersionHistory
 
 KEEP_FACTOR = 2.0
-"""Time for which an origin is kept, as a multiple of the route's time limit. A caller may come
-back with its last try at the end of the first limit."""
+"""Time within which a caller may take up a stream, as a multiple of the route's time limit: its
+last try may begin at the end of the first limit."""
 UNKNOWN_RETRY_AFTER_SECONDS = 0.5
 """Retry-After of streams of unknown origin: a router that has just started needs about that long
 to know its peers."""
@@ -40,17 +41,26 @@
 class StreamVersions:
     """Records where streams begin, and finds it for those that callers take up."""
 
-    __slots__ = ("_metrics", "_origins", "_table")
+    __slots__ = ("_history", "_metrics", "_origins", "_table")
 
-    def __init__(self, *, origins: OriginDirectory, table: ServerTable, metrics: Metrics):
+    def __init__(
+        self,
+        *,
+        origins: OriginDirectory,
+        history: VersionHistory,
+        table: ServerTable,
+        metrics: Metrics,
+    ):
         """Creates the decisions for the streams of one router.
 
         Args:
             origins: Remembers where streams began.
+            history: Knows which versions may have begun a stream of unknown origin.
             table: Registered servers.
             metrics: Counters.
         """
         self._origins = origins
+        self._history = history
         self._table = table
         self._metrics = metrics
 
@@ -65,7 +75,7 @@
         attempt_id = head.resumes_attempt_id if head.has_events else head.attempt_id
         if route.resumable and attempt_id:
             origin = StreamOrigin(service=server.service, software_version=server.software_version)
-            self._origins.record(attempt_id, origin, _get_keep_seconds(route))
+            self._origins.record(attempt_id, origin, get_keep_seconds(route))
 
     async def find(self, head: RequestHead, route: Route, service: str) -> StreamOrigin:
         """Returns where a stream that a caller takes up has to go on.
@@ -82,7 +92,7 @@
         if head.resumes_attempt_id:
             origin = await self._origins.find(head.resumes_attempt_id)
         if origin is None:
-            origin = self._find_only_origin(service)
+            origin = self._find_only_origin(service, route)
         if origin is None:
             self._metrics.count("forward.taken_up_unknown")
             raise RequestError(
@@ -99,14 +109,14 @@
         self._metrics.count("forward.taken_up")
         return origin
 
-    def _find_only_origin(self, service: str) -> StreamOrigin | None:
-        """Returns the origin of every stream of a service with a single version."""
-        versions = self._table.list_versions(service)
-        if len(versions) != 1:
+    def _find_only_origin(self, service: str, route: Route) -> StreamOrigin | None:
+        """Returns the origin of all streams that callers may hold, if all have the same one."""
+        version = self._history.find_only_version(service, get_keep_seconds(route))
+        if version is None:
             return None
-        return StreamOrigin(service=service, software_version=versions.pop())
+        return StreamOrigin(service=service, software_version=version)
 
 
-def _get_keep_seconds(route: Route) -> float:
+def get_keep_seconds(route: Route) -> float:
     """Returns for how long a caller may take up a stream of a route."""
     return KEEP_FACTOR * route.time_limit_seconds
