Close the connection of a response in order only once the kernel has all of it

A response without a length counted as sent when its last bytes were handed to the event loop. A router that stopped while a slow caller had not taken them dropped the rest and closed the connection in order: 12288 of 60014 bytes looked whole.

--- a/features/forward/open_ends.feature
+++ b/features/forward/open_ends.feature
@@ -93,3 +93,23 @@
     When callers send 10 resumable stream requests with at most 3 attempts
     Then no caller has fewer than 5 events in an answer that looks complete
     And the third server was not asked
+
+  # Guards against the end of a process that drops the rest of a response and closes its connection
+  # in order.
+  Scenario Outline: A stream whose rest a stopping router still holds does not look complete
+    Given a router process whose sockets hold few bytes, with a grace period of 4 seconds
+    And a caller of HTTP/<version> that takes nothing of a server that <behaviour>
+    When the process receives SIGTERM
+    Then the caller sees the whole stream, or an answer that is <end>
+
+    Examples:
+      | version | behaviour                              | end   |
+      | 1.1     | streams a large event without a length | reset |
+      | 1.0     | streams a large event without a length | reset |
+
+  # Guards against a whole answer that is made of two runs: only a resumable stream can go on elsewhere.
+  Scenario: A stream in answer to an idempotent call is not joined from two runs
+    Given a server that breaks off after 2 events and a half and one that streams
+    When a caller of HTTP/1.1 sends a idempotent request with at most 2 attempts
+    Then the caller has the events 1 2
+    And the caller sees an answer that is framed and incomplete
--- a/features/steps/open_end_steps.py
+++ b/features/steps/open_end_steps.py
@@ -2,19 +2,30 @@
 
 import asyncio
 import gzip
+import socket
 
-from answer_end_steps import send_raw
+from answer_end_steps import read_answer, send_raw
 from behave import given, then, when
 from contract_steps import run
 from forward_steps import HOST, make_headers, set_route
 from laburnumpier_platform.headers import PlatformDialect
 from laburnumpier_router.forward.exchange import ForwardRequest
 from multidict import CIMultiDict, CIMultiDictProxy
-from process_steps import HEADERS
-from scripted_server import EVENTS
+from process_steps import HEADERS, start_router_process
+from scripted_server import EVENTS, LARGE_EVENT
 
 RELAY_SECONDS = 0.5
 """Time in which a router passes on the events that a server sends at once."""
+SOCKET_BYTES = 4096
+"""Size of the buffers of sockets that hold few bytes."""
+SMALL_SOCKETS = f"""
+import socket
+bind = socket.socket.bind
+def bind_small(self, address):
+    self.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, {SOCKET_BYTES})
+    bind(self, address)
+socket.socket.bind = bind_small
+"""
 
 
 @given("a caller of HTTP/{version} that has 2 events of a server that {behaviour}")
@@ -164,3 +175,39 @@
 def check_all_events(context):
     cut = [answer for answer in context.answers if answer.body.count(b"id: ") < len(EVENTS)]
     assert not cut, f"{len(cut)} of {len(context.answers)} answers, such as {cut[0]}"
+
+
+@given(
+    "a router process whose sockets hold few bytes, "
+    "with a grace period of {grace_seconds:d} seconds"
+)
+def start_with_small_sockets(context, grace_seconds):
+    start_router_process(
+        context, grace_seconds, early_sighup=False, site_customization=SMALL_SOCKETS
+    )
+
+
+@given("a caller of HTTP/{version} that takes nothing of a server that {behaviour}")
+def begin_unread_answer(context, version, behaviour):
+    context.backend.behaviour = behaviour
+    context.caller = socket.socket()
+    context.caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BYTES)
+    context.caller.connect(("127.0.0.1", context.ports[0]))
+    lines = [f"POST /shop/x HTTP/{version}", *(f"{k}: {v}" for k, v in HEADERS.items())]
+    context.caller.send("\r\n".join([*lines, "Content-Length: 0", "", ""]).encode())
+    run(context, asyncio.sleep(RELAY_SECONDS))
+
+
+@then("the caller sees the whole stream, or an answer that is {end}")
+def check_unread_answer(context, end):
+    async def read():
+        await asyncio.wait_for(context.process.wait(), 8.0)
+        reader, writer = await asyncio.open_connection(sock=context.caller)
+        try:
+            return await asyncio.wait_for(read_answer(reader), 4.0)
+        finally:
+            writer.transport.abort()
+
+    answer = run(context, read())
+    is_whole = answer.body == LARGE_EVENT
+    assert is_whole or answer.end == end, (len(answer.body), len(LARGE_EVENT), answer.end)
--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -7,6 +7,7 @@
 
 EVENTS = {n: b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6)}
 SLOW_EVENT_SECONDS = 0.06
+LARGE_EVENT = b"id: 1\ndata: " + b"x" * 60_000 + b"\n\n"
 RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Server-Signature: sig\r\n"
 STREAM_HEAD = RESPONSE_HEAD + b"Content-Type: text/event-stream\r\n"
 
@@ -163,6 +164,8 @@
             case "falls silent after 2 events without a length":
                 await self._send(writer, stream_head + b"\r\n" + b"".join(events[:2]))
                 await self._wait_for_close(reader)
+            case "streams a large event without a length":
+                await self._send(writer, stream_head + b"\r\n" + LARGE_EVENT)
             case "streams without ids or a length":
                 await self._send(writer, stream_head + b"\r\n" + _remove_ids(events))
             case "breaks off a stream without ids after 2 events and a half":
--- a/packages/router/laburnumpier_router/callers/frontend.py
+++ b/packages/router/laburnumpier_router/callers/frontend.py
@@ -269,9 +269,14 @@
         if response.has_explicit_end:
             return web.Response(status=response.status, body=response.body, headers=headers)
         unbounded = ResponseUntilClose(status=response.status, headers=headers)
-        await unbounded.prepare(request)
-        await unbounded.write(response.body)
-        await unbounded.write_eof()
+        try:
+            async with asyncio.timeout(WRITE_TIMEOUT_SECONDS):
+                await unbounded.prepare(request)
+                await unbounded.write(response.body)
+                await unbounded.write_eof()
+        except TimeoutError:
+            self._metrics.count("callers.too_slow")
+            abort_response(request, unbounded)
         return unbounded
 
     async def _parse_call_request(
--- a/packages/router/laburnumpier_router/callers/responses.py
+++ b/packages/router/laburnumpier_router/callers/responses.py
@@ -1,5 +1,6 @@
 """Builds the HTTP responses to callers."""
 
+import asyncio
 import math
 import socket
 import struct
@@ -21,6 +22,8 @@
 """Value of SO_LINGER with which a socket is reset when it is closed."""
 CLOSE_IN_ORDER = struct.pack("ii", 0, 0)
 """Value of SO_LINGER with which a socket is closed after its data was sent."""
+UNSENT_POLL_SECONDS = 0.01
+"""Interval at which a response looks whether the kernel has taken all of it."""
 
 
 class ResponseUntilClose(web.StreamResponse):
@@ -45,11 +48,17 @@
         return await super().prepare(request)
 
     async def write_eof(self, data: bytes = b"") -> None:
-        """Ends the response; its connection is closed in order from now on."""
+        """Ends the response once the kernel has all of it; its connection is closed in order then.
+
+        A process that exits before drops the rest, and the connection has to be reset.
+        """
         request = self._req
         await super().write_eof(data)
-        if request is not None:
-            _set_linger(request, CLOSE_IN_ORDER)
+        if request is None:
+            return
+        while _holds_unsent_bytes(request.transport):
+            await asyncio.sleep(UNSENT_POLL_SECONDS)
+        _set_linger(request, CLOSE_IN_ORDER)
 
 
 def abort_response(request: web.BaseRequest, response: web.StreamResponse | None) -> None:
@@ -68,6 +77,11 @@
     request.transport.abort()
 
 
+def _holds_unsent_bytes(transport: asyncio.Transport | None) -> bool:
+    is_open = transport is not None and not transport.is_closing()
+    return is_open and transport.get_write_buffer_size() > 0
+
+
 def _set_linger(request: web.BaseRequest, value: bytes) -> None:
     """Sets how the kernel closes the connection of a request, unless it is being closed."""
     if request.transport is not None and not request.transport.is_closing():
