Do not go on with an idempotent call whose response has started

An idempotent call that a server answered with a stream and broke off went on with the events of a second run, framed as complete: events 1 to 5 of two runs. Only a resumable stream goes on once its response has started. The example of open_ends.feature failed before and passes now.

--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -138,7 +138,9 @@
     @property
     def is_retryable(self) -> bool:
         """Whether the request may be sent again although it may have run already."""
-        return self.route.kind is RouteKind.IDEMPOTENT or self.is_resumable
+        # A response that has started can only go on, not begin again.
+        is_repeatable = self.route.kind is RouteKind.IDEMPOTENT and not self.response_status
+        return is_repeatable or self.is_resumable
 
     @property
     def is_resumable(self) -> bool:
