Limit what a backend server may send in response to control calls and service calls

Callers saw nothing of it while memory lasted: a server that sends a body, interim heads or a chunk extension without end was read until the call's time limit, and a run with interim heads without end was read for ever. The body of a service call was read into memory whole.

aiohttp limits single header lines and the buffer of a body, but not the whole of a head, the framing of chunks, or a body that is read at once. Sessions now have a connection handler that limits the head, the framing and bytes behind an answer, and bodies are read up to a size. The connection is reset then; the call fails like one whose response was lost, so nothing that may have run counts as not run. An order or a run that is refused with an error body without end has an unknown outcome.

--- /dev/null
+++ b/features/steps/endless_steps.py
@@ -0,0 +1,258 @@
+"""Steps for servers that send without end, over loopback connections.
+
+They guard against responses that take memory or time without a limit. The servers count the bytes
+that they could send, which includes those in the buffers of both sockets.
+"""
+
+import asyncio
+import base64
+import itertools
+import json
+import random
+
+from aiohttp import web
+from behave import given, then, when
+from contract_steps import run
+from laburnumpier_core.clock import SystemClock
+from laburnumpier_core.errors import LaburnumpierError
+from laburnumpier_core.metrics import Metrics
+from laburnumpier_platform.store import PlatformStore
+from laburnumpier_router.backend.engine_port import EngineCall, EngineOrder, ServiceCall
+from laburnumpier_router.backend.http_clients import HttpEngineClient, HttpServiceClient
+from laburnumpier_router.forward.registry_follower import RegistryFollower
+from laburnumpier_router.forward.servers import ServerTable
+from laburnumpier_router.ports.etcd_service import EtcdKeyValueService
+from laburnumpier_router.ports.key_value_service import Write
+from laburnumpier_router.ports.store_era import StorePosition
+from laburnumpier_router.ports.vm_list import HttpVmList
+from scripted_server import MAX_ENDLESS_BYTES, ScriptedServer
+
+MEBIBYTE = 1024 * 1024
+CALL_LIMIT_SECONDS = 6.0
+"""Time after which a call that does not end is given up."""
+CLOSE_TIMEOUT_SECONDS = 1.0
+STORE_TIMEOUT_SECONDS = 1.0
+POLL_SECONDS = 0.05
+PAGE_BYTES = 1024 * 1024
+LARGE_HISTORY_BYTES = 5 * 1024 * 1024
+
+
+@given("a server that {behaviour}")
+def start_server(context, behaviour):
+    context.servers = [ScriptedServer(behaviour)]
+    context.engine = HttpEngineClient(stall_seconds=1.0)
+    context.service = HttpServiceClient()
+
+    async def stop():
+        await context.engine.close()
+        await context.service.close()
+        await context.servers[0].stop()
+
+    run(context, context.servers[0].start())
+    context.cleanups.append((context.real, stop))
+
+
+async def read_run(context, url):
+    call = EngineCall(run_id="r", body={"model": "m", "messages": []}, priority=5)
+    async for event in context.engine.stream(url, call, 0):
+        context.events.append(event)
+
+
+def make_call(context, name):
+    url = f"http://{context.servers[0].address}"
+    match name:
+        case "asks for its load":
+            return context.engine.probe(url)
+        case "has it count tokens":
+            return context.engine.count_tokens(url, {"model": "m", "messages": []})
+        case "cancels a run":
+            return context.engine.cancel(url, "r")
+        case "sends it an order":
+            order = EngineOrder(action="load", model="m", fencing_number=1)
+            return context.engine.order(url, order, 1.0)
+        case "starts a run":
+            return read_run(context, url)
+        case "calls it as a service":
+            call = ServiceCall(method="POST", path="p", query="", headers={}, body=b"{}")
+            return context.service.call(url, call, 1.0)
+    raise ValueError(f"unknown call: {name}")
+
+
+@when("a call {call}")
+def call_server(context, call):
+    context.events = []
+    run(context, measure(context, make_call(context, call)))
+
+
+async def measure(context, call):
+    loop = asyncio.get_running_loop()
+    started_seconds = loop.time()
+    try:
+        async with asyncio.timeout(CALL_LIMIT_SECONDS):
+            context.outcome = await call
+    except (LaburnumpierError, TimeoutError) as error:
+        context.outcome = error
+    context.duration_seconds = loop.time() - started_seconds
+
+
+@then("the call ends with {outcome} within {seconds:f} seconds")
+def check_call(context, outcome, seconds):
+    found = context.outcome
+    name = "nothing" if found is None else type(found).__name__
+    assert name == outcome, found
+    assert context.duration_seconds <= seconds, context.duration_seconds
+
+
+@then("the server's connection is closed before it has sent {mebibytes:d} MiB")
+def check_closed_early(context, mebibytes):
+    server = context.servers[0]
+    sent_bytes = server.sent_bytes
+    assert sent_bytes < MAX_ENDLESS_BYTES, sent_bytes
+    closed = asyncio.wait_for(server.client_closed.wait(), CLOSE_TIMEOUT_SECONDS)
+    try:
+        run(context, closed)
+    except TimeoutError as error:
+        raise AssertionError(f"not closed after {server.sent_bytes} bytes") from error
+    assert server.sent_bytes <= mebibytes * MEBIBYTE, server.sent_bytes
+
+
+def make_store(context, name):
+    url = f"http://{context.servers[0].address}"
+    options = {"url": url, "timeout_seconds": STORE_TIMEOUT_SECONDS}
+    match name:
+        case "platform":
+            store = PlatformStore(**options, metrics=Metrics())
+        case "etcd":
+            store = EtcdKeyValueService(**options, metrics=Metrics())
+        case "VM-list":
+            store = HttpVmList(**options)
+    context.cleanups.append((context.real, store.close))
+    return store
+
+
+def make_store_call(store, name):
+    position = StorePosition(era=0, revision=1)
+    match name:
+        case "reads a key":
+            return store.read(["k"])
+        case "writes a key":
+            return store.commit({}, [Write(key="k", value=b"v")])
+        case "watches servers":
+            return store.wait_for_changes(position, STORE_TIMEOUT_SECONDS)
+        case "watches a key":
+            return store.wait_for_change("k", position, STORE_TIMEOUT_SECONDS)
+        case "reads all servers":
+            return store.read_servers()
+        case "reads the list":
+            return store.read()
+    raise ValueError(f"unknown call: {name}")
+
+
+@when("the client of the {store} store {call}")
+def call_store(context, store, call):
+    context.store = make_store(context, store)
+    run(context, measure(context, make_store_call(context.store, call)))
+
+
+def make_item(key, size_bytes=0):
+    """Returns the entry of a server as the store lists it."""
+    entry = {"Service": "s", "Address": "127.0.0.1:1", "State": "ready", "Slots": 1}
+    value = json.dumps({**entry, "Other": "x" * size_bytes}).encode()
+    return {"Key": key, "Revision": 1, "Value": base64.b64encode(value).decode()}
+
+
+class PagedStore:
+    """Handlers of a store with many pages, or with a history that no response may hold."""
+
+    def __init__(self, pages):
+        self.address = ""
+        self.call_count = 0
+        self._pages = pages
+        self._runner = None
+
+    async def start(self):
+        """Listens on a loopback port."""
+        app = web.Application()
+        app.router.add_get("/kv-range", self._list)
+        app.router.add_get("/kv-watch", self._watch)
+        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        host, port = self._runner.addresses[0]
+        self.address = f"{host}:{port}"
+
+    async def stop(self):
+        """Stops listening."""
+        await self._runner.cleanup()
+
+    async def _list(self, request):
+        self.call_count += 1
+        return web.json_response(next(self._pages))
+
+    async def _watch(self, request):
+        items = [make_item("servers/b", LARGE_HISTORY_BYTES)]
+        return web.json_response({"events": items, "At": 2})
+
+
+def start_paged_store(context, pages):
+    context.servers = [PagedStore(pages)]
+    run(context, context.servers[0].start())
+    context.cleanups.append((context.real, context.servers[0].stop))
+
+
+@given("a store that lists {pages}")
+def start_listing_store(context, pages):
+    names = itertools.repeat(0) if pages == "the same page again" else itertools.count()
+    start_paged_store(
+        context,
+        (
+            {"Items": [make_item(f"servers/{n:06}", PAGE_BYTES)], "HasMore": True, "At": 1}
+            for n in names
+        ),
+    )
+
+
+@then("the store has received at most {count:d} calls")
+def check_call_count(context, count):
+    assert context.servers[0].call_count <= count, context.servers[0].call_count
+
+
+@given("a store whose history is larger than a response may be")
+def start_changed_store(context):
+    first, second = make_item("servers/a"), make_item("servers/b")
+    pages = [{"Items": [first], "At": 1}, {"Items": [first, second], "At": 2}]
+    start_paged_store(context, itertools.chain(pages, itertools.repeat(pages[1])))
+
+
+@when("a follower of the registry starts")
+def follow_servers(context):
+    context.store = make_store(context, "platform")
+    context.server_table = ServerTable()
+    follower = RegistryFollower(
+        registry=context.store,
+        table=context.server_table,
+        clock=SystemClock(),
+        random_source=random.Random(1),
+        watch_seconds=1.0,
+        lapsed_entry_seconds=1.0,
+    )
+
+    async def start():
+        return asyncio.create_task(follower.follow_periodically())
+
+    async def stop():
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    task = run(context, start())
+    context.cleanups.append((context.real, stop))
+
+
+@then("it knows all servers within {seconds:f} seconds")
+def check_servers(context, seconds):
+    async def wait_for_servers():
+        async with asyncio.timeout(seconds):
+            while set(context.server_table.servers) != {"a", "b"}:
+                await asyncio.sleep(POLL_SECONDS)
+
+    run(context, wait_for_servers())
--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -2,12 +2,19 @@
 
 import asyncio
 import contextlib
+import itertools
 import socket
 import struct
+from collections.abc import Iterator
 
 EVENTS = {n: b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6)}
 SLOW_EVENT_SECONDS = 0.06
 RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Server-Signature: sig\r\n"
+MAX_ENDLESS_BYTES = 64 * 1024 * 1024
+"""Bytes after which an endless response pauses until its client closes the connection."""
+ENDLESS_BLOCK_BYTES = 65536
+ENDLESS_PAUSE_SECONDS = 0.001
+SEND_BUFFER_BYTES = 65536
 STREAM_HEAD = RESPONSE_HEAD + b"Content-Type: text/event-stream\r\n"
 
 
@@ -21,6 +28,7 @@
         requests: Head and body of each request, as received.
         client_closed: Set when a client closed its connection while it waited for the answer.
         address: Host and port of the server; empty before `start`.
+        sent_bytes: Bytes of endless responses that the clients' sockets have taken.
     """
 
     def __init__(self, behaviour: str, version: str = ""):
@@ -31,6 +39,7 @@
         self.requests: list[tuple[bytes, bytes]] = []
         self.client_closed = asyncio.Event()
         self._told_to_break_off = asyncio.Event()
+        self.sent_bytes = 0
         self._server: asyncio.Server | None = None
         self.address = ""
 
@@ -178,7 +187,23 @@
             case "closes an answer with a coding of another name":
                 await self._send(writer, head + b"Transfer-Encoding: gzip\r\n\r\nhel")
             case other:
-                raise ValueError(f"unknown behaviour: {other}")
+                start, units = _make_endless_response(other, head, stream_head)
+                await self._send_without_end(reader, writer, start, units)
+
+    async def _send_without_end(self, reader, writer, start, units) -> None:
+        """Sends a head and blocks of bytes until the client closes the connection."""
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        try:
+            await self._send(writer, start)
+            while self.sent_bytes < MAX_ENDLESS_BYTES:
+                block = next(units)
+                await self._send(writer, block)
+                self.sent_bytes += len(block)
+                await asyncio.sleep(ENDLESS_PAUSE_SECONDS)
+            await self._wait_for_close(reader)
+        except ConnectionError:
+            self.client_closed.set()
 
     async def _wait_for_close(self, reader: asyncio.StreamReader) -> None:
         with contextlib.suppress(ConnectionError):
@@ -209,3 +234,62 @@
 
 def _remove_ids(events: list[bytes]) -> bytes:
     return b"".join(event.partition(b"\n")[2] for event in events)
+
+
+def _make_endless_response(
+    behaviour: str, head: bytes, stream_head: bytes
+) -> tuple[bytes, Iterator[bytes]]:
+    """Returns the start of an endless response and the blocks that follow without end."""
+    chunked = b"Transfer-Encoding: chunked\r\n\r\n"
+    text = b"x" * ENDLESS_BLOCK_BYTES
+    match behaviour:
+        case "sends a body without a length and without end":
+            return head + b"\r\n", itertools.repeat(text)
+        case "sends a body in chunks without end":
+            return head + chunked, itertools.repeat(_encode_chunk(text))
+        case "sends a body in tiny chunks without end":
+            return head + chunked, itertools.repeat(_encode_chunk(b"x") * 8192)
+        case "announces a body of a gigabyte":
+            return head + b"Content-Length: 1073741824\r\n\r\n", itertools.repeat(text)
+        case "fails with a body without end":
+            start = head.replace(b"200 OK", b"500 X")
+            return start + b"\r\n", itertools.repeat(text)
+        case "sends interim heads without end":
+            return b"", itertools.repeat(b"HTTP/1.1 103 X\r\n\r\n" * 2048)
+        case "sends header lines without end":
+            return head, itertools.repeat(b"X-Other: x\r\n" * 4096)
+        case "sends lines without end":
+            return head + b"\r\n", itertools.repeat(
+                b'{"result": {}, "other": "%b"}\n' % text[:4096] * 16
+            )
+        case "sends a chunk extension without end":
+            return head + chunked + b"5;", itertools.repeat(text)
+        case "sends chunk extensions without end":
+            chunk = b"1;" + b"x" * 2048 + b"\r\nx\r\n"
+            return head + chunked, itertools.repeat(chunk * 32)
+        case "sends trailers without end":
+            start = head + chunked + b"5\r\nhello\r\n0\r\n"
+            return start, itertools.repeat(b"X-Other: x\r\n" * 4096)
+        case "switches protocols and sends without end":
+            start = b"HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n"
+            return start, itertools.repeat(text)
+        case "sends answers without end":
+            answer = head + b"Content-Length: 5\r\n\r\nhello"
+            return b"", itertools.repeat(answer * 512)
+        case "streams events without end":
+            return stream_head + b"\r\n", _make_endless_events(b"id: %d\ndata: more\n\n")
+        case "streams the same event without end":
+            return stream_head + b"\r\n", itertools.repeat(b"id: 1\ndata: more\n\n")
+        case "streams events without ids and without end":
+            return stream_head + b"\r\n", itertools.repeat(b"data: more\n\n" * 100)
+        case "streams large events without end":
+            template = b"id: %d\ndata: " + text + b"\n\n"
+            return stream_head + b"\r\n", _make_endless_events(template)
+        case "streams an event without end":
+            return stream_head + b"\r\n", itertools.repeat(text)
+        case other:
+            raise ValueError(f"unknown behaviour: {other}")
+
+
+def _make_endless_events(template: bytes) -> Iterator[bytes]:
+    return (template % event_id for event_id in itertools.count(1))
--- a/packages/core/laburnumpier_core/errors.py
+++ b/packages/core/laburnumpier_core/errors.py
@@ -90,4 +90,24 @@
 
 
 class ServerConnectionLostError(ServerError):
-    """The connection failed or stalled after the call was sent."""
+    """The connection failed or stalled after the call was sent.
+
+    Attributes:
+        reason: Short identifier for logs.
+    """
+
+    reason = "broke_off"
+
+
+class ServerResponseLimitError(ServerConnectionLostError):
+    """The response passed a limit, and its connection was closed."""
+
+    def __init__(self, reason: str, detail: str):
+        """Creates the error.
+
+        Args:
+            reason: Short identifier of the limit.
+            detail: Description of the limit.
+        """
+        super().__init__(detail)
+        self.reason = reason
--- a/packages/router/laburnumpier_router/backend/http_clients.py
+++ b/packages/router/laburnumpier_router/backend/http_clients.py
@@ -8,9 +8,16 @@
 from laburnumpier_core.errors import (
     ServerConnectionLostError,
     ServerRefusedError,
+    ServerResponseLimitError,
     ServerUnreachableError,
 )
 
+from ..ports.bounded_http import (
+    MAX_CONTROL_BODY_BYTES,
+    make_lost_error,
+    make_session,
+    read_body,
+)
 from ..response_end import get_end_marker, make_reset_aware_connector
 from .engine_port import (
     EngineCall,
@@ -24,6 +31,8 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 CONTROL_TIMEOUT_SECONDS = 1.0
 MAX_LINE_BYTES = 1024 * 1024
+MAX_SERVICE_BODY_BYTES = 4 * 1024 * 1024
+"""Size of the response of a plain service."""
 END_OF_STREAM_DATA = b"[DONE]"
 
 
@@ -62,13 +71,13 @@
                 url + "/v1/chat/completions", json=call.body, headers=headers, timeout=timeout
             ) as response:
                 if response.status != 200:
-                    raise ServerRefusedError(response.status, (await response.text())[:200])
+                    raise ServerRefusedError(response.status, await _read_error_text(response))
                 async for event in _read_events(response.content):
                     yield event
         except aiohttp.ClientConnectorError as error:
             raise ServerUnreachableError(str(error)) from error
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-            raise ServerConnectionLostError(repr(error)) from error
+            raise make_lost_error(error) from error
 
     async def cancel(self, url: str, run_id: str) -> None:
         """Requests cancellation of a run; failures are ignored."""
@@ -93,7 +102,8 @@
             async with self._get_session().get(url + "/load", timeout=timeout) as response:
                 if response.status != 200:
                     return None
-                return msgspec.json.decode(await response.read(), type=LoadReport)
+                body = await read_body(response, MAX_CONTROL_BODY_BYTES)
+                return msgspec.json.decode(body, type=LoadReport)
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
             return None
 
@@ -113,11 +123,11 @@
                 url + "/orders", data=msgspec.json.encode(order), timeout=timeout
             ) as response:
                 if response.status >= 400:
-                    raise ServerRefusedError(response.status, (await response.text())[:200])
+                    raise ServerRefusedError(response.status, await _read_error_text(response))
         except aiohttp.ClientConnectorError as error:
             raise ServerUnreachableError(str(error)) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise ServerConnectionLostError(repr(error)) from error
+            raise make_lost_error(error) from error
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -126,15 +136,24 @@
 
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            connector = aiohttp.TCPConnector(limit=0)
-            self._session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
+            self._session = make_session(limit=0)
         return self._session
 
     async def _post(self, url: str, body: dict[str, Any]) -> dict[str, Any]:
         timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_SECONDS)
         async with self._get_session().post(url, json=body, timeout=timeout) as response:
             response.raise_for_status()
-            return await response.json(content_type=None)
+            return msgspec.json.decode(await read_body(response, MAX_CONTROL_BODY_BYTES))
+
+
+async def _read_error_text(response: aiohttp.ClientResponse) -> str:
+    """Returns the start of an error message.
+
+    Raises:
+        ResponseLimitError: If the message is too large; its status is not relied on then.
+    """
+    body = await read_body(response, MAX_CONTROL_BODY_BYTES)
+    return body.decode(errors="replace")[:200]
 
 
 async def _read_events(content: aiohttp.StreamReader) -> AsyncIterator[EngineEvent]:
@@ -148,7 +167,7 @@
     async for chunk in content.iter_any():
         *lines, incomplete_line = (incomplete_line + chunk).split(b"\n")
         if len(incomplete_line) > MAX_LINE_BYTES:
-            raise ServerConnectionLostError("event line exceeds the size limit")
+            raise ServerResponseLimitError("event_too_large", "event line exceeds the size limit")
         for line in lines:
             if line.startswith(b"id:"):
                 event_id = int(line[3:])
@@ -200,7 +219,7 @@
             ) as response:
                 has_explicit_end = get_end_marker(response).is_explicit
                 handler = response.connection.protocol if response.connection else None
-                body = await response.read()
+                body = await read_body(response, MAX_SERVICE_BODY_BYTES)
                 if not has_explicit_end and getattr(handler, "was_reset", False):
                     raise ServerConnectionLostError(
                         "the connection was reset during a response without a length"
@@ -215,7 +234,7 @@
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise ServerUnreachableError(str(error)) from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            raise ServerConnectionLostError(repr(error)) from error
+            raise make_lost_error(error) from error
 
     async def close(self) -> None:
         """Closes all connections."""
--- /dev/null
+++ b/packages/router/laburnumpier_router/ports/bounded_http.py
@@ -0,0 +1,150 @@
+"""HTTP client sessions and body readers with limits on what a server may send.
+
+A faulty server may send bytes without end, in a head, in the framing of a body or in the body.
+Every response is therefore limited in size; past a limit its connection is closed, and the call
+fails like one whose connection was lost.
+"""
+
+import functools
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from laburnumpier_core.errors import ServerConnectionLostError, ServerResponseLimitError
+
+MAX_HEAD_BYTES = 64 * 1024
+"""Size of a response head with all interim (1xx) heads before it."""
+MAX_FRAMING_BYTES = 64 * 1024
+"""Size of chunk extensions and trailers of a response, beside the framing of its body bytes."""
+MAX_WIRE_BYTES_PER_BODY_BYTE = 2
+"""Bytes on the wire for each byte of a body, beyond `MAX_FRAMING_BYTES`; a chunk of six bytes
+takes eleven."""
+PIECE_BYTES = 16 * 1024
+"""Bytes that are parsed before the limits are checked again."""
+MAX_CONTROL_BODY_BYTES = 64 * 1024
+"""Size of a response to a control call, such as a load report, and of an error response."""
+
+
+class ResponseLimitError(aiohttp.ClientPayloadError):
+    """A response has passed a limit.
+
+    Attributes:
+        reason: Short identifier of the limit for logs.
+    """
+
+    def __init__(self, reason: str, limit_bytes: int):
+        """Creates the error of a limit that was passed."""
+        super().__init__(f"{reason}: more than {limit_bytes} bytes")
+        self.reason = reason
+
+
+class BoundedResponseHandler(ResponseHandler):
+    """Ends a connection whose response has a too large head or framing, or bytes behind its end.
+
+    The parser of aiohttp limits single header lines, but neither the number of interim heads nor
+    chunk extensions.
+    """
+
+    def __init__(self, loop):
+        """Creates the handler of one connection."""
+        super().__init__(loop)
+        self._received_bytes = 0
+        self._response_body: aiohttp.StreamReader | None = None
+
+    def set_response_params(self, **params) -> None:
+        """Prepares for the response to the next request."""
+        self._received_bytes = 0
+        self._response_body = None
+        super().set_response_params(**params)
+
+    def feed_data(self, data, size: int = 0) -> None:
+        """Queues a response head; whatever follows the first final one belongs to no request."""
+        message, body = data
+        if self._response_body is not None:
+            self._should_close = True
+            return
+        if message.code >= 200:
+            self._response_body = body
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Parses received bytes in pieces and checks the limits after each."""
+        if not data:
+            super().data_received(data)
+            self._check_limits()
+            return
+        for start in range(0, len(data), PIECE_BYTES):
+            if self._exception is not None or self.transport is None:
+                return
+            if self._response_body is not None and self._response_body.is_eof():
+                self._should_close = True
+                self.transport.close()
+                return
+            piece = data[start : start + PIECE_BYTES]
+            self._received_bytes += len(piece)
+            super().data_received(piece)
+            self._check_limits()
+
+    def _check_limits(self) -> None:
+        # While reading is paused, the parser holds bytes that it has not counted yet.
+        if self._reading_paused or self._exception is not None:
+            return
+        if self._response_body is None:
+            if self._received_bytes > MAX_HEAD_BYTES:
+                self._fail(ResponseLimitError("head_too_large", MAX_HEAD_BYTES))
+            return
+        framed_bytes = MAX_WIRE_BYTES_PER_BODY_BYTE * self._response_body.total_bytes
+        if self._received_bytes > MAX_HEAD_BYTES + MAX_FRAMING_BYTES + framed_bytes:
+            self._fail(ResponseLimitError("framing_too_large", MAX_FRAMING_BYTES))
+
+    def _fail(self, error: ResponseLimitError) -> None:
+        """Fails the response and closes the connection without sending what is left to send."""
+        self.set_exception(error)
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(error)
+        # The end of the connection would replace the error of the body by one of its own.
+        self._payload = None
+        if self.transport is not None:
+            self.transport.abort()
+
+
+def make_session(
+    *, handler_class: type[BoundedResponseHandler] = BoundedResponseHandler, **options
+) -> aiohttp.ClientSession:
+    """Returns a session whose responses are limited; bodies are not decompressed.
+
+    Args:
+        handler_class: Handler of a connection.
+        options: Options of the connector.
+    """
+    connector = aiohttp.TCPConnector(**options)
+    connector._factory = functools.partial(handler_class, loop=connector._loop)
+    return aiohttp.ClientSession(
+        connector=connector, auto_decompress=False, skip_auto_headers=("Accept-Encoding",)
+    )
+
+
+async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+    """Returns the complete body of a response.
+
+    Raises:
+        ResponseLimitError: If it is larger than the limit; its connection is closed.
+        aiohttp.ClientError: If it ends early.
+    """
+    error = ResponseLimitError("body_too_large", max_bytes)
+    if (response.content_length or 0) > max_bytes:
+        response.close()
+        raise error
+    body = bytearray()
+    while block := await response.content.readany():
+        body += block
+        if len(body) > max_bytes:
+            response.close()
+            raise error
+    return bytes(body)
+
+
+def make_lost_error(error: Exception) -> ServerConnectionLostError:
+    """Returns the error of a call to a server whose response was lost or passed a limit."""
+    if isinstance(error, ResponseLimitError):
+        return ServerResponseLimitError(error.reason, str(error))
+    return ServerConnectionLostError(repr(error))
--- a/packages/router/laburnumpier_router/response_end.py
+++ b/packages/router/laburnumpier_router/response_end.py
@@ -8,7 +8,8 @@
 import functools
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
+
+from .ports.bounded_http import BoundedResponseHandler
 
 EMPTY_STATUSES = (204, 304)
 """Statuses of responses that have no body."""
@@ -27,7 +28,7 @@
         return self is not EndMarker.CLOSE
 
 
-class ResetAwareResponseHandler(ResponseHandler):
+class ResetAwareResponseHandler(BoundedResponseHandler):
     """Records whether a connection was reset or closed normally.
 
     aiohttp treats a body without a length as complete even if the connection was reset.
