Limit what a store and the VM list may send

A line of an etcd watch beyond the limit of aiohttp ended the task of its caller with an error that no part expects.

Responses are limited like those of backend servers.

--- a/packages/router/laburnumpier_router/ports/etcd_service.py
+++ b/packages/router/laburnumpier_router/ports/etcd_service.py
@@ -10,12 +10,19 @@
 
 import aiohttp
 import msgspec
+from aiohttp.http import HttpProcessingError
 from laburnumpier_core.errors import StoreUnavailableError, WriteOutcomeUnknownError
 from laburnumpier_core.metrics import Metrics
 
+from .bounded_http import MAX_CONTROL_BODY_BYTES, ResponseLimitError, make_session, read_body
 from .key_value_service import CommitOutcome, FoundValues, StoredValue, Write
 from .store_era import UNKNOWN_ERA, StoreEra, StorePosition
 
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+"""Size of a response; a prefix is listed in a single one."""
+MAX_WATCH_BYTES = 4 * 1024 * 1024
+"""Size of all that a watch receives before its first event."""
+
 
 def _encode(data: str | bytes) -> str:
     raw = data.encode() if isinstance(data, str) else data
@@ -169,7 +176,7 @@
                 return await self._read_watch(body)
         except TimeoutError:
             return None
-        except (aiohttp.ClientError, OSError, ValueError) as error:
+        except (aiohttp.ClientError, HttpProcessingError, OSError, ValueError) as error:
             raise StoreUnavailableError(f"watch failed: {error!r}") from error
 
     async def close(self) -> None:
@@ -182,7 +189,11 @@
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._timeout_seconds)
         session = self._open_session()
         async with session.post(self._url + "/v3/watch", data=body, timeout=timeout) as response:
+            received_bytes = 0
             async for line in response.content:
+                received_bytes += len(line)
+                if received_bytes > MAX_WATCH_BYTES:
+                    raise ResponseLimitError("body_too_large", MAX_WATCH_BYTES)
                 events = msgspec.json.decode(line).get("result", {}).get("events", [])
                 for event in events:
                     if event.get("type", "PUT") == "PUT":
@@ -199,7 +210,7 @@
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = make_session()
         return self._session
 
     async def _post(self, path: str, body: dict[str, Any], *, writes: bool) -> dict[str, Any]:
@@ -216,8 +227,8 @@
                 self._url + path, data=msgspec.json.encode(body), timeout=timeout
             ) as response:
                 if response.status == 200:
-                    return msgspec.json.decode(await response.read())
-                text = (await response.text())[:200]
+                    return msgspec.json.decode(await read_body(response, MAX_RESPONSE_BYTES))
+                text = (await read_body(response, MAX_CONTROL_BODY_BYTES)).decode()[:200]
                 raise StoreUnavailableError(f"{path}: status {response.status}: {text}")
         except aiohttp.ClientConnectorError as error:
             raise StoreUnavailableError(f"{path}: not connected") from error
--- a/packages/router/laburnumpier_router/ports/vm_list.py
+++ b/packages/router/laburnumpier_router/ports/vm_list.py
@@ -11,6 +11,11 @@
 import msgspec
 from laburnumpier_core.errors import StoreUnavailableError
 
+from .bounded_http import make_session, read_body
+
+MAX_LIST_BYTES = 1024 * 1024
+"""Size of the list; an entry takes some 100 bytes."""
+
 
 class ListedVm(msgspec.Struct, frozen=True, kw_only=True):
     """An entry of the list; `state` is `live` or `leaving`."""
@@ -60,11 +65,11 @@
             StoreUnavailableError: If the list cannot be read.
         """
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = make_session()
         timeout = aiohttp.ClientTimeout(total=self._timeout_seconds)
         try:
             async with self._session.get(self._url, timeout=timeout) as response:
-                body = await response.read()
+                body = await read_body(response, MAX_LIST_BYTES)
             document = msgspec.json.decode(body, type=_ListDocument)
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as error:
             raise StoreUnavailableError(f"VM list cannot be read: {error!r}") from error
