Limit the size of a server's body that is read into memory

A server that sent a body without end to a plain call, or in the place of a stream, was read until the deadline of the request, and all of it was kept in memory. aiohttp reads a whole body without holding back its sender.

Bodies are read up to 4 MiB, as large as what callers may send; a larger Content-Length is not read at all. Past it the connection is reset, and the attempt has failed with the reason `body_too_large`: the request may have run, so the caller gets 502, or the answer of another server where the request may be sent again. The log names the reason in `tried`.

Tests: features/forward/endless_answers.feature.

--- /dev/null
+++ b/features/forward/endless_answers.feature
@@ -0,0 +1,37 @@
+Feature: Forwarded requests at servers that send without end
+  Guards against a faulty server that takes the router's memory, or a caller's time, with a
+  response that never ends. The connection to the server is closed, and the caller gets an error or
+  a response that looks broken off, or the answer of another server.
+
+  # Guards against a head or a body of any size that is read into memory.
+  Scenario Outline: Responses to plain calls are limited in bytes and time
+    Given 2 servers of which the first <behaviour>
+    When a caller sends a <kind> request with at most 2 attempts
+    Then the response status is <status>
+    And servers ran the request <runs> times
+    And the request took at most 1.5 seconds
+    And the server's connection is closed before it has sent <mebibytes> MiB
+    And the log record has the outcome <outcome> and the servers <servers>
+
+    Examples: Bodies
+      | behaviour                                     | kind           | status | runs | mebibytes | outcome         | servers                   |
+      | sends a body without a length and without end | non-idempotent | 502    | 1    | 16        | outcome_unknown | i-0:body_too_large        |
+      | sends a body without a length and without end | idempotent     | 200    | 2    | 16        | answered        | i-0:body_too_large,i-1    |
+      | sends a body in chunks without end            | non-idempotent | 502    | 1    | 16        | outcome_unknown | i-0:body_too_large        |
+      | announces a body of a gigabyte                | non-idempotent | 502    | 1    | 8         | outcome_unknown | i-0:body_too_large        |
+      | fails with a body without end                 | non-idempotent | 502    | 1    | 16        | outcome_unknown | i-0:body_too_large        |
+      | fails with a body without end                 | idempotent     | 200    | 2    | 16        | answered        | i-0:body_too_large,i-1    |
+
+  # Guards against a response to a stream's request that is no stream and never ends.
+  Scenario Outline: Bodies without end in the place of a stream
+    Given 2 servers of which the first <behaviour>
+    When a caller sends a <kind> request with at most 2 attempts
+    Then the response status is <status>
+    And the request took at most 1.5 seconds
+    And the server's connection is closed before it has sent <mebibytes> MiB
+    And the log record has the outcome <outcome> and the servers <servers>
+
+    Examples:
+      | behaviour                                     | kind             | status | mebibytes | outcome         | servers                |
+      | sends a body without a length and without end | plain stream     | 502    | 16        | outcome_unknown | i-0:body_too_large     |
+      | sends a body in chunks without end            | resumable stream | 200    | 16        | answered        | i-0:body_too_large,i-1 |
--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -9,10 +9,12 @@
 import itertools
 import json
 import random
+import socket
 
 from aiohttp import web
 from behave import given, then, when
 from contract_steps import run
+from forward_steps import make_headers, send, set_route
 from laburnumpier_core.clock import SystemClock
 from laburnumpier_core.errors import LaburnumpierError
 from laburnumpier_core.metrics import Metrics
@@ -33,6 +35,7 @@
 CLOSE_TIMEOUT_SECONDS = 1.0
 STORE_TIMEOUT_SECONDS = 1.0
 POLL_SECONDS = 0.05
+READ_BUFFER_BYTES = 65536
 PAGE_BYTES = 1024 * 1024
 LARGE_HISTORY_BYTES = 5 * 1024 * 1024
 
@@ -256,3 +259,72 @@
                 await asyncio.sleep(POLL_SECONDS)
 
     run(context, wait_for_servers())
+
+
+@then("the caller receives at most {count:d} events with ids")
+def check_event_count(context, count):
+    ids = [line for line in context.body.split(b"\n") if line.startswith(b"id: ")]
+    assert len(ids) <= count, len(ids)
+
+
+@when("a caller sends a plain stream request that states no tokens")
+def send_without_tokens(context):
+    set_route(context, "plain stream", limit_seconds=2.5)
+    run(context, send(context, make_headers()))
+
+
+@when("a caller of a plain stream reads nothing for {seconds:f} seconds")
+def send_without_reading(context, seconds):
+    set_route(context, "plain stream", limit_seconds=seconds + 1.0)
+    headers = make_headers("stream", **{"X-Token-Usage": "100,1000000", "Content-Length": "0"})
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    host, _, port = context.urls[0].removeprefix("http://").partition(":")
+
+    async def open_and_wait():
+        loop = asyncio.get_running_loop()
+        with socket.socket() as caller:
+            caller.setblocking(False)
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, READ_BUFFER_BYTES)
+            await loop.sock_connect(caller, (host, int(port)))
+            await loop.sock_sendall(caller, f"POST /shop/2f HTTP/1.1\r\n{lines}\r\n".encode())
+            await asyncio.sleep(seconds)
+            context.sent_bytes = context.servers[0].sent_bytes
+
+    run(context, open_and_wait())
+
+
+@then("the first server has sent at most {mebibytes:d} MiB")
+def check_sent(context, mebibytes):
+    assert 0 < context.sent_bytes <= mebibytes * MEBIBYTE, context.sent_bytes
+
+
+@when("{count:d} callers send non-idempotent requests at the same time")
+def send_many(context, count):
+    set_route(context, "non-idempotent", limit_seconds=1.5)
+
+    async def send_one():
+        url = context.urls[0] + "/shop/2f"
+        async with context.session.post(url, headers=make_headers()) as response:
+            return response.status
+
+    async def send_all():
+        context.servers[1].behaviour = context.servers[0].behaviour
+        tasks = [asyncio.create_task(send_one()) for _ in range(count)]
+        await asyncio.sleep(1.0)
+        for server in context.servers:
+            server.behaviour = "answers"
+        context.small_status = await send_one()
+        context.statuses = await asyncio.gather(*tasks)
+
+    run(context, send_all())
+
+
+@then("at most {count:d} of them wait for the end of the body, the others get 502 at once")
+def check_waiting(context, count):
+    assert set(context.statuses) == {502, 504}, context.statuses
+    assert context.statuses.count(504) <= count, context.statuses
+
+
+@then("a request with a small answer beside them gets {status:d}")
+def check_small(context, status):
+    assert context.small_status == status, context.small_status
--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -13,6 +13,7 @@
 MAX_ENDLESS_BYTES = 64 * 1024 * 1024
 """Bytes after which an endless response pauses until its client closes the connection."""
 ENDLESS_BLOCK_BYTES = 65536
+LARGE_BODY_BYTES = 4 * 1024 * 1024
 ENDLESS_PAUSE_SECONDS = 0.001
 SEND_BUFFER_BYTES = 65536
 STREAM_HEAD = RESPONSE_HEAD + b"Content-Type: text/event-stream\r\n"
@@ -186,6 +187,11 @@
                 await self._send(writer, head + b"Transfer-Encoding: chunked, gzip\r\n\r\nhel")
             case "closes an answer with a coding of another name":
                 await self._send(writer, head + b"Transfer-Encoding: gzip\r\n\r\nhel")
+            case "sends most of a large body and waits":
+                size = LARGE_BODY_BYTES
+                await self._send(writer, head + b"Content-Length: %d\r\n\r\n" % size)
+                await self._send(writer, b"x" * (size - ENDLESS_BLOCK_BYTES))
+                await self._wait_for_close(reader)
             case other:
                 start, units = _make_endless_response(other, head, stream_head)
                 await self._send_without_end(reader, writer, start, units)
@@ -277,19 +283,21 @@
             answer = head + b"Content-Length: 5\r\n\r\nhello"
             return b"", itertools.repeat(answer * 512)
         case "streams events without end":
-            return stream_head + b"\r\n", _make_endless_events(b"id: %d\ndata: more\n\n")
+            return stream_head + chunked, _make_endless_events(b"id: %d\ndata: more\n\n")
         case "streams the same event without end":
-            return stream_head + b"\r\n", itertools.repeat(b"id: 1\ndata: more\n\n")
+            event = _encode_chunk(b"id: 1\ndata: more\n\n")
+            return stream_head + chunked, itertools.repeat(event)
         case "streams events without ids and without end":
-            return stream_head + b"\r\n", itertools.repeat(b"data: more\n\n" * 100)
+            events = _encode_chunk(b"data: more\n\n" * 100)
+            return stream_head + chunked, itertools.repeat(events)
         case "streams large events without end":
             template = b"id: %d\ndata: " + text + b"\n\n"
-            return stream_head + b"\r\n", _make_endless_events(template)
+            return stream_head + chunked, _make_endless_events(template)
         case "streams an event without end":
-            return stream_head + b"\r\n", itertools.repeat(text)
+            return stream_head + chunked, itertools.repeat(_encode_chunk(text))
         case other:
             raise ValueError(f"unknown behaviour: {other}")
 
 
 def _make_endless_events(template: bytes) -> Iterator[bytes]:
-    return (template % event_id for event_id in itertools.count(1))
+    return (_encode_chunk(template % event_id) for event_id in itertools.count(1))
--- a/packages/router/laburnumpier_router/forward/http_client.py
+++ b/packages/router/laburnumpier_router/forward/http_client.py
@@ -12,8 +12,10 @@
 from multidict import CIMultiDictProxy
 from yarl import URL
 
+from ..ports.bounded_http import make_lost_error, read_body
 from ..response_end import EndMarker, get_end_marker, make_reset_aware_connector
 from .exchange import ServerCall
+from .response_limits import MAX_BODY_BYTES
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 """Timeout for connecting; servers are a few milliseconds away, and a lost packet costs 200 ms."""
@@ -57,7 +59,7 @@
             async for chunk in self._response.content.iter_any():
                 yield chunk
         except (aiohttp.ClientError, OSError) as error:
-            raise ServerConnectionLostError(repr(error)) from error
+            raise make_lost_error(error) from error
         self._check_not_reset()
 
     async def read(self) -> bytes:
@@ -67,9 +69,9 @@
             ServerConnectionLostError: If it ends early.
         """
         try:
-            body = await self._response.read()
+            body = await read_body(self._response, MAX_BODY_BYTES)
         except (aiohttp.ClientError, OSError) as error:
-            raise ServerConnectionLostError(repr(error)) from error
+            raise make_lost_error(error) from error
         self._check_not_reset()
         return body
 
@@ -109,7 +111,7 @@
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise ServerUnreachableError(repr(error)) from error
         except (aiohttp.ClientError, OSError) as error:
-            raise ServerConnectionLostError(repr(error)) from error
+            raise make_lost_error(error) from error
         try:
             yield HttpServerExchange(response=response)
         finally:
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -478,7 +478,7 @@
             progress.send_count += exchange is None
             server.record_failure()
             progress.splitter.discard_partial_event()
-            raise _ServerAttemptError("broke_off", Ran.UNKNOWN) from error
+            raise _ServerAttemptError(error.reason, Ran.UNKNOWN) from error
         except _ServerSilentError as error:
             progress.send_count += exchange is None
             server.record_unreachable(self._clock.monotonic_seconds())
