Test the limits on the head and the framing of servers' responses to forwarded requests

Interim heads and chunk extensions without end were read until the deadline of the request, and so was a body in chunks of one byte. A request that may be sent again got its answer from another server only where the head was late enough to count as silence.

Connections for forwarded requests share their handler with those for service calls, so the limits came with the control calls: a head has 64 KiB with all interim heads before it, and framing 64 KiB beside twice the bytes of the body. The reasons in the log are `head_too_large` and `framing_too_large`.

Tests: features/forward/endless_answers.feature. Header lines and trailers without end, and bytes behind a whole answer, were handled before.

--- a/features/forward/endless_answers.feature
+++ b/features/forward/endless_answers.feature
@@ -22,6 +22,21 @@
       | fails with a body without end                 | non-idempotent | 502    | 1    | 16        | outcome_unknown | i-0:body_too_large        |
       | fails with a body without end                 | idempotent     | 200    | 2    | 16        | answered        | i-0:body_too_large,i-1    |
 
+    Examples: Heads and framing
+      | behaviour                                     | kind           | status | runs | mebibytes | outcome         | servers                   |
+      | sends interim heads without end               | non-idempotent | 502    | 1    | 8         | outcome_unknown | i-0:head_too_large        |
+      | sends interim heads without end               | idempotent     | 200    | 2    | 8         | answered        | i-0:head_too_large,i-1    |
+      | sends header lines without end                | non-idempotent | 502    | 1    | 8         | outcome_unknown | i-0:broke_off             |
+      | sends a chunk extension without end           | non-idempotent | 502    | 1    | 8         | outcome_unknown | i-0:framing_too_large     |
+      | sends chunk extensions without end            | non-idempotent | 502    | 1    | 8         | outcome_unknown | i-0:framing_too_large     |
+      | sends a chunk extension without end           | idempotent     | 200    | 2    | 8         | answered        | i-0:framing_too_large,i-1 |
+      | sends a body in tiny chunks without end       | non-idempotent | 502    | 1    | 8         | outcome_unknown | i-0:framing_too_large     |
+      | sends trailers without end                    | non-idempotent | 502    | 1    | 8         | outcome_unknown | i-0:broke_off             |
+
+    Examples: Whole answers
+      | behaviour                                     | kind           | status | runs | mebibytes | outcome         | servers                   |
+      | sends answers without end                     | non-idempotent | 200    | 1    | 8         | answered        | i-0                       |
+
   # Guards against a response to a stream's request that is no stream and never ends.
   Scenario Outline: Bodies without end in the place of a stream
     Given 2 servers of which the first <behaviour>
@@ -35,3 +50,5 @@
       | behaviour                                     | kind             | status | mebibytes | outcome         | servers                |
       | sends a body without a length and without end | plain stream     | 502    | 16        | outcome_unknown | i-0:body_too_large     |
       | sends a body in chunks without end            | resumable stream | 200    | 16        | answered        | i-0:body_too_large,i-1 |
+      | sends interim heads without end               | plain stream     | 502    | 8         | outcome_unknown | i-0:head_too_large     |
+      | sends interim heads without end               | resumable stream | 200    | 8         | answered        | i-0:head_too_large,i-1 |
