Break off streams that go beyond the output tokens of their request

A server whose events do not end was relayed until the deadline, although the request states its most output tokens, each of which is an event of its own at most. Events that repeat an id, or have none, were received without end too, and one event could take 4 MiB of memory.

The chunk that passes a limit is not passed on. Where events of such a stream have reached the caller, no other server goes on after them: they may be part of the fault, and what another server adds would make the response look whole. An event without an end has reached nobody, so its stream goes on elsewhere as after other faults. Reasons in the log: `too_many_events`, `stream_too_large`, `event_too_large`.

Tests: features/forward/endless_answers.feature. That a stream is not read faster than its caller reads it held before; its scenario guards it.

--- a/features/forward/endless_answers.feature
+++ b/features/forward/endless_answers.feature
@@ -52,3 +52,37 @@
       | sends a body in chunks without end            | resumable stream | 200    | 16        | answered        | i-0:body_too_large,i-1 |
       | sends interim heads without end               | plain stream     | 502    | 8         | outcome_unknown | i-0:head_too_large     |
       | sends interim heads without end               | resumable stream | 200    | 8         | answered        | i-0:head_too_large,i-1 |
+
+  # Guards against events that are passed on until the deadline, far beyond the request's tokens.
+  Scenario Outline: Streams are limited by the output tokens that the request states
+    Given 2 servers of which the first <behaviour>
+    When a caller sends a <kind> request with at most 2 attempts
+    Then the response status is <status>
+    And the response <looks>
+    And the caller receives at most 30 events with ids
+    And the request took at most 2.0 seconds
+    And the server's connection is closed before it has sent <mebibytes> MiB
+    And the log record has the outcome <outcome> and the servers <servers>
+
+    Examples:
+      | behaviour                                | kind             | status | looks       | mebibytes | outcome         | servers                 |
+      | streams events without end               | plain stream     | 200    | is aborted  | 8         | broken_off      | i-0:too_many_events     |
+      | streams events without end               | resumable stream | 200    | is aborted  | 8         | broken_off      | i-0:too_many_events     |
+      | streams the same event without end       | plain stream     | 200    | is aborted  | 8         | broken_off      | i-0:too_many_events     |
+      | streams events without ids and without end | plain stream   | 200    | is aborted  | 8         | broken_off      | i-0:too_many_events     |
+      | streams an event without end             | plain stream     | 502    | is complete | 8         | outcome_unknown | i-0:event_too_large     |
+      | streams an event without end             | resumable stream | 200    | is complete | 8         | answered        | i-0:event_too_large,i-1 |
+
+  # Guards against a stream whose request states no tokens and which is passed on until the deadline.
+  Scenario: Streams of requests that state no tokens are limited in bytes
+    Given 2 servers of which the first streams large events without end
+    When a caller sends a plain stream request that states no tokens
+    Then the response is aborted
+    And the request took at most 2.0 seconds
+    And the server's connection is closed before it has sent 16 MiB
+
+  # Guards against a stream that is buffered without end for a caller that does not read it.
+  Scenario: A stream is not read faster than its caller reads it
+    Given 2 servers of which the first streams large events without end
+    When a caller of a plain stream reads nothing for 1.5 seconds
+    Then the first server has sent at most 32 MiB
--- a/packages/router/laburnumpier_router/forward/event_stream.py
+++ b/packages/router/laburnumpier_router/forward/event_stream.py
@@ -4,11 +4,7 @@
 after the last complete one.
 """
 
-MAX_EVENT_BYTES = 4 * 1024 * 1024
-
-
-class EventTooLargeError(ValueError):
-    """An event exceeds the size limit."""
+from .response_limits import MAX_EVENT_BYTES, StreamLimitError, StreamLimits
 
 
 class EventSplitter:
@@ -21,15 +17,25 @@
             resumed then, because the next server would send that event again.
     """
 
-    __slots__ = ("_buffer", "event_count", "has_unnumbered_event", "last_event_id")
+    __slots__ = (
+        "_buffer",
+        "_limits",
+        "_max_output_tokens",
+        "event_count",
+        "has_unnumbered_event",
+        "last_event_id",
+    )
 
-    def __init__(self, *, last_event_id: int | None):
+    def __init__(self, *, last_event_id: int | None, max_output_tokens: int = 0):
         """Creates a splitter.
 
         Args:
             last_event_id: Id of the last event that the caller has received, if any.
+            max_output_tokens: Upper limit of tokens in the response; 0 if there is none.
         """
         self._buffer = b""
+        self._max_output_tokens = max_output_tokens
+        self._limits = StreamLimits(max_output_tokens=max_output_tokens)
         self.last_event_id = last_event_id
         self.event_count = 0
         self.has_unnumbered_event = False
@@ -40,36 +46,46 @@
         return bool(self._buffer)
 
     def discard_partial_event(self) -> None:
-        """Discards the incomplete event of an interrupted stream."""
+        """Discards the incomplete event of an interrupted stream; another server may go on."""
         self._buffer = b""
+        self._limits = StreamLimits(max_output_tokens=self._max_output_tokens)
 
     def feed(self, chunk: bytes) -> bytes:
         """Adds bytes to the buffer and returns the events that are complete now.
 
-        Events that the caller has already received are left out.
+        Events that the caller has already received are left out. If a limit is passed, none of
+        the events that are complete now is returned.
 
         Raises:
-            EventTooLargeError: If an incomplete event exceeds `MAX_EVENT_BYTES`.
+            StreamLimitError: If an event, or the stream, is larger than the request allows.
         """
+        self._limits.count_bytes(len(chunk))
         data = self._buffer + chunk
         end = data.rfind(b"\n\n")
         if end < 0:
             if len(data) > MAX_EVENT_BYTES:
-                raise EventTooLargeError(f"event is larger than {MAX_EVENT_BYTES} bytes")
+                raise StreamLimitError("event_too_large", MAX_EVENT_BYTES)
             self._buffer = data
             return b""
-        self._buffer = data[end + 2 :]
-        complete = []
-        for event in data[:end].split(b"\n\n"):
-            event_id = _parse_event_id(event)
+        events = [(_parse_event_id(event), event) for event in data[:end].split(b"\n\n")]
+        id_count = sum(event_id is not None for event_id, _ in events)
+        self._limits.count_events(id_count, len(events) - id_count)
+        last_event_id, new_count, complete = self.last_event_id, 0, []
+        has_unnumbered_event = self.has_unnumbered_event
+        for event_id, event in events:
             if event_id is not None:
-                if self.last_event_id is not None and event_id <= self.last_event_id:
+                if last_event_id is not None and event_id <= last_event_id:
                     continue
-                self.last_event_id = event_id
-                self.event_count += 1
+                last_event_id = event_id
+                new_count += 1
             elif _has_data(event):
-                self.has_unnumbered_event = True
+                has_unnumbered_event = True
             complete.append(event + b"\n\n")
+        self._limits.check_total(self.event_count + new_count)
+        self._buffer = data[end + 2 :]
+        self.last_event_id = last_event_id
+        self.event_count += new_count
+        self.has_unnumbered_event = has_unnumbered_event
         return b"".join(complete)
 
 
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -15,6 +15,7 @@
 from laburnumpier_core.errors import (
     RequestError,
     ServerConnectionLostError,
+    ServerResponseLimitError,
     ServerUnreachableError,
 )
 from laburnumpier_core.hashing import hash_key
@@ -29,9 +30,10 @@
 from ..configuration.service import ConfigurationService
 from ..ports.dialect import Dialect, ForwardedRequestInfo, ResponseHead
 from ..ports.server_registry import RegisteredServer
-from .event_stream import EventSplitter, EventTooLargeError
+from .event_stream import EventSplitter
 from .exchange import ForwardRequest, ResponseSink, ServerCall, ServerClient, ServerExchange
 from .placement import PlacementRequest, choose_server
+from .response_limits import StreamLimitError
 from .retry_budget import RetryBudget
 from .routes import RouteTable, choose_service
 from .servers import ServerLoad, ServerTable
@@ -103,6 +105,7 @@
             none.
         waited_ms: Time for which the request waited for tokens.
         is_cut: Whether it was ended because the router has to exit.
+        is_spoiled: Whether the caller has received events of a stream without end.
         attempt_log: Ids of the servers tried, in order, each with the reason of its failure, for
             logs.
         tried_server_ids: Servers that are not chosen again.
@@ -127,6 +130,7 @@
     error_response: _ErrorResponse | None = None
     waited_ms: int = 0
     is_cut: bool = False
+    is_spoiled: bool = False
     attempt_log: list[str] = dataclasses.field(default_factory=list)
     tried_server_ids: set[str] = dataclasses.field(default_factory=set)
     sent_to: RegisteredServer | None = None
@@ -141,7 +145,8 @@
     def is_resumable(self) -> bool:
         """Whether its stream can go on at another server."""
         is_resumable = self.route.kind is RouteKind.STREAM and self.route.resumable
-        return is_resumable and not self.splitter.has_unnumbered_event
+        is_in_doubt = self.is_spoiled or self.splitter.has_unnumbered_event
+        return is_resumable and not is_in_doubt
 
     @property
     def charged_tokens(self) -> int:
@@ -279,7 +284,10 @@
             service=service,
             workspace=workspace,
             deadline_seconds=deadline_seconds,
-            splitter=EventSplitter(last_event_id=request.head.resume_after),
+            splitter=EventSplitter(
+                last_event_id=request.head.resume_after,
+                max_output_tokens=request.head.max_output_tokens,
+            ),
             tokens_per_event=engine.tokens_per_event if engine else 1,
         )
 
@@ -646,8 +654,10 @@
                 break
             try:
                 events = splitter.feed(chunk)
-            except EventTooLargeError as error:
-                raise ServerConnectionLostError(str(error)) from error
+            except StreamLimitError as error:
+                progress.is_spoiled = sink.started and error.spoils_stream
+                progress.has_open_end = False
+                raise ServerResponseLimitError(error.reason, str(error)) from error
             if events or splitter.has_partial_event:
                 progress.has_open_end = False
             if not events:
