Treat a response with the status 101 as none

A server that answered 101 to a request that asked for no other protocol was taken for having answered: callers of forwarded requests got 101 with an empty body, and a service call ended with it. What follows a 101 is no HTTP, and the request may have run. The connection is closed and the response counts as lost.

Tests: one scenario each in features/forward/endless_answers.feature and features/backend/endless_answers.feature. On the code before both failed: the caller got 101, and the service call returned a response with this status. Both pass now.

--- a/features/backend/endless_answers.feature
+++ b/features/backend/endless_answers.feature
@@ -31,6 +31,13 @@
       | sends interim heads without end               | calls it as a service    | ServerResponseLimitError | 8         |
       | sends a chunk extension without end           | calls it as a service    | ServerResponseLimitError | 8         |
 
+  # Guards against a service call that is answered with the status 101 as if it had ended.
+  Scenario: A server that switches protocols unasked has not answered
+    Given a server that switches protocols and sends without end
+    When a call calls it as a service
+    Then the call ends with ServerConnectionLostError within 1.5 seconds
+    And the server's connection is closed before it has sent 8 MiB
+
   # Guards against bytes behind an answer that fill a kept connection or meet the next request.
   Scenario: A connection with bytes behind an answer is closed
     Given a server that sends answers without end
--- a/features/forward/endless_answers.feature
+++ b/features/forward/endless_answers.feature
@@ -32,6 +32,7 @@
       | sends a chunk extension without end           | idempotent     | 200    | 2    | 8         | answered        | i-0:framing_too_large,i-1 |
       | sends a body in tiny chunks without end       | non-idempotent | 502    | 1    | 8         | outcome_unknown | i-0:framing_too_large     |
       | sends trailers without end                    | non-idempotent | 502    | 1    | 8         | outcome_unknown | i-0:broke_off             |
+      | switches protocols and sends without end      | non-idempotent | 502    | 1    | 8         | outcome_unknown | i-0:broke_off             |
 
     Examples: Whole answers
       | behaviour                                     | kind           | status | runs | mebibytes | outcome         | servers                   |
--- a/packages/router/laburnumpier_router/ports/bounded_http.py
+++ b/packages/router/laburnumpier_router/ports/bounded_http.py
@@ -18,6 +18,7 @@
 MAX_WIRE_BYTES_PER_BODY_BYTE = 2
 """Bytes on the wire for each byte of a body, beyond `MAX_FRAMING_BYTES`; a chunk of six bytes
 takes eleven."""
+SWITCHING_PROTOCOLS_STATUS = 101
 PIECE_BYTES = 16 * 1024
 """Bytes that are parsed before the limits are checked again."""
 MAX_CONTROL_BODY_BYTES = 64 * 1024
@@ -62,6 +63,9 @@
         if self._response_body is not None:
             self._should_close = True
             return
+        if message.code == SWITCHING_PROTOCOLS_STATUS:
+            self._fail(aiohttp.ClientPayloadError("the server switched protocols unasked"))
+            return
         if message.code >= 200:
             self._response_body = body
         super().feed_data(data, size)
@@ -96,7 +100,7 @@
         if self._received_bytes > MAX_HEAD_BYTES + MAX_FRAMING_BYTES + framed_bytes:
             self._fail(ResponseLimitError("framing_too_large", MAX_FRAMING_BYTES))
 
-    def _fail(self, error: ResponseLimitError) -> None:
+    def _fail(self, error: aiohttp.ClientPayloadError) -> None:
         """Fails the response and closes the connection without sending what is left to send."""
         self.set_exception(error)
         if self._payload is not None and not self._payload.is_eof():
