Share a memory limit among large bodies that are read at the same time

Each body of a server is limited to 4 MiB, but nothing limited their number: forty such responses at once take the memory of a small VM, and one faulty server can send them.

Bodies above 64 KiB take their memory from 32 MiB that all forwarded requests, and likewise all service calls, share until the response is sent or the call has ended. A body that finds no room is broken off with the reason `bodies_too_large`; small bodies are not affected.

Test: features/forward/endless_answers.feature, 'Large bodies that are read at the same time share a limit'. Now at most 8 do, the others have 502, and a request beside them has its answer.

--- a/features/forward/endless_answers.feature
+++ b/features/forward/endless_answers.feature
@@ -87,3 +87,10 @@
     Given 2 servers of which the first streams large events without end
     When a caller of a plain stream reads nothing for 1.5 seconds
     Then the first server has sent at most 32 MiB
+
+  # Guards against many bodies at the same time that together take the memory of a small VM.
+  Scenario: Large bodies that are read at the same time share a limit
+    Given 2 servers of which the first sends most of a large body and waits
+    When 16 callers send non-idempotent requests at the same time
+    Then at most 8 of them wait for the end of the body, the others get 502 at once
+    And a request with a small answer beside them gets 200
--- a/packages/router/laburnumpier_router/backend/http_clients.py
+++ b/packages/router/laburnumpier_router/backend/http_clients.py
@@ -14,6 +14,8 @@
 
 from ..ports.bounded_http import (
     MAX_CONTROL_BODY_BYTES,
+    BodyMemory,
+    BodyReservation,
     make_lost_error,
     make_session,
     read_body,
@@ -187,10 +189,11 @@
     is therefore sent only on a connection that was just accepted.
     """
 
-    __slots__ = ("_session",)
+    __slots__ = ("_body_memory", "_session")
 
     def __init__(self):
         """Creates a client without connections."""
+        self._body_memory = BodyMemory()
         self._session: aiohttp.ClientSession | None = None
 
     async def call(self, url: str, call: ServiceCall, timeout_seconds: float) -> ServiceResponse:
@@ -208,6 +211,7 @@
         timeout = aiohttp.ClientTimeout(
             total=timeout_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS
         )
+        reservation = BodyReservation(memory=self._body_memory)
         try:
             async with self._session.request(
                 call.method,
@@ -219,7 +223,7 @@
             ) as response:
                 has_explicit_end = get_end_marker(response).is_explicit
                 handler = response.connection.protocol if response.connection else None
-                body = await read_body(response, MAX_SERVICE_BODY_BYTES)
+                body = await read_body(response, MAX_SERVICE_BODY_BYTES, reservation)
                 if not has_explicit_end and getattr(handler, "was_reset", False):
                     raise ServerConnectionLostError(
                         "the connection was reset during a response without a length"
@@ -235,6 +239,8 @@
             raise ServerUnreachableError(str(error)) from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise make_lost_error(error) from error
+        finally:
+            reservation.release()
 
     async def close(self) -> None:
         """Closes all connections."""
--- a/packages/router/laburnumpier_router/forward/http_client.py
+++ b/packages/router/laburnumpier_router/forward/http_client.py
@@ -12,7 +12,7 @@
 from multidict import CIMultiDictProxy
 from yarl import URL
 
-from ..ports.bounded_http import make_lost_error, read_body
+from ..ports.bounded_http import BodyMemory, BodyReservation, make_lost_error, read_body
 from ..response_end import EndMarker, get_end_marker, make_reset_aware_connector
 from .exchange import ServerCall
 from .response_limits import MAX_BODY_BYTES
@@ -26,11 +26,12 @@
 class HttpServerExchange:
     """A response that is received over HTTP."""
 
-    __slots__ = ("_protocol", "_response")
+    __slots__ = ("_protocol", "_reservation", "_response")
 
-    def __init__(self, *, response: aiohttp.ClientResponse):
+    def __init__(self, *, response: aiohttp.ClientResponse, reservation: BodyReservation):
         """Wraps a response whose head was received."""
         self._response = response
+        self._reservation = reservation
         connection = response.connection
         self._protocol = connection.protocol if connection is not None else None
 
@@ -69,7 +70,7 @@
             ServerConnectionLostError: If it ends early.
         """
         try:
-            body = await read_body(self._response, MAX_BODY_BYTES)
+            body = await read_body(self._response, MAX_BODY_BYTES, self._reservation)
         except (aiohttp.ClientError, OSError) as error:
             raise make_lost_error(error) from error
         self._check_not_reset()
@@ -86,10 +87,11 @@
 class HttpServerClient:
     """Sends requests to servers over HTTP/1.1."""
 
-    __slots__ = ("_session",)
+    __slots__ = ("_body_memory", "_session")
 
     def __init__(self):
         """Creates the client; its session is created at the first request."""
+        self._body_memory = BodyMemory()
         self._session: aiohttp.ClientSession | None = None
 
     @contextlib.asynccontextmanager
@@ -112,9 +114,11 @@
             raise ServerUnreachableError(repr(error)) from error
         except (aiohttp.ClientError, OSError) as error:
             raise make_lost_error(error) from error
+        reservation = BodyReservation(memory=self._body_memory)
         try:
-            yield HttpServerExchange(response=response)
+            yield HttpServerExchange(response=response, reservation=reservation)
         finally:
+            reservation.release()
             response.close()
 
     async def close(self) -> None:
--- a/packages/router/laburnumpier_router/ports/bounded_http.py
+++ b/packages/router/laburnumpier_router/ports/bounded_http.py
@@ -18,6 +18,10 @@
 MAX_WIRE_BYTES_PER_BODY_BYTE = 2
 """Bytes on the wire for each byte of a body, beyond `MAX_FRAMING_BYTES`; a chunk of six bytes
 takes eleven."""
+MAX_SHARED_BODY_BYTES = 32 * 1024 * 1024
+"""Memory for all large bodies of a client at the same time; the smallest VMs have 150 MB."""
+UNSHARED_BODY_BYTES = 64 * 1024
+"""Size up to which a body takes nothing of the shared memory."""
 SWITCHING_PROTOCOLS_STATUS = 101
 PIECE_BYTES = 16 * 1024
 """Bytes that are parsed before the limits are checked again."""
@@ -38,6 +42,46 @@
         self.reason = reason
 
 
+class BodyMemory:
+    """The memory that the large bodies of a client share."""
+
+    __slots__ = ("used_bytes",)
+
+    def __init__(self):
+        """Creates the memory with nothing in use."""
+        self.used_bytes = 0
+
+
+class BodyReservation:
+    """The share of one body in the memory of all; small bodies need none."""
+
+    __slots__ = ("_memory", "_taken_bytes")
+
+    def __init__(self, *, memory: BodyMemory):
+        """Creates a reservation of nothing."""
+        self._memory = memory
+        self._taken_bytes = 0
+
+    def grow(self, size_bytes: int) -> None:
+        """Takes as much of the memory as a body of a size needs.
+
+        Raises:
+            ResponseLimitError: If other bodies have taken too much of it.
+        """
+        needed_bytes = max(0, size_bytes - UNSHARED_BODY_BYTES) - self._taken_bytes
+        if needed_bytes <= 0:
+            return
+        if self._memory.used_bytes + needed_bytes > MAX_SHARED_BODY_BYTES:
+            raise ResponseLimitError("bodies_too_large", MAX_SHARED_BODY_BYTES)
+        self._memory.used_bytes += needed_bytes
+        self._taken_bytes += needed_bytes
+
+    def release(self) -> None:
+        """Returns the share."""
+        self._memory.used_bytes -= self._taken_bytes
+        self._taken_bytes = 0
+
+
 class BoundedResponseHandler(ResponseHandler):
     """Ends a connection whose response has a too large head or framing, or bytes behind its end.
 
@@ -127,26 +171,41 @@
     )
 
 
-async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+async def read_body(
+    response: aiohttp.ClientResponse, max_bytes: int, reservation: BodyReservation | None = None
+) -> bytes:
     """Returns the complete body of a response.
 
+    Args:
+        response: The response.
+        max_bytes: Size limit of the body.
+        reservation: Share of the body in the memory of all, which the caller releases; None if
+            the limit is small.
+
     Raises:
-        ResponseLimitError: If it is larger than the limit; its connection is closed.
+        ResponseLimitError: If it is larger than a limit; its connection is closed.
         aiohttp.ClientError: If it ends early.
     """
-    error = ResponseLimitError("body_too_large", max_bytes)
-    if (response.content_length or 0) > max_bytes:
-        response.close()
-        raise error
     body = bytearray()
-    while block := await response.content.readany():
-        body += block
-        if len(body) > max_bytes:
-            response.close()
-            raise error
+    try:
+        _check_body_size(response.content_length or 0, max_bytes)
+        while block := await response.content.readany():
+            size_bytes = len(body) + len(block)
+            _check_body_size(size_bytes, max_bytes)
+            if reservation is not None:
+                reservation.grow(size_bytes)
+            body += block
+    except ResponseLimitError:
+        response.close()
+        raise
     return bytes(body)
 
 
+def _check_body_size(size_bytes: int, max_bytes: int) -> None:
+    if size_bytes > max_bytes:
+        raise ResponseLimitError("body_too_large", max_bytes)
+
+
 def make_lost_error(error: Exception) -> ServerConnectionLostError:
     """Returns the error of a call to a server whose response was lost or passed a limit."""
     if isinstance(error, ResponseLimitError):
