Break off runs that go beyond the tokens of their request

The stream of a run at an engine was read until the deadline if its usage did not grow, if its events repeated an id, or if its lines were no events; new events filled the answer log meanwhile. A router cuts an answer at its reservation by the engine's own usage, which a faulty engine may state as it likes.

A run has at most as many events as its request may use tokens, and 64 more; its stream has at most 4 MiB and 4 KiB for each event. A run that passes a limit has failed like one whose connection was lost, but is not taken up at the same server again: that would go on in the same way, five times.

Tests: features/backend/endless_answers.feature.

--- a/features/backend/endless_answers.feature
+++ b/features/backend/endless_answers.feature
@@ -38,6 +38,27 @@
     Then the call ends with ServerConnectionLostError within 1.5 seconds
     And the server's connection is closed before it has sent 8 MiB
 
+  # Guards against a run whose events, or lines that are none, are taken until the deadline.
+  Scenario Outline: The stream of a run is limited by the tokens of its request
+    Given a server that <behaviour>
+    When a call starts a run
+    Then the call ends with ServerResponseLimitError within 1.5 seconds
+    And the run has yielded at most 30 events
+    And the server's connection is closed before it has sent <mebibytes> MiB
+
+    Examples:
+      | behaviour                               | mebibytes |
+      | streams chat events without end         | 8         |
+      | streams the same chat event without end | 8         |
+      | streams comments without end            | 16        |
+
+  # Guards against a run without end that is taken up again and again.
+  Scenario: A run that has passed a limit is not taken up at the same server
+    Given a server that streams chat events without end
+    When a chat with 30 tokens is run there
+    Then the chat fails as one that may have run
+    And the server has received the chat at most 4 times
+
   # Guards against bytes behind an answer that fill a kept connection or meet the next request.
   Scenario: A connection with bytes behind an answer is closed
     Given a server that sends answers without end
--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -16,23 +16,29 @@
 from contract_steps import run
 from forward_steps import make_headers, send, set_route
 from laburnumpier_core.clock import SystemClock
-from laburnumpier_core.errors import LaburnumpierError
+from laburnumpier_core.errors import LaburnumpierError, RequestError
 from laburnumpier_core.metrics import Metrics
+from laburnumpier_core.result_codes import Ran
 from laburnumpier_platform.store import PlatformStore
 from laburnumpier_router.backend.engine_port import EngineCall, EngineOrder, ServiceCall
 from laburnumpier_router.backend.http_clients import HttpEngineClient, HttpServiceClient
+from laburnumpier_router.backend.server_state import ServerState
 from laburnumpier_router.forward.registry_follower import RegistryFollower
 from laburnumpier_router.forward.servers import ServerTable
 from laburnumpier_router.ports.etcd_service import EtcdKeyValueService
 from laburnumpier_router.ports.key_value_service import Write
 from laburnumpier_router.ports.store_era import StorePosition
 from laburnumpier_router.ports.vm_list import HttpVmList
+from laburnumpier_router.request.answer_log import AnswerLog
+from laburnumpier_router.request.chat_request import ChatRequest
+from laburnumpier_router.request.chat_runner import ChatRunner, RunProgress
 from scripted_server import MAX_ENDLESS_BYTES, ScriptedServer
 
 MEBIBYTE = 1024 * 1024
 CALL_LIMIT_SECONDS = 6.0
 """Time after which a call that does not end is given up."""
 CLOSE_TIMEOUT_SECONDS = 1.0
+MAX_RUN_EVENTS = 30
 STORE_TIMEOUT_SECONDS = 1.0
 POLL_SECONDS = 0.05
 READ_BUFFER_BYTES = 65536
@@ -56,7 +62,8 @@
 
 
 async def read_run(context, url):
-    call = EngineCall(run_id="r", body={"model": "m", "messages": []}, priority=5)
+    body = {"model": "m", "messages": []}
+    call = EngineCall(run_id="r", body=body, priority=5, max_events=MAX_RUN_EVENTS)
     async for event in context.engine.stream(url, call, 0):
         context.events.append(event)
 
@@ -119,6 +126,63 @@
     assert server.sent_bytes <= mebibytes * MEBIBYTE, server.sent_bytes
 
 
+@then("the run has yielded at most {count:d} events")
+def check_run_events(context, count):
+    assert len(context.events) <= count, len(context.events)
+
+
+class SingleServerDispatcher:
+    """Assigns the same server to every run."""
+
+    def __init__(self, url):
+        self._state = ServerState(name="engine", url=url)
+
+    async def acquire(self, item, *, is_retry=False):
+        """Returns the server."""
+        return self._state
+
+    def release(self, server):
+        """Does nothing, as the server has no limit."""
+
+
+@when("a chat with {tokens:d} tokens is run there")
+def run_chat(context, tokens):
+    runner = ChatRunner(
+        engines=context.engine,
+        directory=None,
+        dispatcher=SingleServerDispatcher(f"http://{context.servers[0].address}"),
+        clock=SystemClock(),
+        metrics=Metrics(),
+    )
+    request = ChatRequest(
+        workspace="w",
+        request_id="r",
+        has_idempotency_key=False,
+        body={"model": "m", "messages": []},
+        body_hash="h",
+        model="m",
+        servers=["engine"],
+        max_output_tokens=tokens,
+        max_prompt_tokens=0,
+        prompt_prefix_hash="",
+        priority=5,
+        deadline_seconds=0.0,
+    )
+    progress = RunProgress(request=request, log=AnswerLog(), limit_tokens=tokens)
+    run(context, measure(context, runner.run(progress)))
+
+
+@then("the chat fails as one that may have run")
+def check_chat_failed(context):
+    assert isinstance(context.outcome, RequestError), context.outcome
+    assert context.outcome.ran is Ran.YES, context.outcome.ran
+
+
+@then("the server has received the chat at most {count:d} times")
+def check_chat_count(context, count):
+    assert len(context.servers[0].requests) <= count, len(context.servers[0].requests)
+
+
 def make_store(context, name):
     url = f"http://{context.servers[0].address}"
     options = {"url": url, "timeout_seconds": STORE_TIMEOUT_SECONDS}
--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -282,6 +282,14 @@
         case "sends answers without end":
             answer = head + b"Content-Length: 5\r\n\r\nhello"
             return b"", itertools.repeat(answer * 512)
+        case "streams chat events without end":
+            template = b'id: %d\ndata: {"usage": {"total_tokens": 5}}\n\n'
+            return stream_head + chunked, _make_endless_events(template)
+        case "streams the same chat event without end":
+            event = _encode_chunk(b'id: 1\ndata: {"usage": {"total_tokens": 5}}\n\n')
+            return stream_head + chunked, itertools.repeat(event)
+        case "streams comments without end":
+            return stream_head + chunked, itertools.repeat(_encode_chunk(b": x\n" * 4096))
         case "streams events without end":
             return stream_head + chunked, _make_endless_events(b"id: %d\ndata: more\n\n")
         case "streams the same event without end":
--- a/packages/router/laburnumpier_router/backend/engine_port.py
+++ b/packages/router/laburnumpier_router/backend/engine_port.py
@@ -6,6 +6,9 @@
 
 import msgspec
 
+MAX_EVENTS = 65536
+"""Events of a stream whose call states no other limit."""
+
 
 class LoadReport(msgspec.Struct, frozen=True, kw_only=True):
     """Load that a backend server reports about itself; it is stale when it arrives.
@@ -33,11 +36,13 @@
         run_id: Identifies the run at the engine, to resume or cancel it.
         body: JSON body of a chat completions request with streaming enabled.
         priority: From 0 to 9; the engine schedules higher values first.
+        max_events: Number of events after which a stream counts as failed.
     """
 
     run_id: str
     body: dict[str, Any]
     priority: int
+    max_events: int = MAX_EVENTS
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/router/laburnumpier_router/backend/http_clients.py
+++ b/packages/router/laburnumpier_router/backend/http_clients.py
@@ -33,6 +33,9 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 CONTROL_TIMEOUT_SECONDS = 1.0
 MAX_LINE_BYTES = 1024 * 1024
+MAX_STREAM_BYTES = 4 * 1024 * 1024
+"""Size of a stream of events, beside `MAX_BYTES_PER_EVENT` for each that it may have."""
+MAX_BYTES_PER_EVENT = 4096
 MAX_SERVICE_BODY_BYTES = 4 * 1024 * 1024
 """Size of the response of a plain service."""
 END_OF_STREAM_DATA = b"[DONE]"
@@ -74,7 +77,7 @@
             ) as response:
                 if response.status != 200:
                     raise ServerRefusedError(response.status, await _read_error_text(response))
-                async for event in _read_events(response.content):
+                async for event in _read_events(response.content, call.max_events):
                     yield event
         except aiohttp.ClientConnectorError as error:
             raise ServerUnreachableError(str(error)) from error
@@ -158,15 +161,22 @@
     return body.decode(errors="replace")[:200]
 
 
-async def _read_events(content: aiohttp.StreamReader) -> AsyncIterator[EngineEvent]:
+async def _read_events(
+    content: aiohttp.StreamReader, max_events: int
+) -> AsyncIterator[EngineEvent]:
     """Parses server-sent events; fields other than `id` and `data` are ignored.
 
     Raises:
-        ServerConnectionLostError: If the stream ends without an end event or a line is too long.
+        ServerConnectionLostError: If the stream ends without an end event.
+        ServerResponseLimitError: If the stream, its number of events or a line is too large.
     """
-    event_id = 0
+    event_id, event_count, received_bytes = 0, 0, 0
+    max_bytes = MAX_STREAM_BYTES + max_events * MAX_BYTES_PER_EVENT
     incomplete_line = b""
     async for chunk in content.iter_any():
+        received_bytes += len(chunk)
+        if received_bytes > max_bytes:
+            raise ServerResponseLimitError("stream_too_large", f"more than {max_bytes} bytes")
         *lines, incomplete_line = (incomplete_line + chunk).split(b"\n")
         if len(incomplete_line) > MAX_LINE_BYTES:
             raise ServerResponseLimitError("event_too_large", "event line exceeds the size limit")
@@ -178,6 +188,9 @@
                 if data == END_OF_STREAM_DATA:
                     yield EngineEvent(event_id=event_id, data=None)
                     return
+                event_count += 1
+                if event_count > max_events:
+                    raise ServerResponseLimitError("too_many_events", f"more than {max_events}")
                 yield EngineEvent(event_id=event_id, data=msgspec.json.decode(data), raw=data)
     raise ServerConnectionLostError("stream ended without an end event")
 
--- a/packages/router/laburnumpier_router/request/chat_runner.py
+++ b/packages/router/laburnumpier_router/request/chat_runner.py
@@ -15,6 +15,7 @@
     ServerConnectionLostError,
     ServerError,
     ServerRefusedError,
+    ServerResponseLimitError,
     ServerUnreachableError,
 )
 from laburnumpier_core.log import get_part_logger
@@ -30,6 +31,8 @@
 
 MAX_ATTEMPTS = 4
 MAX_RESUMES = 5
+MAX_EVENTS_WITHOUT_TOKENS = 64
+"""Events of a run beside one for each token that it may use, such as its finish reason."""
 # Client error statuses that depend on the state of the server rather than on the request.
 RETRIED_STATUSES = (404, 408, 409, 410, 429)
 
@@ -164,6 +167,9 @@
             except ServerUnreachableError:
                 if resume == 0 and not progress.started:
                     raise
+            except ServerResponseLimitError:
+                progress.started = True
+                raise
             except ServerConnectionLostError:
                 progress.started = True
             if resume == MAX_RESUMES or (
@@ -175,7 +181,12 @@
     async def _read_stream(self, progress: RunProgress, server: ServerState) -> None:
         """Reads events from one connection until the engine's end marker."""
         request, log = progress.request, progress.log
-        call = EngineCall(run_id=request.run_id, body=request.body, priority=request.priority)
+        call = EngineCall(
+            run_id=request.run_id,
+            body=request.body,
+            priority=request.priority,
+            max_events=progress.limit_tokens + MAX_EVENTS_WITHOUT_TOKENS,
+        )
         sent_at_seconds = self._clock.monotonic_seconds()
         start_event_id = log.last_event_id
         async for event in self._engines.stream(server.url, call, log.last_event_id):
