--- a/packages/router/laburnumpier_router/backend/http_clients.py
+++ b/packages/router/laburnumpier_router/backend/http_clients.py
@@ -8,9 +8,18 @@
 from laburnumpier_core.errors import (
     ServerConnectionLostError,
     ServerRefusedError,
+    ServerResponseLimitError,
     ServerUnreachableError,
 )
 
+from ..ports.bounded_http import (
+    MAX_CONTROL_BODY_BYTES,
+    BodyMemory,
+    BodyReservation,
+    make_lost_error,
+    make_session,
+    read_body,
+)
 from ..response_end import get_end_marker, make_reset_aware_connector
 from .engine_port import (
     EngineCall,
@@ -24,6 +33,11 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 CONTROL_TIMEOUT_SECONDS = 1.0
 MAX_LINE_BYTES = 1024 * 1024
+MAX_STREAM_BYTES = 4 * 1024 * 1024
+"""Size of a stream of events, beside `MAX_BYTES_PER_EVENT` for each that it may have."""
+MAX_BYTES_PER_EVENT = 4096
+MAX_SERVICE_BODY_BYTES = 4 * 1024 * 1024
+"""Size of the response of a plain service."""
 END_OF_STREAM_DATA = b"[DONE]"
 
 
@@ -62,13 +76,13 @@
                 url + "/v1/chat/completions", json=call.body, headers=headers, timeout=timeout
             ) as response:
                 if response.status != 200:
-                    raise ServerRefusedError(response.status, (await response.text())[:200])
-                async for event in _read_events(response.content):
+                    raise ServerRefusedError(response.status, await _read_error_text(response))
+                async for event in _read_events(response.content, call.max_events):
                     yield event
         except aiohttp.ClientConnectorError as error:
             raise ServerUnreachableError(str(error)) from error
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-            raise ServerConnectionLostError(repr(error)) from error
+            raise make_lost_error(error) from error
 
     async def cancel(self, url: str, run_id: str) -> None:
         """Requests cancellation of a run; failures are ignored."""
@@ -93,7 +107,8 @@
             async with self._get_session().get(url + "/load", timeout=timeout) as response:
                 if response.status != 200:
                     return None
-                return msgspec.json.decode(await response.read(), type=LoadReport)
+                body = await read_body(response, MAX_CONTROL_BODY_BYTES)
+                return msgspec.json.decode(body, type=LoadReport)
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
             return None
 
@@ -113,11 +128,11 @@
                 url + "/orders", data=msgspec.json.encode(order), timeout=timeout
             ) as response:
                 if response.status >= 400:
-                    raise ServerRefusedError(response.status, (await response.text())[:200])
+                    raise ServerRefusedError(response.status, await _read_error_text(response))
         except aiohttp.ClientConnectorError as error:
             raise ServerUnreachableError(str(error)) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise ServerConnectionLostError(repr(error)) from error
+            raise make_lost_error(error) from error
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -126,29 +141,45 @@
 
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            connector = aiohttp.TCPConnector(limit=0)
-            self._session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
+            self._session = make_session(limit=0)
         return self._session
 
     async def _post(self, url: str, body: dict[str, Any]) -> dict[str, Any]:
         timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_SECONDS)
         async with self._get_session().post(url, json=body, timeout=timeout) as response:
             response.raise_for_status()
-            return await response.json(content_type=None)
+            return msgspec.json.decode(await read_body(response, MAX_CONTROL_BODY_BYTES))
+
+
+async def _read_error_text(response: aiohttp.ClientResponse) -> str:
+    """Returns the start of an error message.
+
+    Raises:
+        ResponseLimitError: If the message is too large; its status is not relied on then.
+    """
+    body = await read_body(response, MAX_CONTROL_BODY_BYTES)
+    return body.decode(errors="replace")[:200]
 
 
-async def _read_events(content: aiohttp.StreamReader) -> AsyncIterator[EngineEvent]:
+async def _read_events(
+    content: aiohttp.StreamReader, max_events: int
+) -> AsyncIterator[EngineEvent]:
     """Parses server-sent events; fields other than `id` and `data` are ignored.
 
     Raises:
-        ServerConnectionLostError: If the stream ends without an end event or a line is too long.
+        ServerConnectionLostError: If the stream ends without an end event.
+        ServerResponseLimitError: If the stream, its number of events or a line is too large.
     """
-    event_id = 0
+    event_id, event_count, received_bytes = 0, 0, 0
+    max_bytes = MAX_STREAM_BYTES + max_events * MAX_BYTES_PER_EVENT
     incomplete_line = b""
     async for chunk in content.iter_any():
+        received_bytes += len(chunk)
+        if received_bytes > max_bytes:
+            raise ServerResponseLimitError("stream_too_large", f"more than {max_bytes} bytes")
         *lines, incomplete_line = (incomplete_line + chunk).split(b"\n")
         if len(incomplete_line) > MAX_LINE_BYTES:
-            raise ServerConnectionLostError("event line exceeds the size limit")
+            raise ServerResponseLimitError("event_too_large", "event line exceeds the size limit")
         for line in lines:
             if line.startswith(b"id:"):
                 event_id = int(line[3:])
@@ -157,6 +188,9 @@
                 if data == END_OF_STREAM_DATA:
                     yield EngineEvent(event_id=event_id, data=None)
                     return
+                event_count += 1
+                if event_count > max_events:
+                    raise ServerResponseLimitError("too_many_events", f"more than {max_events}")
                 yield EngineEvent(event_id=event_id, data=msgspec.json.decode(data), raw=data)
     raise ServerConnectionLostError("stream ended without an end event")
 
@@ -168,10 +202,11 @@
     is therefore sent only on a connection that was just accepted.
     """
 
-    __slots__ = ("_session",)
+    __slots__ = ("_body_memory", "_session")
 
     def __init__(self):
         """Creates a client without connections."""
+        self._body_memory = BodyMemory()
         self._session: aiohttp.ClientSession | None = None
 
     async def call(self, url: str, call: ServiceCall, timeout_seconds: float) -> ServiceResponse:
@@ -189,6 +224,7 @@
         timeout = aiohttp.ClientTimeout(
             total=timeout_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS
         )
+        reservation = BodyReservation(memory=self._body_memory)
         try:
             async with self._session.request(
                 call.method,
@@ -200,7 +236,7 @@
             ) as response:
                 has_explicit_end = get_end_marker(response).is_explicit
                 handler = response.connection.protocol if response.connection else None
-                body = await response.read()
+                body = await read_body(response, MAX_SERVICE_BODY_BYTES, reservation)
                 if not has_explicit_end and getattr(handler, "was_reset", False):
                     raise ServerConnectionLostError(
                         "the connection was reset during a response without a length"
@@ -215,7 +251,9 @@
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise ServerUnreachableError(str(error)) from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            raise ServerConnectionLostError(repr(error)) from error
+            raise make_lost_error(error) from error
+        finally:
+            reservation.release()
 
     async def close(self) -> None:
         """Closes all connections."""
--- a/packages/router/laburnumpier_router/forward/http_client.py
+++ b/packages/router/laburnumpier_router/forward/http_client.py
@@ -12,8 +12,10 @@
 from multidict import CIMultiDictProxy
 from yarl import URL
 
+from ..ports.bounded_http import BodyMemory, BodyReservation, make_lost_error, read_body
 from ..response_end import EndMarker, get_end_marker, make_reset_aware_connector
 from .exchange import ServerCall
+from .response_limits import MAX_BODY_BYTES
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 """Timeout for connecting; servers are a few milliseconds away, and a lost packet costs 200 ms."""
@@ -24,11 +26,12 @@
 class HttpServerExchange:
     """A response that is received over HTTP."""
 
-    __slots__ = ("_protocol", "_response")
+    __slots__ = ("_protocol", "_reservation", "_response")
 
-    def __init__(self, *, response: aiohttp.ClientResponse):
+    def __init__(self, *, response: aiohttp.ClientResponse, reservation: BodyReservation):
         """Wraps a response whose head was received."""
         self._response = response
+        self._reservation = reservation
         connection = response.connection
         self._protocol = connection.protocol if connection is not None else None
 
@@ -57,7 +60,7 @@
             async for chunk in self._response.content.iter_any():
                 yield chunk
         except (aiohttp.ClientError, OSError) as error:
-            raise ServerConnectionLostError(repr(error)) from error
+            raise make_lost_error(error) from error
         self._check_not_reset()
 
     async def read(self) -> bytes:
@@ -67,9 +70,9 @@
             ServerConnectionLostError: If it ends early.
         """
         try:
-            body = await self._response.read()
+            body = await read_body(self._response, MAX_BODY_BYTES, self._reservation)
         except (aiohttp.ClientError, OSError) as error:
-            raise ServerConnectionLostError(repr(error)) from error
+            raise make_lost_error(error) from error
         self._check_not_reset()
         return body
 
@@ -84,10 +87,11 @@
 class HttpServerClient:
     """Sends requests to servers over HTTP/1.1."""
 
-    __slots__ = ("_session",)
+    __slots__ = ("_body_memory", "_session")
 
     def __init__(self):
         """Creates the client; its session is created at the first request."""
+        self._body_memory = BodyMemory()
         self._session: aiohttp.ClientSession | None = None
 
     @contextlib.asynccontextmanager
@@ -109,10 +113,12 @@
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise ServerUnreachableError(repr(error)) from error
         except (aiohttp.ClientError, OSError) as error:
-            raise ServerConnectionLostError(repr(error)) from error
+            raise make_lost_error(error) from error
+        reservation = BodyReservation(memory=self._body_memory)
         try:
-            yield HttpServerExchange(response=response)
+            yield HttpServerExchange(response=response, reservation=reservation)
         finally:
+            reservation.release()
             response.close()
 
     async def close(self) -> None:
