Break a stream off if the server that was asked what follows begins an answer and breaks off

The caller saw the orderly end of the first, as if the stream were whole. An answer that has begun says more than none: only its own end counts now.

--- a/features/forward/open_ends.feature
+++ b/features/forward/open_ends.feature
@@ -11,6 +11,7 @@
 
     Examples:
       | next                                |
+      | breaks off before its first event   |
       | breaks off within its first event   |
       | falls silent within its first event |
 
--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -161,6 +161,10 @@
             case "closes after 2 events and a half":
                 part = b"".join(events[:2]) + events[2][:8]
                 await self._send(writer, stream_head + b"\r\n" + part)
+            case "breaks off before its first event":
+                await self._send(writer, chunked_head)
+                await asyncio.sleep(0.05)
+                _reset_connection(writer)
             case "breaks off within its first event":
                 await self._send(writer, chunked_head + _encode_chunk(events[0][:8]))
                 await asyncio.sleep(0.05)
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -102,6 +102,7 @@
             `close`, the end of its connection; empty before there is one.
         has_open_end: Whether the last server ended its stream with its connection after whole
             events, which may be the end or a crash.
+        is_end_asked: Whether another server was or is asked what follows such an end.
         error_response: Last error response of a server that was not delivered; None if there is
             none.
         waited_ms: Time for which the request waited for tokens.
@@ -129,6 +130,7 @@
     response_status: int = 0
     server_end: str = ""
     has_open_end: bool = False
+    is_end_asked: bool = False
     error_response: _ErrorResponse | None = None
     waited_ms: int = 0
     is_cut: bool = False
@@ -555,7 +557,7 @@
     ) -> float | None:
         """Returns the seconds of silence after which another server is tried; None for never."""
         route = progress.route
-        if progress.has_open_end:
+        if progress.is_end_asked:
             return self._get_gap_timeout(route)
         is_last_send = progress.send_count + 1 >= route.max_attempts and not sink_started
         if not progress.is_retryable or is_last_send:
@@ -686,6 +688,8 @@
             _ServerAttemptError: If it ended with its connection and can be resumed elsewhere.
         """
         splitter = progress.splitter
+        # A server that was asked what follows and answers has not said yet that nothing does.
+        is_same_end, progress.has_open_end = progress.has_open_end, False
         chunks = exchange.iterate_chunks()
         while True:
             chunk = await self._read_next_chunk(progress, chunks, sink)
@@ -695,12 +699,10 @@
                 events = splitter.feed(chunk)
             except StreamLimitError as error:
                 progress.is_spoiled = sink.started and error.spoils_stream
-                progress.has_open_end = False
                 raise ServerResponseLimitError(error.reason, str(error)) from error
-            if events or splitter.has_partial_event:
-                progress.has_open_end = False
             if not events:
                 continue
+            is_same_end = False
             self._record_version(progress)
             await self._start_stream(progress, exchange, sink)
             await sink.send_chunk(events)
@@ -710,12 +712,11 @@
         if exchange.end_marker.is_explicit:
             await sink.finish_stream()
             return
-        if progress.has_open_end or not progress.is_resumable:
-            # Asked what follows, a second server has said the same; or no other can be asked.
-            progress.has_open_end = True
+        progress.has_open_end = True
+        if is_same_end or not progress.is_resumable:
             await self._end_started_response(progress, sink)
             return
-        progress.has_open_end = True
+        progress.is_end_asked = True
         raise _ServerAttemptError(OPEN_END, Ran.UNKNOWN)
 
     def _record_version(self, progress: RequestProgress) -> None:
@@ -741,7 +742,7 @@
     async def _read_next_chunk(self, progress: RequestProgress, chunks, sink: ResponseSink):
         """Returns the next chunk of a stream, or None at its end."""
         timeout_seconds = None
-        if progress.has_open_end or progress.send_count < progress.route.max_attempts:
+        if progress.is_end_asked or progress.send_count < progress.route.max_attempts:
             timeout_seconds = self._get_silence_timeout(progress, sink_started=sink.started)
         try:
             async with asyncio.timeout(timeout_seconds):
