Do not join events of another run to those that a chat's caller has read

A caller of the product's own interface that came back with Last-Event-ID could get the later events of another run: the log of the router that takes a run over is empty, so the run counted as unread and was started anew when its engine had lost it, or when no router knew of it. A request without a key was always run anew.

A caller with events marks the answer as read, which forbids another run. Before a takeover the router asks the engine to go on after the caller's last event: an engine that has started again, possibly at another version, refuses that, while it would start a run that it does not know from the first event. A chat that no router knows is refused (5005) and may be tried again; a request without a key is refused as no longer held (2012).

Three examples of resumed_chats.feature failed before, with events 6 to 20 of v1.2 or of a new run behind the caller's five. They pass, and the chat whose engine still has the run goes on as before.

--- a/packages/core/laburnumpier_core/result_codes.py
+++ b/packages/core/laburnumpier_core/result_codes.py
@@ -108,7 +108,7 @@
     ResultCode.SERVER_FAILED: _info(502, "The backend server failed while it ran the request."),
     ResultCode.OUTCOME_UNKNOWN: _info(502, "The call was sent and its outcome cannot be known."),
     ResultCode.STREAM_ORIGIN_UNKNOWN: _info(
-        503, "It is unknown at which software version the stream began."
+        503, "It is unknown at which server or version the stream began."
     ),
     ResultCode.CONFLICT: _info(409, "The patch was written against an outdated number."),
     ResultCode.OPERATOR_UNAUTHORIZED: _info(401, "The operator token is missing or wrong."),
--- a/packages/router/laburnumpier_router/callers/frontend.py
+++ b/packages/router/laburnumpier_router/callers/frontend.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import uuid
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 from aiohttp import web
 from laburnumpier_core.clock import Clock
@@ -33,6 +33,7 @@
 )
 
 DEADLINE_HEADER = "X-Deadline-Seconds"
+LAST_EVENT_ID_HEADER = "Last-Event-ID"
 BODY_TIMEOUT_SECONDS = 30.0
 WRITE_TIMEOUT_SECONDS = 60.0
 IDLE_POLL_SECONDS = 0.05
@@ -216,17 +217,17 @@
             prompt_prefix_hash=chat_body.hash_prompt_prefix(body),
             priority=workspace_settings.priority,
             deadline_seconds=self._clock.monotonic_seconds() + remaining_seconds,
+            resume_after=_parse_last_event_id(request.headers) if body.get("stream") else 0,
         )
 
     async def _stream_answer(
         self, request: web.Request, chat: ChatRequest, log: AnswerLog, *, with_usage: bool
     ) -> web.StreamResponse:
         """Streams events as they arrive; sends the end marker only if the answer is complete."""
-        after_event_id = _parse_last_event_id(request.headers.get("Last-Event-ID"))
         response = web.StreamResponse(headers=_make_response_headers(chat.request_id))
         response.content_type = "text/event-stream"
         try:
-            async for event in log.read(after_event_id):
+            async for event in log.read(chat.resume_after):
                 if not response.prepared:
                     await response.prepare(request)
                 data = format_event(event, with_usage=with_usage)
@@ -366,6 +367,7 @@
     }
 
 
-def _parse_last_event_id(text: str | None) -> int:
+def _parse_last_event_id(headers: Mapping[str, str]) -> int:
     """Returns the event id to resume after; 0 if the header is missing or invalid."""
+    text = headers.get(LAST_EVENT_ID_HEADER)
     return int(text) if text and text.isdecimal() and len(text) < 16 else 0
--- a/packages/router/laburnumpier_router/request/answer_log.py
+++ b/packages/router/laburnumpier_router/request/answer_log.py
@@ -83,7 +83,7 @@
             self._notify_change()
 
     def mark_read(self) -> None:
-        """Records that events were sent to a peer."""
+        """Records that events were sent to a peer, or that a caller has some already."""
         self._was_read = True
 
     def clear(self) -> None:
--- a/packages/router/laburnumpier_router/request/chat_request.py
+++ b/packages/router/laburnumpier_router/request/chat_request.py
@@ -21,6 +21,7 @@
         prompt_prefix_hash: Hash of the prompt's first characters.
         priority: From 0 to 9; higher values are served first.
         deadline_seconds: Deadline, on the monotonic clock.
+        resume_after: Id of the last event that the caller has from an earlier try; 0 for none.
     """
 
     workspace: str
@@ -35,6 +36,7 @@
     prompt_prefix_hash: str
     priority: int
     deadline_seconds: float
+    resume_after: int = 0
 
     @property
     def key(self) -> tuple[str, str]:
--- a/packages/router/laburnumpier_router/request/chat_runner.py
+++ b/packages/router/laburnumpier_router/request/chat_runner.py
@@ -5,6 +5,7 @@
 has been sent to a caller or peer: a second run may generate a different answer.
 """
 
+import contextlib
 import dataclasses
 from typing import Any
 
@@ -97,6 +98,13 @@
         """
         if resume_server and await self._resume_run(progress, resume_server):
             return
+        if progress.log.was_read and not progress.log.last_event_id:
+            raise RequestError(
+                ResultCode.STREAM_ORIGIN_UNKNOWN,
+                ran=Ran.UNKNOWN,
+                retry_after_seconds=1.0,
+                detail="no router knows which run the caller's events are of",
+            )
         failed_servers: set[str] = set()
         for attempt in range(MAX_ATTEMPTS):
             server = await self._dispatcher.acquire(
@@ -148,6 +156,8 @@
         progress.server = name
         state.start_run()
         try:
+            if progress.log.was_read:
+                await self._check_run(progress, state)
             await self._run_at(progress, state)
             self._metrics.count("request.resumed_after_router_death")
             return True
@@ -157,6 +167,23 @@
         finally:
             self._dispatcher.release(state)
 
+    async def _check_run(self, progress: RunProgress, server: ServerState) -> None:
+        """Checks that an engine still has the run whose events a caller has.
+
+        An engine starts a run that it does not know only from its first event.
+
+        Raises:
+            ServerError: If the engine does not have the run.
+        """
+        request = progress.request
+        call = EngineCall(run_id=request.run_id, body=request.body, priority=request.priority)
+        after_event_id = max(request.resume_after, progress.log.last_event_id)
+        if not after_event_id:
+            return
+        stream = self._engines.stream(server.url, call, after_event_id)
+        async with contextlib.aclosing(stream):
+            await anext(stream, None)
+
     async def _run_at(self, progress: RunProgress, server: ServerState) -> None:
         """Runs at one server; resumes a broken stream while each attempt yields new events."""
         for resume in range(MAX_RESUMES + 1):
--- a/packages/router/laburnumpier_router/request/chat_service.py
+++ b/packages/router/laburnumpier_router/request/chat_service.py
@@ -137,6 +137,9 @@
             raise RequestError(ResultCode.KEY_REUSED)
         else:
             self._metrics.count("request.joined")
+        if request.resume_after:
+            # The caller has events of a run, so another run must not replace it.
+            tracked.log.mark_read()
         tracked.log.add_reader()
         try:
             yield tracked.log
@@ -205,7 +208,7 @@
         except RequestError as error:
             self._metrics.count(f"request.failed.{int(error.code)}")
             tracked.log.finish(describe_failure(error))
-            if error.ran is Ran.NO:
+            if error.ran is Ran.NO or error.code is ResultCode.STREAM_ORIGIN_UNKNOWN:
                 await self._remove_request(tracked)
         except asyncio.CancelledError:
             error = RequestError(ResultCode.STOPPING, ran=Ran.UNKNOWN)
@@ -221,6 +224,8 @@
     async def _run_or_relay(self, tracked: TrackedRequest) -> None:
         """Runs the request on this router, or relays it from the router that runs it."""
         if not tracked.request.has_idempotency_key:
+            if tracked.request.resume_after:
+                raise RequestError(ResultCode.REQUEST_EXPIRED, ran=Ran.UNKNOWN)
             await self._run_locally(tracked, resume_server="")
             return
         replacing = ""
