Keep a second run of a chat from callers that have events of the first

A run that was lost with its engine may be started again for a caller without events. A caller of the first run that came back to it, at the same router or at another one, got the later events of the second run.

A router that takes a run over asks the engine for what follows the first event, at least, before it reads the run: only an engine that still has the run accepts that. A log whose run had to be started again is marked, also where it is relayed, and callers with events are refused there (5005). That holds for a caller with events of the second run too, because nothing tells the two apart.

Both examples failed before, with events 6 to 20 of v1.2 behind the caller's five of v1.

--- a/features/request/resumed_chats.feature
+++ b/features/request/resumed_chats.feature
@@ -21,6 +21,20 @@
     Then the caller's events are all of version v1
     And the caller is told that the answer cannot be completed
 
+  # Guards against events of a second run that was begun for another caller with the same key.
+  Scenario Outline: A chat that was run anew for another caller does not go on for one with events
+    When a caller reads 5 events of a keyed chat at router 1, and router 1 dies
+    And the engine comes back at version v1.2
+    And another caller sends the same chat to router 2 and gets the whole answer
+    And the caller comes back at router <router> after event 5
+    Then the caller's events are all of version v1
+    And the caller is told that the answer cannot be completed
+
+    Examples:
+      | router |
+      | 2      |
+      | 3      |
+
   # Guards against a new run for a caller that holds events of a run that the fleet has forgotten.
   Scenario Outline: A chat that no router knows is not run anew for a caller that has events
     When a caller comes back at router 2 after event 5 with <key>
--- a/features/steps/resumed_chat_steps.py
+++ b/features/steps/resumed_chat_steps.py
@@ -132,6 +132,14 @@
     context.engine.version = version
 
 
+@when("another caller sends the same chat to router {number:d} and gets the whole answer")
+def send_again(context, number):
+    events, context.chat_events = context.chat_events, []
+    run(context, read_chat(context, number, key=context.chat_key))
+    assert context.chat_whole, context.chat_events
+    context.chat_events, context.chat_whole = events, False
+
+
 @when("the caller comes back at router {number:d} after event {event_id:d}")
 def come_back(context, number, event_id):
     run(context, read_chat(context, number, key=context.chat_key, last_event_id=event_id))
--- a/packages/router/laburnumpier_router/request/answer_log.py
+++ b/packages/router/laburnumpier_router/request/answer_log.py
@@ -18,6 +18,7 @@
         "_events",
         "_failure",
         "_finished",
+        "_is_another_run",
         "_reader_count",
         "_readers_changed",
         "_was_read",
@@ -32,12 +33,18 @@
         self._readers_changed = asyncio.Event()
         self._reader_count = 0
         self._was_read = False
+        self._is_another_run = False
 
     @property
     def was_read(self) -> bool:
         """Whether a caller or peer may have received an event."""
         return self._was_read
 
+    @property
+    def is_another_run(self) -> bool:
+        """Whether callers may have events of an earlier run of the request, which was lost."""
+        return self._is_another_run
+
     @property
     def events(self) -> list[AnswerEvent]:
         """All events so far."""
@@ -86,6 +93,10 @@
         """Records that events were sent to a peer, or that a caller has some already."""
         self._was_read = True
 
+    def mark_as_another_run(self) -> None:
+        """Records that the events are of another run than those that callers may have."""
+        self._is_another_run = True
+
     def clear(self) -> None:
         """Removes all events; allowed only while `was_read` is false."""
         self._events.clear()
--- a/packages/router/laburnumpier_router/request/chat_runner.py
+++ b/packages/router/laburnumpier_router/request/chat_runner.py
@@ -96,8 +96,10 @@
         Raises:
             RequestError: If the answer cannot be completed.
         """
-        if resume_server and await self._resume_run(progress, resume_server):
-            return
+        if resume_server:
+            if await self._resume_run(progress, resume_server):
+                return
+            progress.log.mark_as_another_run()
         if progress.log.was_read and not progress.log.last_event_id:
             raise RequestError(
                 ResultCode.STREAM_ORIGIN_UNKNOWN,
@@ -156,8 +158,7 @@
         progress.server = name
         state.start_run()
         try:
-            if progress.log.was_read:
-                await self._check_run(progress, state)
+            await self._check_run(progress, state)
             await self._run_at(progress, state)
             self._metrics.count("request.resumed_after_router_death")
             return True
@@ -168,7 +169,7 @@
             self._dispatcher.release(state)
 
     async def _check_run(self, progress: RunProgress, server: ServerState) -> None:
-        """Checks that an engine still has the run whose events a caller has.
+        """Checks that an engine still has a run of which callers may have events.
 
         An engine starts a run that it does not know only from its first event.
 
@@ -177,9 +178,7 @@
         """
         request = progress.request
         call = EngineCall(run_id=request.run_id, body=request.body, priority=request.priority)
-        after_event_id = max(request.resume_after, progress.log.last_event_id)
-        if not after_event_id:
-            return
+        after_event_id = max(1, request.resume_after, progress.log.last_event_id)
         stream = self._engines.stream(server.url, call, after_event_id)
         async with contextlib.aclosing(stream):
             await anext(stream, None)
--- a/packages/router/laburnumpier_router/request/chat_service.py
+++ b/packages/router/laburnumpier_router/request/chat_service.py
@@ -126,7 +126,8 @@
             The log of its answer; the caller counts as a reader within the context.
 
         Raises:
-            RequestError: If the id was used with another body.
+            RequestError: If the id was used with another body, or the caller has events of
+                another run.
         """
         tracked = self._requests.get(request.key)
         if tracked is None:
@@ -135,6 +136,8 @@
             tracked.task = asyncio.create_task(self._serve(tracked))
         elif tracked.request.body_hash != request.body_hash:
             raise RequestError(ResultCode.KEY_REUSED)
+        elif request.resume_after and tracked.log.is_another_run:
+            raise _make_unknown_run_error()
         else:
             self._metrics.count("request.joined")
         if request.resume_after:
@@ -161,7 +164,11 @@
         if events:
             tracked.log.mark_read()
         return AnswerRead(
-            found=True, events=events, finished=tracked.log.finished, failure=tracked.log.failure
+            found=True,
+            events=events,
+            finished=tracked.log.finished,
+            failure=tracked.log.failure,
+            is_another_run=tracked.log.is_another_run,
         )
 
     async def wait_until_idle(self) -> None:
@@ -305,6 +312,10 @@
             if not isinstance(reply, AnswerRead) or not reply.found:
                 return False
             failed_reads = 0
+            if reply.is_another_run:
+                tracked.log.mark_as_another_run()
+                if tracked.request.resume_after:
+                    raise _make_unknown_run_error()
             for event in reply.events:
                 tracked.log.append_event(event)
             if reply.finished:
@@ -420,3 +431,8 @@
         if self._requests.get(tracked.request.key) is tracked:
             del self._requests[tracked.request.key]
         await self._notify_home(tracked.request, "")
+
+
+def _make_unknown_run_error() -> RequestError:
+    """Returns the error for a caller whose events may be of another run than those that follow."""
+    return RequestError(ResultCode.STREAM_ORIGIN_UNKNOWN, ran=Ran.UNKNOWN, retry_after_seconds=1.0)
--- a/packages/router/laburnumpier_router/request/messages.py
+++ b/packages/router/laburnumpier_router/request/messages.py
@@ -100,12 +100,14 @@
         found: Whether the router knows the request.
         finished: Whether the answer has ended; no more events follow.
         failure: How the request failed, if it ended without a complete answer.
+        is_another_run: Whether callers may have events of an earlier run, which was lost.
     """
 
     found: bool
     events: list[AnswerEvent] = []
     finished: bool = False
     failure: Failure | None = None
+    is_another_run: bool = False
 
 
 class ReadOutcome(msgspec.Struct, frozen=True, kw_only=True, tag=True):
