--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,14 +1,19 @@
 """Steps for the fault soak of router processes."""
 
+import dataclasses
+
 from behave import then, when
 from laburnumpier_platform_standin.launch import choose_listen_ports, read_outgoing_ports
 from laburnumpier_platform_standin.soak import run_soak
+from laburnumpier_platform_standin.soak_record import NO_MIXES
 
 
-@when("a soak of {routers:d} routers with seed {seed:d} runs for {seconds:d} seconds")
-def run_soak_with_seed(context, routers, seed, seconds):
+@when("a soak of {routers:d} routers with seed {seed:d} and {mixes} runs for {seconds:d} seconds")
+def run_soak_with_seed(context, routers, seed, mixes, seconds):
+    names = () if mixes == "no mixes" else mixes.split(", ")
+    chosen = dataclasses.replace(NO_MIXES, **dict.fromkeys(names, True))
     context.traffic_record, context.fault_counts, context.directory = run_soak(
-        seed=seed, seconds=seconds, routers=routers
+        seed=seed, seconds=seconds, routers=routers, mixes=chosen
     )
 
 
