--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -534,7 +534,7 @@
         except _ServerAttemptError as failure:
             if failure.ran is Ran.NO:
                 progress.may_have_run = may_have_run_before
-            if failure.reason == "open_end":
+            if failure.reason == OPEN_END:
                 server.record_connection_lost(self._clock.monotonic_seconds())
             raise
         finally:
