Test that the memory of a router process stays bounded while its server sends without end

The limits on servers' responses are tested by bytes and by status in one process, on the event loop of asyncio. These scenarios run a router process as the platform does, on uvloop, with 12 callers at the same time, and read its peak memory: at most 150 MB, the size of the smallest VM.

In earlier plays, two callers got 503: the server had failed often enough not to be chosen, and their requests had not run. The step counts the runs now and asks for 502 for each and 503 else. One play of that time ended with an error whose text was not kept; its run took some 25 s longer than the others, as a router that is not ready within 20 s does. It is not traced.

--- a/features/forward/endless_answers.feature
+++ b/features/forward/endless_answers.feature
@@ -94,3 +94,19 @@
     When 16 callers send non-idempotent requests at the same time
     Then at most 8 of them wait for the end of the body, the others get 502 at once
     And a request with a small answer beside them gets 200
+
+  # Guards against memory that grows with what servers send; the smallest VMs have 150 MB.
+  Scenario Outline: The memory of a router process is bounded while its server sends without end
+    Given a router process with a grace period of 4 seconds
+    And its server <behaviour>
+    When 12 callers send it requests with a time limit of 6.0 seconds
+    Then its memory had at most 150 MB at its peak
+    And each caller got 502 if the server ran its request, and 503 if not
+
+    Examples:
+      | behaviour                                     |
+      | sends a body without a length and without end |
+      | sends a body in chunks without end            |
+      | sends a body in tiny chunks without end       |
+      | sends interim heads without end               |
+      | streams an event without end                  |
--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -8,6 +8,7 @@
 import base64
 import itertools
 import json
+import pathlib
 import random
 import socket
 
@@ -32,6 +33,7 @@
 from laburnumpier_router.request.answer_log import AnswerLog
 from laburnumpier_router.request.chat_request import ChatRequest
 from laburnumpier_router.request.chat_runner import ChatRunner, RunProgress
+from process_steps import HEADERS
 from scripted_server import MAX_ENDLESS_BYTES, ScriptedServer
 
 MEBIBYTE = 1024 * 1024
@@ -39,6 +41,7 @@
 """Time after which a call that does not end is given up."""
 CLOSE_TIMEOUT_SECONDS = 1.0
 MAX_RUN_EVENTS = 30
+MANY_ENDLESS_BYTES = 512 * 1024 * 1024
 STORE_TIMEOUT_SECONDS = 1.0
 POLL_SECONDS = 0.05
 READ_BUFFER_BYTES = 65536
@@ -392,3 +395,39 @@
 @then("a request with a small answer beside them gets {status:d}")
 def check_small(context, status):
     assert context.small_status == status, context.small_status
+
+
+@given("its server {behaviour}")
+def set_backend_behaviour(context, behaviour):
+    context.backend.behaviour = behaviour
+    context.backend.max_endless_bytes = MANY_ENDLESS_BYTES
+
+
+@when("{count:d} callers send it requests with a time limit of {seconds:f} seconds")
+def send_to_process(context, count, seconds):
+    url = f"http://127.0.0.1:{context.ports[0]}/shop/x"
+    headers = {**HEADERS, "X-Deadline-Ms": str(round(seconds * 1000))}
+
+    async def send_one():
+        async with context.session.post(url, headers=headers) as response:
+            return response.status
+
+    async def send_all():
+        return await asyncio.gather(*(send_one() for _ in range(count)))
+
+    context.statuses = run(context, send_all())
+
+
+@then("its memory had at most {megabytes:d} MB at its peak")
+def check_peak_memory(context, megabytes):
+    status = pathlib.Path(f"/proc/{context.process.pid}/status").read_text()
+    line = next(line for line in status.splitlines() if line.startswith("VmHWM"))
+    kibibytes = int(line.split()[1])
+    assert kibibytes * 1024 <= megabytes * 1_000_000, (kibibytes, context.statuses)
+
+
+@then("each caller got 502 if the server ran its request, and 503 if not")
+def check_all_statuses(context):
+    assert set(context.statuses) <= {502, 503}, context.statuses
+    runs = context.backend.runs
+    assert 0 < runs == context.statuses.count(502), (runs, context.statuses)
--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -31,6 +31,7 @@
         client_closed: Set when a client closed its connection while it waited for the answer.
         address: Host and port of the server; empty before `start`.
         sent_bytes: Bytes of endless responses that the clients' sockets have taken.
+        max_endless_bytes: Limit of `sent_bytes`, after which it waits for clients to close.
     """
 
     def __init__(self, behaviour: str, version: str = ""):
@@ -42,6 +43,7 @@
         self.client_closed = asyncio.Event()
         self._told_to_break_off = asyncio.Event()
         self.sent_bytes = 0
+        self.max_endless_bytes = MAX_ENDLESS_BYTES
         self._server: asyncio.Server | None = None
         self.address = ""
 
@@ -209,7 +211,7 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         try:
             await self._send(writer, start)
-            while self.sent_bytes < MAX_ENDLESS_BYTES:
+            while self.sent_bytes < self.max_endless_bytes:
                 block = next(units)
                 await self._send(writer, block)
                 self.sent_bytes += len(block)
