Choose the ports of all test processes from those that no outgoing connection can take

Scenarios of process.feature ended in errors now and then, in runs beside others; a router that does not start within its time fits them, and the soak had shown why one does not: its port, picked by a bind to port 0, had been taken by an outgoing connection. The choice of the soak moves to the module that all of them use.

--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from behave import then, when
-from laburnumpier_platform_standin.launch import choose_listen_ports, read_outgoing_ports
+from laburnumpier_measure.local_fleet import choose_listen_ports, read_outgoing_ports
 from laburnumpier_platform_standin.soak import run_soak
 from laburnumpier_platform_standin.soak_record import NO_MIXES
 
--- a/packages/measure/laburnumpier_measure/local_fleet.py
+++ b/packages/measure/laburnumpier_measure/local_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -16,13 +17,53 @@
 OPERATOR_TOKEN = "demo-operator-token"
 FLEET_TOKEN = "demo-fleet-token"
 START_TIMEOUT_SECONDS = 20.0
+FIRST_PORT = 10_000
+"""Lowest port that a router may listen on."""
+LAST_PORT = 65_535
+_OUTGOING_PORTS_PATH = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
+
+_chosen_ports: set[int] = set()
 
 
 def find_free_port() -> int:
-    """Returns a TCP port on loopback that is currently unused."""
+    """Returns an unused TCP port on loopback that no outgoing connection can take."""
+    return choose_listen_ports(1)[0]
+
+
+def read_outgoing_ports() -> range:
+    """Returns the ports that the kernel assigns to outgoing connections."""
+    first, last = map(int, _OUTGOING_PORTS_PATH.read_text().split())
+    return range(first, last + 1)
+
+
+def choose_listen_ports(count: int) -> list[int]:
+    """Returns unused ports on loopback that no outgoing connection can take before the start.
+
+    They begin at a random one and are chosen only once, so that fleets on one machine rarely meet.
+
+    Raises:
+        OSError: If there are not enough unused ports.
+    """
+    outgoing_ports = read_outgoing_ports()
+    candidates = [port for port in range(FIRST_PORT, LAST_PORT + 1) if port not in outgoing_ports]
+    first = random.SystemRandom().randrange(len(candidates))
+    ports = []
+    for port in candidates[first:] + candidates[:first]:
+        if port not in _chosen_ports and _is_unused(port):
+            _chosen_ports.add(port)
+            ports.append(port)
+            if len(ports) == count:
+                return ports
+    raise OSError(f"fewer than {count} unused ports outside {outgoing_ports}")
+
+
+def _is_unused(port: int) -> bool:
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+        return True
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
