Log each refusal of a forwarded request under an event of its own, with what tells why

'request refused' has its own limit. Lines of 401 and 404 hold the host, the path and the age of the last confirmation of the configuration, which the hypotheses on the incident differ in. The operator's report of refusals reads both events; the check of one record a request counts both and their names.

--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -50,6 +50,7 @@
     def __init__(self):
         self.number = 1
         self.configuration = Configuration()
+        self.confirmed_seconds = float("inf")
 
     def find_workspace_of_key(self, key_hash):
         """Returns the workspace of a hashed key."""
@@ -465,8 +466,11 @@
 
 @then("the log record has the outcome {outcome} and the servers {servers}")
 def check_log_record(context, outcome, servers):
-    records = [r for r in context.log_records if r.getMessage() == "request ended"]
+    events = ("request ended", "request refused")
+    records = [r for r in context.log_records if r.getMessage() in events]
     assert len(records) == 1, context.log_records
+    is_served = outcome in ("answered", "broken_off")
+    assert records[0].getMessage() == events[0 if is_served else 1], records[0]
     fields = records[0].fields
     assert fields["request"] == "a1"
     assert fields["outcome"] == outcome, fields
--- a/features/steps/log_steps.py
+++ b/features/steps/log_steps.py
@@ -242,7 +242,7 @@
             source="vm-1.log",
             time=time,
             part="forward",
-            event="request ended",
+            event="request ended" if outcome == "answered" else "request refused",
             fields={**fields, "cost": cost, "waited_ms": 101},
         )
 
--- a/packages/operator/laburnumpier_operator/refusal_report.py
+++ b/packages/operator/laburnumpier_operator/refusal_report.py
@@ -14,7 +14,7 @@
 from .request_timeline import LogLine
 
 SERVED_OUTCOME = "answered"
-REQUEST_EVENT = "request ended"
+REQUEST_EVENTS = frozenset({"request ended", "request refused"})
 DRAW_EVENT = "drew tokens"
 
 Row = dict[str, Any]
@@ -45,7 +45,7 @@
         interval_seconds: Length of the intervals of the first table.
     """
     ordered = sorted(lines, key=lambda line: line.time)
-    requests = [line for line in ordered if line.event == REQUEST_EVENT]
+    requests = [line for line in ordered if line.event in REQUEST_EVENTS]
     draws = [line for line in ordered if line.event == DRAW_EVENT]
     return RefusalReport(
         by_time=_summarise_times(requests, interval_seconds),
--- a/packages/router/laburnumpier_router/configuration/service.py
+++ b/packages/router/laburnumpier_router/configuration/service.py
@@ -82,6 +82,7 @@
         "_background",
         "_clock",
         "_configuration",
+        "_confirmed_seconds",
         "_fetch_task",
         "_fleet",
         "_format",
@@ -135,6 +136,7 @@
         self._configuration = Configuration()
         self._workspaces_by_key_hash: dict[str, str] = {}
         self._store_position = StorePosition(era=UNKNOWN_ERA, revision=0)
+        self._confirmed_seconds = float("-inf")
         self._background = BackgroundTasks(part="config", metrics=metrics)
         self._fetch_task: asyncio.Task[None] | None = None
 
@@ -143,6 +145,11 @@
         """Number of the active configuration; 0 before the first."""
         return self._record.number
 
+    @property
+    def confirmed_seconds(self) -> float:
+        """Monotonic time as of which the store had no newer configuration than the active one."""
+        return self._confirmed_seconds
+
     @property
     def record(self) -> ConfigurationRecord:
         """Stored record of the active configuration."""
@@ -330,27 +337,39 @@
     async def _watch_once(self) -> None:
         if self._store_position.revision == 0:
             await self._read_from_store()
+        started_seconds = self._clock.monotonic_seconds()
         stored = await self._store.wait_for_change(
             self._format.key, self._store_position, self._watch_seconds
         )
-        if stored is not None:
-            self._store_position = max(self._store_position, stored.position)
-            record = self._decode(stored)
-            if record is not None:
-                self.apply(record)
+        if stored is None:
+            # The store waited for the whole time, which began after the call was sent.
+            end_seconds = started_seconds + self._watch_seconds
+            self._record_confirmation(min(end_seconds, self._clock.monotonic_seconds()))
+            return
+        self._store_position = max(self._store_position, stored.position)
+        record = self._decode(stored)
+        if record is not None:
+            self.apply(record)
+            self._record_confirmation(started_seconds)
 
     async def _read_from_store(self) -> tuple[ConfigurationRecord, StorePosition]:
+        started_seconds = self._clock.monotonic_seconds()
         found = await self._store.read([self._format.key])
         stored = found.get(self._format.key)
         if stored is None:
+            self._record_confirmation(started_seconds)
             return ConfigurationRecord(), found.get_position(self._format.key)
         self._store_position = max(self._store_position, stored.position)
         record = self._decode(stored)
         if record is None:
             raise StoreError("the stored configuration cannot be read")
         self.apply(record)
+        self._record_confirmation(started_seconds)
         return record, stored.position
 
+    def _record_confirmation(self, seconds: float) -> None:
+        self._confirmed_seconds = max(self._confirmed_seconds, seconds)
+
     def _decode(self, stored: StoredValue) -> ConfigurationRecord | None:
         """Decodes a stored record; returns None, and keeps the active one, if it is invalid."""
         try:
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -56,6 +56,10 @@
 OPEN_END = "open_end"
 """Reason of a server attempt whose stream ended with its connection after whole events."""
 EVENT_STREAM = "text/event-stream"
+CONFIGURATION_REFUSALS = frozenset(
+    {ResultCode.NOT_FOUND, ResultCode.UNKNOWN_KEY, ResultCode.MISSING_KEY}
+)
+"""Refusals of requests that a newer configuration may allow."""
 
 _log = get_part_logger("forward")
 
@@ -697,4 +701,14 @@
             fields["status"] = RESULT_CODE_TABLE[refusal.code].http_status
             fields["retry_after"] = refusal.retry_after_seconds
             fields.update(refusal.facts)
-        _log.info("request ended", fields=fields)
+        if refusal is not None and refusal.code in CONFIGURATION_REFUSALS:
+            fields["host"] = request.host
+            fields["path"] = request.target.partition("?")[0]
+            fields["confirmed_ms"] = self._get_confirmation_age_ms()
+        # Lines are limited by event, so served requests do not crowd out the refused ones.
+        _log.info("request ended" if refusal is None else "request refused", fields=fields)
+
+    def _get_confirmation_age_ms(self) -> int | None:
+        """Returns the age of the configuration's last confirmation; None if there was none."""
+        age_seconds = self._clock.monotonic_seconds() - self._configuration.confirmed_seconds
+        return round(age_seconds * 1000) if math.isfinite(age_seconds) else None
