Use new connections to the store after a call that timed out, and repeat a silent watch at once

What callers saw: 401 or 404 for what a confirmed version allows, at a router that counts as reachable again. Cause: all open connections to the store can fall silent for good while new ones work. The watch is found out after 2.5 s, then paused for up to 0.75 s, and went on with an idle connection of the pool that had fallen silent too, for another 2.5 s.

--- a/packages/router/laburnumpier_router/configuration/service.py
+++ b/packages/router/laburnumpier_router/configuration/service.py
@@ -283,6 +283,7 @@
     async def follow_store_periodically(self) -> None:
         """Watches the store whenever this process is a watcher; runs until cancelled."""
         while True:
+            started_seconds = self._clock.monotonic_seconds()
             try:
                 if self._is_watcher():
                     await self._watch_once()
@@ -290,7 +291,16 @@
                     await asyncio.sleep(WATCH_RETRY_SECONDS)
             except StoreError as error:
                 _log.debug("configuration watch failed", fields={"error": error})
-                await asyncio.sleep(WATCH_RETRY_SECONDS * self._random.uniform(0.5, 1.5))
+                await self._pause_after_failure(started_seconds)
+
+    async def _pause_after_failure(self, started_seconds: float) -> None:
+        """Waits until the retry interval has passed since the start of a failed watch.
+
+        A watch that was not answered has taken longer, and is repeated at once.
+        """
+        interval_seconds = WATCH_RETRY_SECONDS * self._random.uniform(0.5, 1.5)
+        elapsed_seconds = self._clock.monotonic_seconds() - started_seconds
+        await asyncio.sleep(max(0.0, interval_seconds - elapsed_seconds))
 
     def fetch_if_newer(self, peer: str, number: int) -> None:
         """Fetches the configuration of a peer if its number is higher than the active one."""
@@ -342,9 +352,7 @@
             self._format.key, self._store_position, self._watch_seconds
         )
         if stored is None:
-            # The store waited for the whole time, which began after the call was sent.
-            end_seconds = started_seconds + self._watch_seconds
-            self._record_confirmation(min(end_seconds, self._clock.monotonic_seconds()))
+            # Not a confirmation: a watch whose connection is silent may look like a quiet one.
             return
         self._store_position = max(self._store_position, stored.position)
         record = self._decode(stored)
--- a/packages/router/laburnumpier_router/ports/etcd_service.py
+++ b/packages/router/laburnumpier_router/ports/etcd_service.py
@@ -14,8 +14,9 @@
 from laburnumpier_core.errors import StoreUnavailableError, WriteOutcomeUnknownError
 from laburnumpier_core.metrics import Metrics
 
-from .bounded_http import MAX_CONTROL_BODY_BYTES, ResponseLimitError, make_session, read_body
+from .bounded_http import MAX_CONTROL_BODY_BYTES, ResponseLimitError, read_body
 from .key_value_service import CommitOutcome, FoundValues, StoredValue, Write
+from .store_connections import StoreConnections
 from .store_era import UNKNOWN_ERA, StoreEra, StorePosition
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
@@ -51,7 +52,7 @@
 class EtcdKeyValueService:
     """Implements `KeyValueService` with the etcd v3 JSON gateway."""
 
-    __slots__ = ("_era", "_metrics", "_session", "_timeout_seconds", "_url")
+    __slots__ = ("_connections", "_era", "_metrics", "_timeout_seconds", "_url")
 
     def __init__(self, *, url: str, timeout_seconds: float, metrics: Metrics):
         """Creates the adapter, which connects on the first call.
@@ -65,7 +66,7 @@
         self._timeout_seconds = timeout_seconds
         self._metrics = metrics
         self._era = StoreEra()
-        self._session: aiohttp.ClientSession | None = None
+        self._connections = StoreConnections(metrics=metrics)
 
     @property
     def era(self) -> StoreEra:
@@ -181,14 +182,15 @@
 
     async def close(self) -> None:
         """Closes the connections."""
-        if self._session is not None:
-            await self._session.close()
+        await self._connections.close()
 
     async def _read_watch(self, body: str) -> StoredValue | None:
         """Reads the JSON lines of a watch until the first event."""
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._timeout_seconds)
-        session = self._open_session()
-        async with session.post(self._url + "/v3/watch", data=body, timeout=timeout) as response:
+        async with (
+            self._connections.use() as session,
+            session.post(self._url + "/v3/watch", data=body, timeout=timeout) as response,
+        ):
             received_bytes = 0
             async for line in response.content:
                 received_bytes += len(line)
@@ -208,11 +210,6 @@
                 found[stored.key] = stored
         return found
 
-    def _open_session(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            self._session = make_session()
-        return self._session
-
     async def _post(self, path: str, body: dict[str, Any], *, writes: bool) -> dict[str, Any]:
         """Sends one call and returns the decoded response.
 
@@ -223,9 +220,12 @@
         self._metrics.count("store.writes" if writes else "store.reads")
         timeout = aiohttp.ClientTimeout(total=self._timeout_seconds)
         try:
-            async with self._open_session().post(
-                self._url + path, data=msgspec.json.encode(body), timeout=timeout
-            ) as response:
+            async with (
+                self._connections.use() as session,
+                session.post(
+                    self._url + path, data=msgspec.json.encode(body), timeout=timeout
+                ) as response,
+            ):
                 if response.status == 200:
                     return msgspec.json.decode(await read_body(response, MAX_RESPONSE_BYTES))
                 text = (await read_body(response, MAX_CONTROL_BODY_BYTES)).decode()[:200]
