Ask the store before a request is refused by the configuration

What callers saw: 401 or 404 for a route or key that a confirmed version has; they do not send such a request again. Cause: a request is refused from memory, however long ago that memory was compared with the store's. Change: what the active configuration allows is served at once, as before. A refusal needs a confirmation that is at most a second old; otherwise the store is asked, in one linearizable read for all requests that wait, for half a second at most. Without an answer the request is refused for the moment (4008, 503, not run), as another router may know more. The same holds for unknown keys, models and services of the own interface.

--- a/features/steps/configuration_refusal_steps.py
+++ b/features/steps/configuration_refusal_steps.py
@@ -8,7 +8,8 @@
 import logging
 import os
 
-from behave import then, when
+import msgspec
+from behave import given, then, when
 from contract_steps import run
 from forward_steps import make_headers, send, set_route
 from laburnumpier_core.log import JsonLineHandler, LogRateLimiter
@@ -50,3 +51,25 @@
         assert line["host"] == "shop.example", line
         assert line["configuration"] == 1, line
         assert line["confirmed_ms"] > 0, line
+
+
+@given("the store has a newer configuration with the route of the request")
+def set_newer_configuration(context):
+    set_route(context, "non-idempotent")
+    known = context.configuration.configuration
+    route = msgspec.structs.replace(known.routes["r"], path_prefix="/elsewhere/")
+    context.configuration.newer = msgspec.structs.replace(
+        known, routes={**known.routes, "new": route}
+    )
+
+
+@given("a configuration that cannot be confirmed")
+def set_unconfirmed(context):
+    context.configuration.is_confirmed = False
+
+
+@then("the refusal has code {code:d} and says when to come back")
+def check_refusal(context, code):
+    body = json.loads(context.body)
+    assert (body["result_code"], body["ran"]) == (code, "no"), body
+    assert float(context.headers["Retry-After"]) > 0
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -51,6 +51,14 @@
         self.number = 1
         self.configuration = Configuration()
         self.confirmed_seconds = float("inf")
+        self.is_confirmed = True
+        self.newer = None
+
+    async def confirm(self):
+        """Activates the newer configuration, if the test has set one."""
+        if self.newer is not None:
+            self.number, self.configuration, self.newer = self.number + 1, self.newer, None
+        return self.is_confirmed
 
     def find_workspace_of_key(self, key_hash):
         """Returns the workspace of a hashed key."""
--- a/packages/core/laburnumpier_core/result_codes.py
+++ b/packages/core/laburnumpier_core/result_codes.py
@@ -45,6 +45,7 @@
     ALREADY_RUNNING = 4005
     NOT_READY = 4006
     INTERNAL_ERROR = 4007
+    CONFIGURATION_UNCONFIRMED = 4008
     NO_SERVER = 5001
     SERVER_REFUSED = 5002
     SERVER_FAILED = 5003
@@ -103,6 +104,9 @@
     ResultCode.ALREADY_RUNNING: _info(409, "The same request is still running elsewhere."),
     ResultCode.NOT_READY: _info(503, "The router has no configuration yet."),
     ResultCode.INTERNAL_ERROR: _info(500, "The router met an unexpected error."),
+    ResultCode.CONFIGURATION_UNCONFIRMED: _info(
+        503, "The request may be allowed by a newer configuration than the router has."
+    ),
     ResultCode.NO_SERVER: _info(503, "No eligible backend server is known."),
     ResultCode.SERVER_REFUSED: _info(503, "The backend server refused the request."),
     ResultCode.SERVER_FAILED: _info(502, "The backend server failed while it ran the request."),
--- a/packages/router/laburnumpier_router/callers/frontend.py
+++ b/packages/router/laburnumpier_router/callers/frontend.py
@@ -43,6 +43,13 @@
 
 Handler = Callable[[web.Request, str], Awaitable[web.StreamResponse]]
 
+CONFIGURATION_REFUSALS = frozenset(
+    {ResultCode.UNKNOWN_KEY, ResultCode.UNKNOWN_MODEL, ResultCode.UNKNOWN_SERVICE}
+)
+"""Refusals of requests that a newer configuration may allow."""
+UNCONFIRMED_RETRY_SECONDS = 1.0
+"""Retry-After of requests that a newer configuration may allow."""
+
 
 class CallerFrontend:
     """Authenticates and parses HTTP requests, passes them to the services and writes responses."""
@@ -141,7 +148,7 @@
             if self._is_stopping:
                 raise RequestError(ResultCode.STOPPING, retry_after_seconds=1.0)
             key = chat_body.parse_idempotency_key(request.headers.get(IDEMPOTENCY_KEY_HEADER))
-            return await handler(request, key or request_id)
+            return await self._handle_by_newest(handler, request, key or request_id)
         except RequestError as error:
             self._metrics.count(f"callers.refused.{int(error.code)}")
             return make_error_response(error, request_id)
@@ -150,6 +157,22 @@
             error = RequestError(ResultCode.INTERNAL_ERROR, ran=Ran.UNKNOWN)
             return make_error_response(error, request_id)
 
+    async def _handle_by_newest(
+        self, handler: Handler, request: web.Request, request_id: str
+    ) -> web.StreamResponse:
+        """Handles a request; it is refused only by a configuration that the store confirms."""
+        try:
+            return await handler(request, request_id)
+        except RequestError as error:
+            if error.code not in CONFIGURATION_REFUSALS:
+                raise
+            if not await self._configuration.confirm():
+                raise RequestError(
+                    ResultCode.CONFIGURATION_UNCONFIRMED,
+                    retry_after_seconds=UNCONFIRMED_RETRY_SECONDS,
+                ) from error
+        return await handler(request, request_id)
+
     async def _handle_health(self, request: web.Request) -> web.Response:
         return web.Response(text="ok\n")
 
--- a/packages/router/laburnumpier_router/configuration/service.py
+++ b/packages/router/laburnumpier_router/configuration/service.py
@@ -4,6 +4,10 @@
 two operators patch the same number, one of them gets a conflict. Only a few routers watch the
 store; the others learn of a higher number from heartbeats and fetch the configuration from the
 peer that has it. A lower number is never applied.
+
+A change can be in force elsewhere before this process learns of it. What the active configuration
+allows is served at once; before a request is refused by it, `confirm` asks the store whether it is
+still the newest one.
 """
 
 import asyncio
@@ -43,6 +47,11 @@
 WATCH_SECONDS = 30.0
 WATCH_RETRY_SECONDS = 0.5
 PEER_TIMEOUT_SECONDS = 1.0
+CONFIRMATION_MAX_AGE_SECONDS = 1.0
+"""Age up to which the store's last confirmation covers a refusal; half of the time within which
+operators expect a change to be in force."""
+CONFIRMATION_TIMEOUT_SECONDS = 0.5
+"""Longest time for which a request waits for a confirmation."""
 
 _log = get_part_logger("config")
 
@@ -82,11 +91,13 @@
         "_background",
         "_clock",
         "_configuration",
+        "_confirmation_task",
         "_confirmed_seconds",
         "_fetch_task",
         "_fleet",
         "_format",
         "_is_watcher",
+        "_last_read",
         "_metrics",
         "_on_change",
         "_random",
@@ -139,6 +150,8 @@
         self._confirmed_seconds = float("-inf")
         self._background = BackgroundTasks(part="config", metrics=metrics)
         self._fetch_task: asyncio.Task[None] | None = None
+        self._confirmation_task: asyncio.Task[None] | None = None
+        self._last_read: tuple[StorePosition, ConfigurationRecord] | None = None
 
     @property
     def number(self) -> int:
@@ -280,6 +293,33 @@
         """
         await self._read_from_store()
 
+    async def confirm(self) -> bool:
+        """Returns whether the store has confirmed lately that no newer configuration exists.
+
+        Asks the store if necessary, in one call for all requests that wait for the answer, and
+        activates what it finds. Returns False if there is no answer in time.
+        """
+        if not self._is_confirmed():
+            if self._confirmation_task is None or self._confirmation_task.done():
+                self._confirmation_task = self._background.start(self._ask_store())
+            await asyncio.wait({self._confirmation_task}, timeout=CONFIRMATION_TIMEOUT_SECONDS)
+        is_confirmed = self._is_confirmed()
+        if not is_confirmed:
+            self._metrics.count("config.unconfirmed")
+        return is_confirmed
+
+    def _is_confirmed(self) -> bool:
+        age_seconds = self._clock.monotonic_seconds() - self._confirmed_seconds
+        return age_seconds <= CONFIRMATION_MAX_AGE_SECONDS
+
+    async def _ask_store(self) -> None:
+        try:
+            await self._read_from_store()
+        except StoreError as error:
+            _log.info(
+                "configuration not confirmed", fields={"number": self.number, "error": error}
+            )
+
     async def follow_store_periodically(self) -> None:
         """Watches the store whenever this process is a watcher; runs until cancelled."""
         while True:
@@ -354,11 +394,7 @@
         if stored is None:
             # Not a confirmation: a watch whose connection is silent may look like a quiet one.
             return
-        self._store_position = max(self._store_position, stored.position)
-        record = self._decode(stored)
-        if record is not None:
-            self.apply(record)
-            self._record_confirmation(started_seconds)
+        self._take(stored, started_seconds)
 
     async def _read_from_store(self) -> tuple[ConfigurationRecord, StorePosition]:
         started_seconds = self._clock.monotonic_seconds()
@@ -367,14 +403,34 @@
         if stored is None:
             self._record_confirmation(started_seconds)
             return ConfigurationRecord(), found.get_position(self._format.key)
-        self._store_position = max(self._store_position, stored.position)
-        record = self._decode(stored)
+        record = self._take(stored, started_seconds)
         if record is None:
             raise StoreError("the stored configuration cannot be read")
-        self.apply(record)
-        self._record_confirmation(started_seconds)
         return record, stored.position
 
+    def _take(self, stored: StoredValue, asked_seconds: float) -> ConfigurationRecord | None:
+        """Activates what the store returned to a call, unless it is older or invalid.
+
+        Args:
+            stored: The stored record.
+            asked_seconds: Monotonic time at which the call was sent.
+
+        Returns:
+            The record, or None if it cannot be decoded.
+        """
+        self._store_position = max(self._store_position, stored.position)
+        if self._last_read is not None and self._last_read[0] == stored.position:
+            record = self._last_read[1]
+        else:
+            record = self._decode(stored)
+            if record is None:
+                return None
+            self._last_read = (stored.position, record)
+        self.apply(record)
+        if record.number <= self.number:
+            self._record_confirmation(asked_seconds)
+        return record
+
     def _record_confirmation(self, seconds: float) -> None:
         self._confirmed_seconds = max(self._confirmed_seconds, seconds)
 
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -60,6 +60,7 @@
     {ResultCode.NOT_FOUND, ResultCode.UNKNOWN_KEY, ResultCode.MISSING_KEY}
 )
 """Refusals of requests that a newer configuration may allow."""
+LOGGED_WITH_PATH = CONFIGURATION_REFUSALS | {ResultCode.CONFIGURATION_UNCONFIRMED}
 
 _log = get_part_logger("forward")
 
@@ -169,7 +170,7 @@
         progress, refusal = None, None
         outcome = "failed"
         try:
-            progress = self._admit(request)
+            progress = await self._admit_by_newest(request)
             if progress.is_taken_up:
                 await self._find_origin(progress)
             await self._reserve_and_run(progress, sink)
@@ -185,6 +186,26 @@
         finally:
             self._log_outcome(request, progress, outcome, refusal, is_started=sink.started)
 
+    async def _admit_by_newest(self, request: ForwardRequest) -> RequestProgress:
+        """Admits a request; one is refused only by a configuration that the store confirms.
+
+        Raises:
+            RequestError: If the configuration does not allow the request, or if it may be allowed
+                by a newer one.
+        """
+        try:
+            return self._admit(request)
+        except RequestError as error:
+            if error.code not in CONFIGURATION_REFUSALS:
+                raise
+            if not await self._configuration.confirm():
+                raise RequestError(
+                    ResultCode.CONFIGURATION_UNCONFIRMED,
+                    retry_after_seconds=RETRY_AFTER_SECONDS,
+                    facts={"refusal": int(error.code)},
+                ) from error
+        return self._admit(request)
+
     def _admit(self, request: ForwardRequest) -> RequestProgress:
         """Determines route, service, workspace and deadline of a request.
 
@@ -701,7 +722,7 @@
             fields["status"] = RESULT_CODE_TABLE[refusal.code].http_status
             fields["retry_after"] = refusal.retry_after_seconds
             fields.update(refusal.facts)
-        if refusal is not None and refusal.code in CONFIGURATION_REFUSALS:
+        if refusal is not None and refusal.code in LOGGED_WITH_PATH:
             fields["host"] = request.host
             fields["path"] = request.target.partition("?")[0]
             fields["confirmed_ms"] = self._get_confirmation_age_ms()
