Remember each peer that names a newer configuration until it was asked

What callers see: an older configuration at a router whose peers have the newer one. Change: peers that name a higher number are remembered, and the next one is asked beside one that is silent for 0.2 s. A stored version that breaks a rule is logged with its problems. The three new examples failed before: the version was not in force at all.

--- a/features/configuration/confirmation.feature
+++ b/features/configuration/confirmation.feature
@@ -38,3 +38,16 @@
       | the store does not answer       |
       | configuration 2 cannot be read  |
       | configuration 2 is not accepted |
+
+  # Guards against a newer configuration that is forgotten because the first peer that named it is silent.
+  Scenario Outline: A newer configuration that several peers name comes from the one that answers
+    Given a configuration service that does not follow its store
+    And peers of which <silent> are silent and the last has configuration 3
+    When all peers name configuration 3 once, <method>
+    Then configuration 3 is in force within <seconds> seconds
+
+    Examples:
+      | silent | method        | seconds |
+      | 1      | in heartbeats | 0.3     |
+      | 3      | in heartbeats | 0.7     |
+      | 1      | as watchers   | 0.5     |
--- a/features/steps/confirmation_steps.py
+++ b/features/steps/confirmation_steps.py
@@ -9,9 +9,10 @@
 
 import msgspec
 from behave import given, then, when
+from laburnumpier_core.errors import PeerUnreachableError
 from laburnumpier_core.metrics import Metrics
 from laburnumpier_router.configuration.record import CONFIGURATION_KEY, ConfigurationRecord
-from laburnumpier_router.configuration.service import ConfigurationService
+from laburnumpier_router.configuration.service import ConfigurationFetched, ConfigurationService
 from laburnumpier_standins.memory_store import MemoryKeyValueService, StoreControl
 from laburnumpier_standins.store_state import StoreFault
 from laburnumpier_standins.virtual_loop import VirtualClock
@@ -25,13 +26,10 @@
     assert context.control.state.commit({}, [(CONFIGURATION_KEY, value, 0)])
 
 
-@given("a configuration service that does not follow its store")
-def make_service(context):
-    context.control = StoreControl()
-    store_record(context, 1)
-    context.service = ConfigurationService(
+def make_configuration_service(context, fleet):
+    return ConfigurationService(
         store=MemoryKeyValueService(control=context.control, client="r"),
-        fleet=None,
+        fleet=fleet,
         clock=VirtualClock(),
         metrics=Metrics(),
         random_source=random.Random(1),
@@ -39,6 +37,13 @@
         on_change=lambda configuration: None,
     )
 
+
+@given("a configuration service that does not follow its store")
+def make_service(context):
+    context.control = StoreControl()
+    store_record(context, 1)
+    context.service = make_configuration_service(context, None)
+
     async def start():
         await context.service.refresh_from_store()
         await asyncio.sleep(5.0)
@@ -103,3 +108,50 @@
 def check_unconfirmed(context, seconds):
     assert not any(context.answers), context.answers
     assert context.waited_seconds <= seconds, context.waited_seconds
+
+
+class ScriptedFleet:
+    """Peers of which all but the last one do not answer."""
+
+    def __init__(self, names, record):
+        """Creates peers of which the last one has a record."""
+        self.names = names
+        self._record = record
+
+    async def call(self, peer, message, timeout_seconds):
+        """Returns the record of the last peer."""
+        if peer != self.names[-1]:
+            await asyncio.sleep(timeout_seconds)
+            raise PeerUnreachableError(peer)
+        await asyncio.sleep(0.01)
+        return ConfigurationFetched(record=self._record)
+
+
+@given("peers of which {count:d} are silent and the last has configuration 3")
+def make_peers(context, count):
+    names = [f"peer-{number}" for number in range(count + 1)]
+    fleet = ScriptedFleet(names, ConfigurationRecord(number=3))
+    context.peer_names = names
+    context.service = make_configuration_service(context, fleet)
+
+
+@when("all peers name configuration 3 once, {method}")
+def name_configuration(context, method):
+    # The store does not have it yet, as after a return from an older copy.
+    hear = {
+        "in heartbeats": context.service.fetch_if_newer,
+        "as watchers": context.service.refresh_if_newer,
+    }[method]
+
+    async def name():
+        for peer in context.peer_names:
+            hear(peer, 3)
+            await asyncio.sleep(0.02)
+
+    context.virtual.run(name())
+
+
+@then("configuration 3 is in force within {seconds:g} seconds")
+def check_in_force_soon(context, seconds):
+    context.virtual.run(asyncio.sleep(seconds))
+    assert context.service.number == 3, context.service.number
--- a/packages/router/laburnumpier_router/configuration/service.py
+++ b/packages/router/laburnumpier_router/configuration/service.py
@@ -12,7 +12,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import msgspec
@@ -47,6 +47,8 @@
 WATCH_SECONDS = 30.0
 WATCH_RETRY_SECONDS = 0.5
 PEER_TIMEOUT_SECONDS = 1.0
+SOURCE_PATIENCE_SECONDS = 0.2
+"""Time after which the next source of a newer configuration is asked beside a silent one."""
 CONFIRMATION_MAX_AGE_SECONDS = 1.0
 """Age up to which the store's last confirmation covers a refusal; half of the time within which
 operators expect a change to be in force."""
@@ -102,6 +104,7 @@
         "_on_change",
         "_random",
         "_record",
+        "_sources",
         "_store",
         "_store_position",
         "_watch_seconds",
@@ -150,6 +153,7 @@
         self._confirmed_seconds = float("-inf")
         self._background = BackgroundTasks(part="config", metrics=metrics)
         self._fetch_task: asyncio.Task[None] | None = None
+        self._sources: dict[str, int] = {}
         self._confirmation_task: asyncio.Task[None] | None = None
         self._last_read: tuple[StorePosition, ConfigurationRecord] | None = None
 
@@ -204,7 +208,8 @@
             return False
         configuration, problems = decode_document(record.document)
         if problems:
-            _log.error("stored configuration is invalid", fields={"number": record.number})
+            fields = {"number": record.number, "problems": [str(problem) for problem in problems]}
+            _log.error("stored configuration is invalid", fields=fields)
             return False
         self._record = record
         self._configuration = configuration
@@ -344,10 +349,7 @@
 
     def fetch_if_newer(self, peer: str, number: int) -> None:
         """Fetches the configuration of a peer if its number is higher than the active one."""
-        if number <= self.number:
-            return
-        if self._fetch_task is None or self._fetch_task.done():
-            self._fetch_task = self._background.start(self.fetch_from_peer(peer))
+        self._record_source(peer, number, reads_store=False)
 
     def refresh_if_newer(self, peer: str, number: int) -> None:
         """Reads the store if a peer that watches it has a higher number than the active one.
@@ -355,19 +357,37 @@
         The configuration is fetched from the peer only if the store does not provide that number:
         many routers learn of a change at the same time, and the peer's bandwidth may be low.
         """
-        if number > self.number and (self._fetch_task is None or self._fetch_task.done()):
-            self._fetch_task = self._background.start(self._refresh_to_number(peer, number))
+        self._record_source(peer, number, reads_store=True)
 
-    async def _refresh_to_number(self, peer: str, number: int) -> None:
-        try:
-            await self._read_from_store()
-        except StoreError as error:
-            _log.info(
-                "cannot read configuration from the store",
-                fields={"number": number, "error": error},
-            )
-        if self.number < number:
-            await self.fetch_from_peer(peer)
+    def _record_source(self, peer: str, number: int, *, reads_store: bool) -> None:
+        """Remembers a peer with a newer configuration until it was asked for it."""
+        if number <= self.number:
+            return
+        self._sources[peer] = number
+        if self._fetch_task is None or self._fetch_task.done():
+            self._fetch_task = self._background.start(self._catch_up(reads_store=reads_store))
+
+    async def _catch_up(self, *, reads_store: bool) -> None:
+        """Asks one source after the other until none has a higher number than the active one."""
+        if reads_store:
+            await self._ask_patiently(self._ask_store())
+        while (peer := self._take_newest_source()) is not None:
+            await self._ask_patiently(self.fetch_from_peer(peer))
+
+    async def _ask_patiently(self, asking: Coroutine[Any, Any, None]) -> None:
+        """Waits for a source, which stays asked if it is silent for too long."""
+        task = self._background.start(asking)
+        await asyncio.wait({task}, timeout=SOURCE_PATIENCE_SECONDS)
+
+    def _take_newest_source(self) -> str | None:
+        self._sources = {
+            peer: number for peer, number in self._sources.items() if number > self.number
+        }
+        if not self._sources:
+            return None
+        peer = max(self._sources, key=self._sources.__getitem__)
+        del self._sources[peer]
+        return peer
 
     async def fetch_from_peer(self, peer: str) -> None:
         """Fetches and activates a peer's newer configuration; an unreachable peer is ignored."""
