Start a periodic task of the router again after an unexpected error

What callers see: an older configuration, or a server that has left, for good. Change: all periodic tasks of a router run again after a quarter of a second, logged and counted as tasks.restarted.

--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -70,6 +70,8 @@
 
 MAX_HOMES_PER_SHARD = 2
 """Maximum number of processes that consider themselves the home of one shard at the same time."""
+TASK_RESTART_SECONDS = 0.25
+"""Pause before a periodic task that failed is started again."""
 REGISTRY_MARGIN_SECONDS = 1.0
 """Time that a watch of the registry may take beyond its own duration."""
 
@@ -338,23 +340,23 @@
                 "cannot read the configuration from the store; retrying in the background",
                 fields={"error": error},
             )
-        self._run_in_background(self._fleet.refresh_membership_periodically())
-        self._run_in_background(self._fleet.send_heartbeats_periodically())
-        self._run_in_background(self._configuration.follow_store_periodically())
-        self._run_in_background(self._backend_directory.probe_periodically())
-        self._run_in_background(self._backend_directory.poll_vm_list_periodically())
-        self._run_in_background(self._budget.bills.flush_periodically())
-        self._run_in_background(self._budget.return_idle_tokens_periodically())
-        self._run_in_background(self._calls.run_maintenance())
-        self._run_in_background(self._chats.evict_periodically())
+        self._keep_running(self._fleet.refresh_membership_periodically)
+        self._keep_running(self._fleet.send_heartbeats_periodically)
+        self._keep_running(self._configuration.follow_store_periodically)
+        self._keep_running(self._backend_directory.probe_periodically)
+        self._keep_running(self._backend_directory.poll_vm_list_periodically)
+        self._keep_running(self._budget.bills.flush_periodically)
+        self._keep_running(self._budget.return_idle_tokens_periodically)
+        self._keep_running(self._calls.run_maintenance)
+        self._keep_running(self._chats.evict_periodically)
         if self._settings.recover_departed:
-            self._run_in_background(self._departure_monitor.check_periodically())
+            self._keep_running(self._departure_monitor.check_periodically)
         if self._forward_frontend is not None:
-            self._run_in_background(self._registry_follower.follow_periodically())
-            self._run_in_background(self._version_history.update_periodically())
-            self._run_in_background(self._budget.refill_periodically())
+            self._keep_running(self._registry_follower.follow_periodically)
+            self._keep_running(self._version_history.update_periodically)
+            self._keep_running(self._budget.refill_periodically)
         if self._settings.give_engine_orders:
-            self._run_in_background(self._controller.send_orders_periodically())
+            self._keep_running(self._controller.send_orders_periodically)
         _log.info("router started", fields={"router": self._fleet.self_name})
 
     async def stop_gracefully(self) -> None:
@@ -778,6 +780,22 @@
             self._registry_relay is not None and not self._registry_relay.is_receiving
         )
 
+    def _keep_running(self, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Runs a periodic task in the background, again after each unexpected error."""
+        self._run_in_background(self._repeat_after_errors(run))
+
+    async def _repeat_after_errors(self, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        while True:
+            try:
+                await run()
+                return
+            except Exception:
+                self._metrics.count("tasks.restarted")
+                _log.exception(
+                    "periodic task failed; starting it again", fields={"task": run.__qualname__}
+                )
+            await asyncio.sleep(TASK_RESTART_SECONDS)
+
     def _run_in_background(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(coroutine)
         task.add_done_callback(_log_task_failure)
