Open a new connection to a router that has been silent for a second

What callers see: routers that treat each other as gone, for good, so that budgets are not lent and changes are not passed on. A pynng connection that falls silent without a close is never replaced. Change: a call without a reply, a second or more after the last one, retires its socket; calls that are open on it end by themselves. The new scenario failed before: no call was answered within 3 s.

--- a/features/platform/silent_connections.feature
+++ b/features/platform/silent_connections.feature
@@ -1,4 +1,4 @@
-Feature: Connections to the store that fall silent for good while new ones work
+Feature: Connections that fall silent for good while new ones work
   A connection that falls silent is not closed, so only a time limit shows it. All connections that
   were open at that moment are affected, idle ones in a pool too.
 
@@ -16,3 +16,9 @@
       | 0    | 0.4   | 0.5   |
       | 4    | 0.05  | 0.9   |
       | 4    | 1.0   | 0.2   |
+
+  # Guards against routers that lose each other for good, as a connection between them is silent.
+  Scenario: Routers reach each other again after the connections between them fell silent
+    Given two routers whose connection runs through a proxy
+    When the connection falls silent while 3 calls are open
+    Then a call within 3 seconds after that is answered, and so are all later ones
--- a/features/steps/silent_connection_steps.py
+++ b/features/steps/silent_connection_steps.py
@@ -1,4 +1,4 @@
-"""Steps for connections to the platform's store that fall silent while new ones work.
+"""Steps for connections to the store and to other routers that fall silent while new ones work.
 
 They guard against a router that stays on what it knew when its connections fell silent.
 """
@@ -11,12 +11,16 @@
 from behave import given, then, when
 from contract_steps import run
 from laburnumpier_core.clock import SystemClock
+from laburnumpier_core.errors import PeerUnreachableError
 from laburnumpier_core.metrics import Metrics
+from laburnumpier_measure.local_fleet import find_free_port
 from laburnumpier_platform.records import CONFIGURATION_KEY, PlatformRecordFormat
 from laburnumpier_platform.store import PlatformStore
 from laburnumpier_platform_standin.soak_proxy import FaultProxy
 from laburnumpier_platform_standin.store import PlatformStoreStandIn
 from laburnumpier_router.configuration.service import ConfigurationService
+from laburnumpier_router.fleet.peer_network import PynngPeerNetwork
+from laburnumpier_standins.memory_fleet import make_settings
 from registry_steps import EXAMPLE_CONFIGURATION
 
 WATCH_SECONDS = 2.0
@@ -94,3 +98,62 @@
 
     run(context, wait())
     assert context.configuration_service.number == 9, context.configuration_service.number
+
+
+@given("two routers whose connection runs through a proxy")
+def link_routers(context):
+    async def answer(request):
+        return request
+
+    async def start():
+        settings = make_peer_settings()
+        listener = PynngPeerNetwork(settings=settings)
+        await listener.serve(answer)
+        host, port = str(settings.peers_address).rsplit(":", 1)
+        context.proxy = FaultProxy(host=host, port=int(port))
+        await context.proxy.start()
+        context.peer_address = context.proxy.url.removeprefix("http://")
+        context.caller = PynngPeerNetwork(settings=make_peer_settings())
+        assert await context.caller.call(context.peer_address, b"1", 1.0) == b"1"
+        context.listener = listener
+
+    async def stop():
+        await context.caller.close()
+        await context.listener.close()
+        await context.proxy.close()
+
+    run(context, start())
+    context.cleanups.append((context.real, stop))
+
+
+def make_peer_settings():
+    return make_settings({"router.peers_address": f"127.0.0.1:{find_free_port()}"})
+
+
+async def call_peer(context):
+    """Returns whether a call is answered."""
+    try:
+        return await context.caller.call(context.peer_address, b"2", 0.5) == b"2"
+    except PeerUnreachableError:
+        return False
+
+
+@when("the connection falls silent while {count:d} calls are open")
+def silence_peer(context, count):
+    async def silence():
+        context.proxy.silence_connections()
+        context.silent_at = asyncio.get_running_loop().time()
+        await asyncio.gather(*(call_peer(context) for _ in range(count)))
+
+    run(context, silence())
+
+
+@then("a call within {seconds:g} seconds after that is answered, and so are all later ones")
+def check_answered(context, seconds):
+    async def call():
+        loop = asyncio.get_running_loop()
+        while not await call_peer(context):
+            assert loop.time() < context.silent_at + seconds, "no call was answered"
+        assert all([await call_peer(context) for _ in range(10)])
+
+    run(context, call())
--- a/packages/router/laburnumpier_router/fleet/peer_network.py
+++ b/packages/router/laburnumpier_router/fleet/peer_network.py
@@ -5,7 +5,8 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+import contextlib
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Protocol
 
 import pynng
@@ -21,6 +22,9 @@
 # Resend time of pynng's request sockets. pynng would resend an unanswered request after this time;
 # the largest accepted value disables that: requests are never resent.
 RESEND_DISABLED_MILLISECONDS = 2**31 - 1
+SILENCE_SECONDS = 1.0
+"""Time without a reply after which a call that fails leads to a new connection. Routers send each
+other heartbeats about as often; shorter pauses are usual under load."""
 
 Handler = Callable[[bytes], Awaitable[bytes]]
 
@@ -38,6 +42,48 @@
         """Stops serving requests and closes all connections."""
 
 
+class _PeerSocket:
+    """Socket for the calls to one address; closed when it is retired and no call is open.
+
+    Attributes:
+        heard_seconds: Time of the event loop of the last reply, or of the creation.
+    """
+
+    __slots__ = ("_is_retired", "_open_calls", "_socket", "heard_seconds")
+
+    def __init__(self, *, socket: pynng.Req0, now_seconds: float):
+        """Wraps a socket that has just been opened."""
+        self._socket = socket
+        self._open_calls = 0
+        self._is_retired = False
+        self.heard_seconds = now_seconds
+
+    @contextlib.contextmanager
+    def open_context(self) -> Iterator[pynng.Context]:
+        """Provides the context of one call."""
+        self._open_calls += 1
+        context = self._socket.new_context()
+        try:
+            yield context
+        finally:
+            context.close()
+            self._open_calls -= 1
+            self._close_if_unused()
+
+    def retire(self) -> None:
+        """Closes the socket as soon as no call is open."""
+        self._is_retired = True
+        self._close_if_unused()
+
+    def close(self) -> None:
+        """Closes the socket."""
+        self._socket.close()
+
+    def _close_if_unused(self) -> None:
+        if self._is_retired and not self._open_calls:
+            self._socket.close()
+
+
 class PynngPeerNetwork:
     """Request and reply sockets of pynng, over TCP or mutual TLS."""
 
@@ -57,7 +103,7 @@
         self._own_address = str(settings.peers_address)
         self._scheme = "tls+tcp" if settings.tls_authority_file else "tcp"
         self._listener: pynng.Rep0 | None = None
-        self._sockets: dict[str, pynng.Req0] = {}
+        self._sockets: dict[str, _PeerSocket] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._closing = False
 
@@ -90,10 +136,12 @@
         finally:
             exchange.cancel()
         if not done:
+            self._replace_silent_socket(address)
             raise PeerUnreachableError(f"{address}: no reply within the time limit")
         try:
             return exchange.result()
         except (asyncio.CancelledError, pynng.NNGException) as error:
+            self._replace_silent_socket(address)
             raise PeerUnreachableError(f"{address}: {error!r}") from error
 
     async def close(self) -> None:
@@ -130,15 +178,26 @@
             context.close()
 
     async def _exchange(self, address: str, request: bytes, timeout_seconds: float) -> bytes:
-        context = self._get_socket(address).new_context()
-        try:
+        socket = self._get_socket(address)
+        with socket.open_context() as context:
             context.send_timeout = context.recv_timeout = int(timeout_seconds * 1000) + 1
             await context.asend(request)
-            return await context.arecv()
-        finally:
-            context.close()
+            reply = await context.arecv()
+            socket.heard_seconds = asyncio.get_running_loop().time()
+            return reply
+
+    def _replace_silent_socket(self, address: str) -> None:
+        """Makes later calls use a new connection if there was no reply on this one for long.
+
+        A connection can fall silent for good without being closed.
+        """
+        socket = self._sockets.get(address)
+        now = asyncio.get_running_loop().time()
+        if socket is not None and now - socket.heard_seconds >= SILENCE_SECONDS:
+            del self._sockets[address]
+            socket.retire()
 
-    def _get_socket(self, address: str) -> pynng.Req0:
+    def _get_socket(self, address: str) -> _PeerSocket:
         if address not in self._sockets:
             socket = pynng.Req0(
                 resend_time=RESEND_DISABLED_MILLISECONDS, recv_max_size=MAX_MESSAGE_BYTES
@@ -146,7 +205,8 @@
             if self._scheme == "tls+tcp":
                 socket.tls_config = self._make_tls_config(pynng.TLSConfig.MODE_CLIENT)
             socket.dial(f"{self._scheme}://{address}", block=False)
-            self._sockets[address] = socket
+            now = asyncio.get_running_loop().time()
+            self._sockets[address] = _PeerSocket(socket=socket, now_seconds=now)
         return self._sockets[address]
 
     def _make_tls_config(self, mode: int) -> pynng.TLSConfig:
