Soak: check which configuration is in force at each router

Nothing in the soak looked at the version in force, only at budgets. In the new mix routes come and go each 0.2 to 3 s, connections to the store fall silent for good, and a caller asks every router for routes that were just added or removed. An answer that only an older version allows counts 2 s after the acknowledgement, at routers without a fault for 3 s.

--- a/features/platform/soak.feature
+++ b/features/platform/soak.feature
@@ -5,7 +5,8 @@
   stops, and callers use their open connections until the process is gone. These are short runs; `make soak` performs
   longer ones with new seeds.
 
-  # Guards against answers that look complete though their server broke them off, in the seeds with framings.
+  # Guards against answers that look complete though their server broke them off, in the seeds with framings, and
+  # against routers on which an older configuration is in force, in the seed with configurations.
   Scenario Outline: A soak with a fixed seed
     When a soak of <routers> routers with seed <seed> and <mixes> runs for <seconds> seconds
     Then callers were served and no guarantee was violated
@@ -16,6 +17,7 @@
       | 4       | 300  | 20      | no mixes         |
       | 6       | 301  | 15      | no mixes         |
       | 4       | 302  | 15      | framing, endless |
+      | 5       | 8200 | 20      | configuration    |
 
   # Guards against routers that do not start because an outgoing connection has taken their port.
   Scenario: Routers listen on ports that no outgoing connection can take
