Keep prompts from servers that crash on one of their parts

What callers saw: requests that share one part of their prompts crashed one server after the other, and each crash broke off all other requests there. Change: a request lost before its answer began, at a server that refuses connections from then on, is evidence against the shared parts of its prompt. Routers tell each other of a crash and answer which of the parts they have seen begin since; any answer that begins clears its parts. A part that was never answered is blocked at its second crash, one that was at its third, at all routers at once and by heartbeats. Blocked prompts are refused at once as not run (5006), those at servers are taken back, and one request at a time is tried, ever more rarely. A lost request whose parts were not answered lately is not sent to another server.

--- /dev/null
+++ b/features/forward/crashing_parts.feature
@@ -0,0 +1,67 @@
+Feature: Prompts that crash servers, across several routers
+  Requests with one part crash each server that begins to answer them. They come at any router, and
+  other requests share their caller and their other parts. Servers are back after 1.5 to 3 seconds.
+  The routers have to find the part from the crashes that each of them sees.
+
+  # Guards against requests that go on to crash servers: more than three of them reached servers more
+  # than 3 seconds after the fifth crash, and sound requests began half as often as before.
+  Scenario Outline: Requests that crash servers are kept from them, and sound ones are served
+    Given 5 routers before 8 servers
+    And servers that crash on <guilty>
+    When 60 sound requests a second and 4 with a part that crashes servers are sent for 30 seconds
+    Then at most 8 servers crash for each of the parts
+    And at most 3 requests with each part reach a server later than 3 seconds after its fifth crash
+    And sound requests begin at least 0.9 times as often as before, 6 seconds after the first crash
+
+    Examples:
+      | guilty                         |
+      | one new part in streams        |
+      | one new part in plain calls    |
+      | one known part in streams      |
+      | two new parts in streams       |
+      | one new part after two events  |
+
+  # Guards against the service that is stopped by blocking parts which all requests share, as servers
+  # crash for other reasons.
+  Scenario Outline: Servers that crash by themselves block no part
+    Given 5 routers before 8 servers
+    And prompts of <documents> documents
+    When 60 sound requests a second are sent for 30 seconds while a server crashes each 2 seconds
+    Then no part is blocked at the end, and few requests were refused for one
+    And sound requests begin at least 0.9 times as often as before, 6 seconds after the first crash
+
+    Examples:
+      | documents |
+      | 20        |
+      | 300       |
+
+  # Guards against evidence that is lost with a router, or that a router has not heard of.
+  Scenario Outline: A block outlives the routers that know it
+    Given 5 routers before 8 servers
+    And servers that crash on one new part in streams
+    And after 8 seconds <event>
+    When 60 sound requests a second and 4 with a part that crashes servers are sent for 30 seconds
+    Then at most 8 servers crash for each of the parts
+    And at most 3 requests with each part reach a server later than 3 seconds after its fifth crash
+
+    Examples:
+      | event                             |
+      | all routers but one start again   |
+      | router 1 is cut off for 6 seconds |
+
+  # Guards against a part that stays blocked after the servers were mended.
+  Scenario: A part that no longer crashes servers is served again
+    Given 5 routers before 8 servers
+    And servers that crash on one new part in streams
+    When 60 sound requests a second and 4 with a part that crashes servers are sent for 10 seconds
+    And the servers are mended
+    And 60 sound requests a second and 4 with that part are sent for 30 seconds
+    Then no part is blocked at the end
+
+  # Guards against a refusal that says too much, and against a second server for the request.
+  Scenario: The caller of a blocked prompt is told at once that it was not run
+    Given 5 routers before 8 servers
+    And servers that crash on one new part in streams
+    When 60 sound requests a second and 4 with a part that crashes servers are sent for 6 seconds
+    Then each refusal for a blocked part has reached no server, took 0.5 seconds at most and names a time
+    And no request of the part was sent to two servers
--- /dev/null
+++ b/features/steps/crash_world.py
@@ -0,0 +1,433 @@
+"""A small world in virtual time: routers, servers that crash, and callers."""
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+
+from laburnumpier_core.errors import (
+    PeerUnreachableError,
+    RequestError,
+    ServerConnectionLostError,
+    ServerUnreachableError,
+)
+from laburnumpier_core.hashing import hash_key, rank_by_rendezvous
+from laburnumpier_core.metrics import Metrics
+from laburnumpier_core.result_codes import ResultCode
+from laburnumpier_platform.headers import PlatformDialect
+from laburnumpier_router.configuration.document import (
+    Configuration,
+    EngineProfile,
+    Route,
+    RouteKind,
+    Service,
+    WeightedService,
+    Workspace,
+)
+from laburnumpier_router.forward.crash_guard import CrashGuard
+from laburnumpier_router.forward.crash_messages import AskTrial, CrashSeen, TellParts
+from laburnumpier_router.forward.exchange import ForwardRequest
+from laburnumpier_router.forward.retry_budget import RetryBudget
+from laburnumpier_router.forward.servers import ServerTable
+from laburnumpier_router.forward.service import ForwardService
+from laburnumpier_router.forward.stream_versions import StreamVersions
+from laburnumpier_router.forward.time_limits import TimeLimits
+from laburnumpier_router.ports.server_registry import RegisteredServer
+from laburnumpier_router.response_end import EndMarker
+from laburnumpier_standins.virtual_loop import VirtualClock
+from multidict import CIMultiDict, CIMultiDictProxy
+
+HOST = "shop.example"
+KEY = "secret"
+PREFILL_SECONDS = (0.05, 0.4)
+EVENT_COUNT = 6
+EVENT_SECONDS = 0.15
+HEARTBEAT_SECONDS = 1.0
+PEER_SECONDS = 0.003
+RESTART_SECONDS = (1.5, 3.0)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Attempt:
+    """What is known of a request, times in seconds of the event loop."""
+
+    sent_seconds: float
+    guilty_part: str
+    arrivals: list[float] = dataclasses.field(default_factory=list)
+    has_begun: bool = False
+    took_seconds: float = 0.0
+    error: RequestError | None = None
+
+
+class CrashingServer:
+    """A server that crashes when it begins to answer certain prompts."""
+
+    def __init__(self, world, number):
+        """Creates a server that runs."""
+        self._world = world
+        self.server_id = f"i-{number}"
+        self.address = f"10.0.0.{number}:80"
+        self.is_up = True
+        self.crashed = asyncio.Event()
+
+    def crash(self):
+        """Resets all connections and closes the port, for some seconds."""
+        self.is_up = False
+        self.crashed.set()
+        delay_seconds = self._world.random.uniform(*RESTART_SECONDS)
+        asyncio.get_running_loop().call_later(delay_seconds, self._start_again)
+
+    def _start_again(self):
+        self.is_up = True
+        self.crashed = asyncio.Event()
+
+
+class CrashingExchange:
+    """The answer of a crashing server."""
+
+    def __init__(self, world, server, attempt_id, parts):
+        """Creates an exchange whose head has arrived."""
+        self._world = world
+        self._crashed = server.crashed
+        self._server = server
+        self._attempt_id = attempt_id
+        self._parts = parts
+        self.status = 200
+        media_type = "text/event-stream" if world.is_streaming else "text/plain"
+        headers = {"Content-Type": media_type, "X-Attempt-Id": attempt_id}
+        self.headers = CIMultiDictProxy(CIMultiDict(headers))
+        self.end_marker = EndMarker.CHUNKS
+
+    async def wait(self, seconds):
+        """Waits, unless the server crashes meanwhile."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._crashed.wait()
+        if self._crashed.is_set():
+            raise ServerConnectionLostError("reset by peer")
+
+    async def begin(self, events):
+        """Crashes the server if it has written so many events of a guilty prompt."""
+        guilty = self._world.find_guilty(self._parts)
+        if guilty and events == self._world.crash_after_events:
+            self._world.record_crash(guilty)
+            self._server.crash()
+        await self.wait(0)
+
+    async def iterate_chunks(self):
+        """Yields the events."""
+        for number in range(1, EVENT_COUNT + 1):
+            await self.begin(number - 1)
+            self._world.attempts[self._attempt_id].has_begun = True
+            yield f"id: {number}\ndata: x\n\n".encode()
+            # The first events leave a server together.
+            await self.wait(0.01 if number <= 2 else EVENT_SECONDS)
+
+    async def read(self):
+        """Returns a body."""
+        await self.begin(0)
+        self._world.attempts[self._attempt_id].has_begun = True
+        return b"done"
+
+
+class CrashingClient:
+    """Sends requests to the servers of a world."""
+
+    def __init__(self, world):
+        """Creates a client."""
+        self._world = world
+
+    @contextlib.asynccontextmanager
+    async def open(self, call):
+        """Sends a request and waits for its prompt to be read."""
+        server = self._world.find_server(call.address)
+        attempt_id = call.headers["X-Attempt-Id"]
+        if not server.is_up:
+            raise ServerUnreachableError("refused")
+        attempt = self._world.attempts[attempt_id]
+        attempt.arrivals.append(asyncio.get_running_loop().time())
+        parts = [part.partition(":")[0] for part in call.headers["X-Prompt-Prefix"].split(",")]
+        exchange = CrashingExchange(self._world, server, attempt_id, parts)
+        await exchange.wait(self._world.random.uniform(*PREFILL_SECONDS))
+        if self._world.crash_after_events == 0:
+            await exchange.begin(0)
+        yield exchange
+
+    async def is_refusing(self, address):
+        """Returns whether a server is down."""
+        await asyncio.sleep(0.001)
+        return not self._world.find_server(address).is_up
+
+    async def close(self):
+        """Does nothing."""
+
+
+class WorldFleet:
+    """The other routers of a world, as one router sees them."""
+
+    def __init__(self, world, name):
+        """Creates the view of a router."""
+        self._world = world
+        self.self_name = name
+
+    def list_peers(self):
+        """Returns the other routers."""
+        return [name for name in self._world.routers if name != self.self_name]
+
+    def find_home(self, key):
+        """Returns the router on which a key is placed."""
+        return rank_by_rendezvous(key, list(self._world.routers))[0]
+
+    async def call(self, peer, message, timeout_seconds):
+        """Calls the handler of another router, unless one of the two is cut off."""
+        await asyncio.sleep(PEER_SECONDS)
+        if self._world.cut_off & {peer, self.self_name}:
+            await asyncio.sleep(timeout_seconds)
+            raise PeerUnreachableError(peer)
+        guard = self._world.routers[peer].guard
+        handlers = {
+            CrashSeen: guard.handle_crash_seen,
+            TellParts: guard.handle_tell_parts,
+            AskTrial: guard.handle_ask_trial,
+        }
+        return await handlers[type(message)](self.self_name, message)
+
+
+class WorldConfiguration:
+    """A configuration with one route."""
+
+    number = 1
+    confirmed_seconds = 0.0
+
+    def __init__(self, kind):
+        """Creates a configuration whose route is of a kind."""
+        route = Route(
+            host=HOST,
+            path_prefix="/shop/",
+            kind=kind,
+            services=[WeightedService(service="s")],
+            time_limit_seconds=20.0,
+            target_latency_seconds=1.0,
+            target_gap_seconds=0.3,
+            max_attempts=3,
+            resumable=kind is RouteKind.STREAM,
+        )
+        self.configuration = Configuration(
+            routes={"r": route},
+            services={"s": Service(engine=EngineProfile())},
+            workspaces={"office": Workspace(budget_tokens=1000, key_hashes=[hash_key(KEY)])},
+        )
+
+    def find_workspace_of_key(self, key_hash):
+        """Returns the only workspace."""
+        return "office"
+
+
+class WorldBudget:
+    """A budget that grants everything."""
+
+    async def reserve(self, workspace, amount, deadline_seconds):
+        """Grants nothing to settle."""
+
+    def settle_unbilled(self, reservation, used):
+        """Does nothing."""
+
+
+class WorldOrigins:
+    """Origins of streams that nobody takes up."""
+
+    def record(self, attempt_id, origin, keep_seconds):
+        """Does nothing."""
+
+
+class WorldSink:
+    """Takes the response of a request."""
+
+    has_explicit_end = True
+
+    def __init__(self):
+        """Creates a sink that has received nothing."""
+        self.started = self.finished = self.aborted = False
+
+    async def send_complete(self, status, headers, body, *, has_explicit_end):
+        """Takes a whole response."""
+        self.started = self.finished = True
+
+    async def start_stream(self, status, headers, *, has_explicit_end):
+        """Takes the head of a stream."""
+        self.started = True
+
+    async def send_chunk(self, data):
+        """Takes a piece."""
+
+    async def finish_stream(self):
+        """Takes the end."""
+        self.finished = True
+
+    def abort(self):
+        """Takes the abort."""
+        self.aborted = True
+
+
+class WorldRouter:
+    """The forwarding part of a router."""
+
+    def __init__(self, world, name):
+        """Creates a router without evidence."""
+        clock, metrics = VirtualClock(), Metrics()
+        table, client = ServerTable(), CrashingClient(world)
+        for server in world.servers:
+            table.upsert(
+                RegisteredServer(
+                    server_id=server.server_id, service="s", address=server.address, slots=32
+                )
+            )
+        self.fleet = WorldFleet(world, name)
+        self.guard = CrashGuard(
+            fleet=self.fleet, table=table, client=client, clock=clock, metrics=metrics
+        )
+        self.service = ForwardService(
+            configuration=world.configuration,
+            budget=WorldBudget(),
+            table=table,
+            client=client,
+            crash_guard=self.guard,
+            stream_versions=StreamVersions(
+                origins=WorldOrigins(), history=None, table=table, metrics=metrics
+            ),
+            dialect=PlatformDialect(),
+            retry_budget=RetryBudget(ratio=0.2, extra=20, window_seconds=10),
+            time_limits=TimeLimits(),
+            clock=clock,
+            metrics=metrics,
+            random_source=random.Random(1),
+            data_centre="here",
+        )
+
+
+class CrashWorld:
+    """Routers before servers, with callers whose prompts share their parts.
+
+    Attributes:
+        guilty_parts: Parts that crash servers.
+        documents: Number of documents, one of which each sound prompt has as its third part.
+        attempts: All requests by attempt id.
+        crashes: Times of the crashes by part; those without a part under an empty one.
+        cut_off: Routers that reach no other one.
+    """
+
+    def __init__(self, routers, servers, seed):
+        """Creates routers and servers that run."""
+        self.random = random.Random(seed)
+        self.guilty_parts = []
+        self.documents = 20
+        self.crash_after_events = 0
+        self.is_streaming = True
+        self.is_mended = False
+        self.attempts = {}
+        self.crashes = {}
+        self.cut_off = set()
+        self.servers = [CrashingServer(self, number) for number in range(servers)]
+        self.configuration = WorldConfiguration(RouteKind.STREAM)
+        self.routers = {}
+        for number in range(1, routers + 1):
+            self.start_router(f"r{number}")
+
+    def use_plain_calls(self):
+        """Makes all requests idempotent calls without a stream."""
+        self.is_streaming = False
+        self.configuration.configuration = WorldConfiguration(RouteKind.IDEMPOTENT).configuration
+
+    def start_router(self, name):
+        """Starts a router, which knows nothing of before."""
+        self.routers[name] = WorldRouter(self, name)
+
+    def find_server(self, address):
+        """Returns the server at an address."""
+        return next(server for server in self.servers if server.address == address)
+
+    def find_guilty(self, parts):
+        """Returns the part of a prompt that crashes servers; empty if there is none."""
+        if self.is_mended:
+            return ""
+        return next((part for part in parts[:-1] if part in self.guilty_parts), "")
+
+    def record_crash(self, part):
+        """Records a crash now."""
+        self.crashes.setdefault(part, []).append(asyncio.get_running_loop().time())
+
+    async def exchange_heartbeats(self):
+        """Passes the blocked parts on between all routers, until cancelled."""
+        while True:
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+            for name, router in list(self.routers.items()):
+                for peer, other in list(self.routers.items()):
+                    if peer != name and not self.cut_off & {name, peer}:
+                        other.guard.adopt_blocks(name, router.guard.list_blocked_parts())
+
+    async def crash_servers(self, interval_seconds):
+        """Crashes a server that runs, again and again, until cancelled."""
+        while True:
+            await asyncio.sleep(interval_seconds)
+            running = [server for server in self.servers if server.is_up]
+            self.record_crash("")
+            self.random.choice(running).crash()
+
+    async def send_requests(self, rate, seconds, guilty_rate=0.0):
+        """Sends requests at random routers, and waits until all have ended."""
+        loop = asyncio.get_running_loop()
+        end_seconds = loop.time() + seconds
+        async with asyncio.TaskGroup() as group:
+            while loop.time() < end_seconds:
+                await asyncio.sleep(self.random.expovariate(rate + guilty_rate))
+                is_guilty = self.random.random() < guilty_rate / (rate + guilty_rate)
+                guilty = self.random.choice(self.guilty_parts) if is_guilty else ""
+                group.create_task(self.send_request(guilty))
+
+    async def send_request(self, guilty):
+        """Sends a request with a part that may be guilty, and waits until it has ended."""
+        loop = asyncio.get_running_loop()
+        attempt_id = f"a{len(self.attempts)}"
+        attempt = Attempt(sent_seconds=loop.time(), guilty_part=guilty)
+        self.attempts[attempt_id] = attempt
+        router = self.random.choice(list(self.routers.values()))
+        parts = ["system", f"caller-{self.random.randrange(4)}"]
+        parts.append(guilty or f"document-{self.random.randrange(self.documents)}")
+        prefix = ",".join(f"{part}:100" for part in [*parts, f"own-{attempt_id}"])
+        headers = CIMultiDictProxy(
+            CIMultiDict(
+                {
+                    "X-Attempt-Id": attempt_id,
+                    "Authorization": f"Token {KEY}",
+                    "X-Token-Usage": "400,30",
+                    "X-Prompt-Prefix": prefix,
+                }
+            )
+        )
+        request = ForwardRequest(
+            method="POST",
+            target="/shop/x",
+            host=HOST,
+            headers=headers,
+            body=b"",
+            head=PlatformDialect().read_request(headers),
+            received_seconds=loop.time(),
+        )
+        try:
+            await router.service.serve(request, WorldSink())
+        except RequestError as error:
+            attempt.error = error
+        attempt.took_seconds = loop.time() - attempt.sent_seconds
+
+    def list_refused(self):
+        """Returns the requests that were refused for a blocked part."""
+        return [
+            attempt
+            for attempt in self.attempts.values()
+            if attempt.error is not None and attempt.error.code is ResultCode.PROMPT_BLOCKED
+        ]
+
+    def list_blocked(self):
+        """Returns the parts that any router blocks."""
+        blocks = [router.guard.list_blocked_parts() for router in self.routers.values()]
+        return sorted({block.part for told in blocks for block in told})
--- /dev/null
+++ b/features/steps/crashing_part_steps.py
@@ -0,0 +1,208 @@
+"""Steps for prompts that crash servers, in virtual time.
+
+They guard against servers that crash one after the other on the same part of prompts, and against
+sound requests that are refused because of it.
+"""
+
+import asyncio
+
+from behave import given, then, when
+from crash_world import CrashWorld
+
+SEED = 31
+QUIET_SECONDS = 6.0
+"""Time without guilty requests, in which the usual share of sound ones is measured."""
+CONTACT_SECONDS = 3.0
+MAX_REFUSED_SHARE = 0.005
+"""Share of sound requests that may be refused for a part; no part is guilty."""
+FIFTH = 4
+"""Index of the fifth crash."""
+
+
+def run(context, coroutine):
+    return context.virtual.run(coroutine)
+
+
+@given("{routers:d} routers before {servers:d} servers")
+def make_world(context, routers, servers):
+    async def make():
+        context.world = CrashWorld(routers, servers, SEED)
+
+    run(context, make())
+    context.event = None
+
+
+@given("servers that crash on {kind}")
+def set_guilty(context, kind):
+    world = context.world
+    world.guilty_parts = ["guilty-0", "guilty-1"] if kind.startswith("two") else ["guilty-0"]
+    context.was_answered = "known" in kind
+    if "plain calls" in kind:
+        world.use_plain_calls()
+    if "after two events" in kind:
+        world.crash_after_events = 2
+
+
+@given("prompts of {count:d} documents")
+def set_documents(context, count):
+    context.world.documents = count
+
+
+@given("after {seconds:d} seconds {event}")
+def set_event(context, event, seconds):
+    context.event = (event, seconds)
+
+
+async def play(context, traffic, **beside):
+    """Sends traffic beside heartbeats, crashes and the event of the scenario."""
+    world = context.world
+    tasks = [asyncio.create_task(world.exchange_heartbeats())]
+    if "crash_interval" in beside:
+        tasks.append(asyncio.create_task(world.crash_servers(beside["crash_interval"])))
+    if context.event is not None:
+        tasks.append(asyncio.create_task(cause_event(world, *context.event)))
+    await traffic
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def cause_event(world, event, seconds):
+    await asyncio.sleep(seconds)
+    if event == "all routers but one start again":
+        for name in list(world.routers)[1:]:
+            world.start_router(name)
+        return
+    world.cut_off.add("r1")
+    await asyncio.sleep(6.0)
+    world.cut_off.clear()
+
+
+@when(
+    "{rate:d} sound requests a second and {guilty:d} with a part that crashes servers are sent"
+    " for {seconds:d} seconds"
+)
+def send_guilty(context, rate, guilty, seconds):
+    world = context.world
+
+    async def send():
+        guilty_parts = world.guilty_parts
+        if context.was_answered:
+            world.guilty_parts = []
+            await send_sound_with(world, guilty_parts, rate)
+            world.guilty_parts = guilty_parts
+        else:
+            await world.send_requests(rate, QUIET_SECONDS)
+        context.begun_seconds = asyncio.get_running_loop().time()
+        await play(context, world.send_requests(rate, seconds, guilty))
+
+    run(context, send())
+
+
+async def send_sound_with(world, parts, rate):
+    """Sends requests of which some have parts that will crash servers later."""
+    sending = asyncio.create_task(world.send_requests(rate, QUIET_SECONDS))
+    for _ in range(20):
+        await world.send_request(parts[0])
+        await asyncio.sleep(0.1)
+    await sending
+
+
+@when(
+    "{rate:d} sound requests a second are sent for {seconds:d} seconds while a server crashes"
+    " each {interval:d} seconds"
+)
+def send_beside_crashes(context, rate, seconds, interval):
+    world = context.world
+
+    async def send():
+        await world.send_requests(rate, QUIET_SECONDS)
+        context.begun_seconds = asyncio.get_running_loop().time()
+        await play(context, world.send_requests(rate, seconds), crash_interval=interval)
+
+    run(context, send())
+
+
+@when("the servers are mended")
+def mend_servers(context):
+    context.world.is_mended = True
+
+
+@when(
+    "{rate:d} sound requests a second and {guilty:d} with that part are sent for {seconds:d}"
+    " seconds"
+)
+def send_mended(context, rate, guilty, seconds):
+    run(context, play(context, context.world.send_requests(rate, seconds, guilty)))
+
+
+@then("at most {count:d} servers crash for each of the parts")
+def check_crash_count(context, count):
+    crashes = {part: len(times) for part, times in context.world.crashes.items()}
+    assert set(crashes) == set(context.world.guilty_parts), crashes
+    assert max(crashes.values()) <= count, crashes
+
+
+@then(
+    "at most {count:d} requests with each part reach a server later than {seconds:d} seconds"
+    " after its fifth crash"
+)
+def check_late_arrivals(context, count, seconds):
+    for part, times in context.world.crashes.items():
+        if len(times) <= FIFTH:
+            continue
+        late = [
+            arrival
+            for attempt in context.world.attempts.values()
+            if attempt.guilty_part == part
+            for arrival in attempt.arrivals
+            if arrival > times[FIFTH] + seconds
+        ]
+        assert len(late) <= count, (part, times, late)
+
+
+@then(
+    "sound requests begin at least {share:f} times as often as before, {seconds:d} seconds after"
+    " the first crash"
+)
+def check_sound(context, share, seconds):
+    first_crash = min(min(times) for times in context.world.crashes.values())
+    sound = [attempt for attempt in context.world.attempts.values() if not attempt.guilty_part]
+    before = [attempt for attempt in sound if attempt.sent_seconds < context.begun_seconds]
+    after = [attempt for attempt in sound if attempt.sent_seconds > first_crash + seconds]
+    assert min(len(before), len(after)) >= 20
+    shares = [
+        sum(attempt.has_begun for attempt in group) / len(group) for group in (before, after)
+    ]
+    assert shares[1] >= share * shares[0], shares
+
+
+@then("no part is blocked at the end, and few requests were refused for one")
+def check_innocent(context):
+    assert not context.world.list_blocked(), context.world.list_blocked()
+    refused = context.world.list_refused()
+    assert len(refused) <= MAX_REFUSED_SHARE * len(context.world.attempts), len(refused)
+
+
+@then("no part is blocked at the end")
+def check_no_block(context):
+    assert not context.world.list_blocked(), context.world.list_blocked()
+
+
+@then(
+    "each refusal for a blocked part has reached no server, took {seconds:f} seconds at most and"
+    " names a time"
+)
+def check_refusals(context, seconds):
+    refused = context.world.list_refused()
+    assert len(refused) >= 5, len(refused)
+    for attempt in refused:
+        assert not attempt.arrivals, attempt
+        assert attempt.took_seconds <= seconds, attempt
+        assert attempt.error.retry_after_seconds > 0, attempt
+
+
+@then("no request of the part was sent to two servers")
+def check_single_sends(context):
+    guilty = [attempt for attempt in context.world.attempts.values() if attempt.guilty_part]
+    assert all(len(attempt.arrivals) <= 1 for attempt in guilty), guilty
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -24,6 +24,7 @@
     WeightedService,
     Workspace,
 )
+from laburnumpier_router.forward.crash_guard import CrashGuard
 from laburnumpier_router.forward.frontend import ForwardFrontend
 from laburnumpier_router.forward.http_client import HttpServerClient
 from laburnumpier_router.forward.retry_budget import RetryBudget
@@ -107,6 +108,20 @@
         return ""
 
 
+class FakeFleet:
+    """A fleet of one router."""
+
+    self_name = "r@1"
+
+    def list_peers(self):
+        """Returns no other router."""
+        return []
+
+    def find_home(self, key):
+        """Returns the only router."""
+        return self.self_name
+
+
 class RecordHandler(logging.Handler):
     """Appends log records to a list."""
 
@@ -159,6 +174,9 @@
             budget=context.budget,
             table=table,
             client=client,
+            crash_guard=CrashGuard(
+                fleet=FakeFleet(), table=table, client=client, clock=clock, metrics=metrics
+            ),
             stream_versions=StreamVersions(
                 origins=FakeOrigins(), history=FakeHistory(), table=table, metrics=metrics
             ),
--- a/packages/core/laburnumpier_core/result_codes.py
+++ b/packages/core/laburnumpier_core/result_codes.py
@@ -51,6 +51,7 @@
     SERVER_FAILED = 5003
     OUTCOME_UNKNOWN = 5004
     STREAM_ORIGIN_UNKNOWN = 5005
+    PROMPT_BLOCKED = 5006
     CONFLICT = 6001
     OPERATOR_UNAUTHORIZED = 6002
     INVALID_CONFIGURATION = 6003
@@ -114,6 +115,9 @@
     ResultCode.STREAM_ORIGIN_UNKNOWN: _info(
         503, "It is unknown at which server or version the stream began."
     ),
+    ResultCode.PROMPT_BLOCKED: _info(
+        503, "Servers have crashed on a part of this prompt; it is not sent to any now."
+    ),
     ResultCode.CONFLICT: _info(409, "The patch was written against an outdated number."),
     ResultCode.OPERATOR_UNAUTHORIZED: _info(401, "The operator token is missing or wrong."),
     ResultCode.INVALID_CONFIGURATION: _info(422, "The patched configuration is not valid."),
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -41,7 +41,8 @@
 from .fleet.peer_network import PeerNetwork
 from .fleet.registry import MemberRegistry
 from .fleet.service import FleetService
-from .forward import origin_messages
+from .forward import crash_messages, origin_messages
+from .forward.crash_guard import CrashGuard
 from .forward.exchange import ServerClient
 from .forward.frontend import ForwardFrontend
 from .forward.registry_follower import RegistryFollower
@@ -96,6 +97,7 @@
     budget_messages.Acknowledged,
     RegistryRelayed,
     *origin_messages.MESSAGE_TYPES,
+    *crash_messages.MESSAGE_TYPES,
     request_messages.OpenRequest,
     request_messages.RequestOpened,
     request_messages.PlaceRequest,
@@ -422,6 +424,8 @@
         await self._submitter.close()
         await self._stream_origins.close()
         await self._broadcaster.close()
+        if self._crash_guard is not None:
+            await self._crash_guard.close()
         await self._peer_link.close()
         if self._ports.forwarding is not None:
             await self._ports.forwarding.client.close()
@@ -541,6 +545,7 @@
         ports, settings = self._ports.forwarding, self._settings
         self._forward_frontend: ForwardFrontend | None = None
         self._registry_relay: RegistryRelay | None = None
+        self._crash_guard: CrashGuard | None = None
         self._broadcaster = Broadcaster(fleet=self._fleet, metrics=self._metrics)
         if ports is None:
             return
@@ -575,6 +580,14 @@
             get_rank=self.get_rank,
             get_retention_seconds=self._get_version_retention,
         )
+        self._crash_guard = CrashGuard(
+            fleet=self._fleet,
+            table=self._server_table,
+            client=ports.client,
+            clock=self._clock,
+            metrics=self._metrics,
+        )
+        self._fleet.list_blocked_parts = self._crash_guard.list_blocked_parts
         time_limits = TimeLimits()
         self._forward_frontend = ForwardFrontend(
             service=ForwardService(
@@ -582,6 +595,7 @@
                 budget=self._budget,
                 table=self._server_table,
                 client=ports.client,
+                crash_guard=self._crash_guard,
                 stream_versions=StreamVersions(
                     origins=self._stream_origins,
                     history=self._version_history,
@@ -643,6 +657,10 @@
         register(RegistryRelayed, self._handle_registry_relayed)
         register(origin_messages.TellOrigins, self._stream_origins.handle_tell)
         register(origin_messages.FindOrigin, self._stream_origins.handle_find)
+        if self._crash_guard is not None:
+            register(crash_messages.CrashSeen, self._crash_guard.handle_crash_seen)
+            register(crash_messages.TellParts, self._crash_guard.handle_tell_parts)
+            register(crash_messages.AskTrial, self._crash_guard.handle_ask_trial)
 
     async def _handle_submit_changes(
         self, sender: str, message: budget_messages.SubmitChanges
@@ -713,6 +731,8 @@
         self._ports.store.era.observe(message.store_era)
         self._configuration.fetch_if_newer(sender, message.configuration_number)
         self._backend_directory.record_gossiped_leaving(message.leaving_servers)
+        if self._crash_guard is not None:
+            self._crash_guard.adopt_blocks(sender, message.blocked_parts)
         # Only homes of shards normally write, but members may temporarily disagree on the homes.
         max_writers = MAX_HOMES_PER_SHARD * self._settings.account_shards
         self._write_pacer.set_member_count(min(1 + len(self._fleet.view.live), max_writers))
--- a/packages/router/laburnumpier_router/fleet/member.py
+++ b/packages/router/laburnumpier_router/fleet/member.py
@@ -75,6 +75,20 @@
     store_reached: bool = True
 
 
+class BlockedPart(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A part of prompts that crashes the servers of a service.
+
+    Attributes:
+        crash_ages_ms: Time since each known crash, in milliseconds.
+        was_begun_before: Whether answers with the part began before the first of them.
+    """
+
+    service: str
+    part: str
+    crash_ages_ms: list[int]
+    was_begun_before: bool
+
+
 class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Request to a partner in each heartbeat interval, and the partner's reply.
 
@@ -83,9 +97,11 @@
         configuration_number: Number of the active configuration of the sender.
         leaving_servers: Backend servers that are leaving, as far as the sender knows.
         store_era: Highest era of the store known to the sender.
+        blocked_parts: Parts of prompts that the sender refuses.
     """
 
     entries: list[GossipEntry]
     configuration_number: int
     leaving_servers: list[str]
     store_era: int = 0
+    blocked_parts: list[BlockedPart] = []
--- a/packages/router/laburnumpier_router/fleet/service.py
+++ b/packages/router/laburnumpier_router/fleet/service.py
@@ -15,7 +15,7 @@
 from laburnumpier_core.log import get_part_logger
 from laburnumpier_core.metrics import Metrics
 
-from .member import GossipEntry, Heartbeat, Member, MemberRecord, MemberState
+from .member import BlockedPart, GossipEntry, Heartbeat, Member, MemberRecord, MemberState
 from .peer_link import PeerLink
 from .registry import MemberRegistry
 from .view import FleetView
@@ -57,6 +57,7 @@
         "_view",
         "get_configuration_number",
         "get_store_era",
+        "list_blocked_parts",
         "list_leaving_servers",
         "reaches_store",
     )
@@ -112,6 +113,7 @@
         self.get_configuration_number: Callable[[], int] = lambda: 0
         self.get_store_era: Callable[[], int] = lambda: 0
         self.list_leaving_servers: Callable[[], list[str]] = list
+        self.list_blocked_parts: Callable[[], list[BlockedPart]] = list
         self.reaches_store: Callable[[], bool] = lambda: True
         link.register_handler(Heartbeat, self._handle_heartbeat)
 
@@ -339,4 +341,5 @@
             configuration_number=self.get_configuration_number(),
             store_era=self.get_store_era(),
             leaving_servers=self.list_leaving_servers(),
+            blocked_parts=self.list_blocked_parts(),
         )
--- /dev/null
+++ b/packages/router/laburnumpier_router/forward/crash_evidence.py
@@ -0,0 +1,246 @@
+"""Decides which parts of prompts crash servers. Needs no network.
+
+Pattern: requests with one part in common crash every server that begins to answer them, while
+nearly all other requests share their remaining parts, and servers crash for other reasons as well.
+
+- *Suspects.* A crash is evidence against each shared part of the requests that had not begun
+  there. The last part of a prompt is the request's own and is never looked at.
+- *Clearing.* An answer that begins is proof that all parts of its prompt are sound, so crashes
+  before it no longer count. Parts that many requests share are cleared within moments.
+- *Blocking.* A part that no answer has ever begun with is blocked at its second crash, one that
+  was sound before at its third.
+- *Trial.* A blocked part may be sound again, or blocked by chance. One request is let through from
+  time to time, more rarely after each further crash. Any answer that begins ends the block.
+"""
+
+import collections
+import dataclasses
+import math
+from collections.abc import Iterable
+
+CRASHES_OF_NEW_PART = 2
+"""Crashes that block a part with which no answer is known to have begun."""
+CRASHES_OF_KNOWN_PART = 3
+"""Crashes that block a part with which answers have begun before."""
+FIRST_TRIAL_OF_NEW_PART_SECONDS = 10.0
+FIRST_TRIAL_OF_KNOWN_PART_SECONDS = 1.0
+TRIAL_FACTOR = 4.0
+"""Factor of the time to the next trial after each crash."""
+MAX_TRIAL_SECONDS = 600.0
+TRIAL_RESULT_SECONDS = 5.0
+"""Time within which a trial mostly shows whether it begins; no other one is let through in it."""
+SAME_CRASH_SECONDS = 1.0
+"""Reports about one server within this time tell of the same crash."""
+EVIDENCE_SECONDS = 900.0
+"""Time after which a crash no longer counts against a part that is not blocked."""
+MAX_CRASHES_PER_PART = 16
+MAX_BEGUN_PARTS = 8192
+MAX_SUSPECTED_PARTS = 2048
+
+PartKey = tuple[str, str]
+"""Service and id of a part; a part may be sound at the servers of another service."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Crash:
+    """A crash of a server; the server's id is empty where it is not known."""
+
+    server_id: str
+    seconds: float
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class SuspectedPart:
+    """Evidence against a part.
+
+    Attributes:
+        crashes: Crashes since an answer with the part began, oldest first.
+        was_begun_before: Whether answers with the part began before the first of them.
+        is_blocked: Whether requests with the part are refused.
+        trial_after_seconds: Time before which no request is let through, beyond what follows from
+            the crashes.
+    """
+
+    crashes: list[Crash] = dataclasses.field(default_factory=list)
+    was_begun_before: bool = False
+    is_blocked: bool = False
+    trial_after_seconds: float = -math.inf
+
+    def add_crash(self, crash: Crash) -> None:
+        """Adds a crash, unless it is known already; it is also the result of a trial."""
+        if any(_is_same_crash(known, crash) for known in self.crashes):
+            return
+        if not self.is_blocked:
+            oldest_seconds = crash.seconds - EVIDENCE_SECONDS
+            self.crashes = [known for known in self.crashes if known.seconds > oldest_seconds]
+        crashes = sorted([*self.crashes, crash], key=lambda known: known.seconds)
+        self.crashes = crashes[-MAX_CRASHES_PER_PART:]
+        self.trial_after_seconds = -math.inf
+
+    @property
+    def crash_limit(self) -> int:
+        """Number of crashes that block the part."""
+        return CRASHES_OF_KNOWN_PART if self.was_begun_before else CRASHES_OF_NEW_PART
+
+    @property
+    def trial_interval_seconds(self) -> float:
+        """Time from the last crash to the next trial."""
+        first = FIRST_TRIAL_OF_NEW_PART_SECONDS
+        if self.was_begun_before:
+            first = FIRST_TRIAL_OF_KNOWN_PART_SECONDS
+        further = max(0, len(self.crashes) - self.crash_limit)
+        return min(MAX_TRIAL_SECONDS, first * TRIAL_FACTOR**further)
+
+    @property
+    def trial_seconds(self) -> float:
+        """Time from which a request is let through."""
+        return max(
+            self.crashes[-1].seconds + self.trial_interval_seconds, self.trial_after_seconds
+        )
+
+
+class CrashEvidence:
+    """What a router knows of crashes and of answers that began."""
+
+    __slots__ = ("_begun", "_suspected")
+
+    def __init__(self):
+        """Creates it without any evidence."""
+        self._begun: collections.OrderedDict[PartKey, float] = collections.OrderedDict()
+        self._suspected: collections.OrderedDict[PartKey, SuspectedPart] = (
+            collections.OrderedDict()
+        )
+
+    def record_crash(
+        self, service: str, server_id: str, parts: Iterable[str], seconds: float
+    ) -> None:
+        """Records a crash and the parts of requests that had not begun at the server.
+
+        Args:
+            service: Service of the server.
+            server_id: The server; empty if it is not known.
+            parts: Shared parts of these requests.
+            seconds: Monotonic time of the crash.
+        """
+        for part in parts:
+            self._add_crash((service, part), Crash(server_id=server_id, seconds=seconds))
+
+    def record_begun(self, service: str, parts: Iterable[str], seconds: float) -> list[PartKey]:
+        """Records an answer that began; returns the parts that were blocked until now."""
+        unblocked = []
+        for part in parts:
+            key = (service, part)
+            self._begun[key] = max(seconds, self._begun.get(key, -math.inf))
+            self._begun.move_to_end(key)
+            suspected = self._suspected.get(key)
+            if suspected is not None and self._clear(key, suspected, seconds):
+                unblocked.append(key)
+        while len(self._begun) > MAX_BEGUN_PARTS:
+            self._begun.popitem(last=False)
+        return unblocked
+
+    def get_begun_seconds(self, service: str, part: str) -> float:
+        """Returns when an answer with a part last began; minus infinity if none is known."""
+        return self._begun.get((service, part), -math.inf)
+
+    def list_blockable(self, service: str, parts: Iterable[str]) -> list[PartKey]:
+        """Returns those parts that are not blocked yet and have enough crashes."""
+        return [
+            (service, part)
+            for part in parts
+            if (suspected := self._suspected.get((service, part))) is not None
+            and not suspected.is_blocked
+            and len(suspected.crashes) >= suspected.crash_limit
+        ]
+
+    def block(self, key: PartKey) -> SuspectedPart:
+        """Blocks a part that crashes were recorded of; returns the evidence."""
+        suspected = self._suspected[key]
+        suspected.is_blocked = True
+        return suspected
+
+    def adopt_block(
+        self, key: PartKey, crash_seconds: Iterable[float], *, was_begun_before: bool
+    ) -> bool:
+        """Takes over a block from another router, with the times of its crashes.
+
+        Returns:
+            Whether the part is blocked here only now. It is not if an answer began here later
+            than the last of these crashes.
+        """
+        for seconds in sorted(crash_seconds):
+            self._add_crash(key, Crash(server_id="", seconds=seconds))
+        suspected = self._suspected.get(key)
+        if suspected is None or suspected.is_blocked:
+            return False
+        suspected.was_begun_before = suspected.was_begun_before or was_begun_before
+        suspected.is_blocked = True
+        return True
+
+    def list_blocked(self, service: str, parts: Iterable[str]) -> list[PartKey]:
+        """Returns those parts that are blocked."""
+        if not self._suspected:
+            return []
+        return [
+            (service, part)
+            for part in parts
+            if (suspected := self._suspected.get((service, part))) is not None
+            and suspected.is_blocked
+        ]
+
+    def list_all_blocked(self) -> dict[PartKey, SuspectedPart]:
+        """Returns all blocked parts with their evidence."""
+        return {key: part for key, part in self._suspected.items() if part.is_blocked}
+
+    def get_trial_seconds(self, keys: list[PartKey]) -> float:
+        """Returns the time from which a request with these blocked parts is let through.
+
+        A request with one blocked part shows more than one with several, and is let through first.
+        """
+        parts = [self._suspected[key] for key in keys]
+        due_seconds = max(part.trial_seconds for part in parts)
+        if len(parts) == 1:
+            return due_seconds
+        return due_seconds + max(part.trial_interval_seconds for part in parts)
+
+    def try_grant_trial(self, keys: list[PartKey], now_seconds: float) -> bool:
+        """Lets a request with blocked parts through if its time has come."""
+        if now_seconds < self.get_trial_seconds(keys):
+            return False
+        self.postpone_trial(keys, now_seconds + TRIAL_RESULT_SECONDS)
+        return True
+
+    def postpone_trial(self, keys: list[PartKey], until_seconds: float) -> None:
+        """Lets no request with blocked parts through before a time."""
+        for key in keys:
+            suspected = self._suspected[key]
+            suspected.trial_after_seconds = max(suspected.trial_after_seconds, until_seconds)
+
+    def _add_crash(self, key: PartKey, crash: Crash) -> None:
+        begun_seconds = self._begun.get(key, -math.inf)
+        if crash.seconds <= begun_seconds:
+            return
+        suspected = self._suspected.get(key)
+        if suspected is None:
+            suspected = SuspectedPart(was_begun_before=begun_seconds > -math.inf)
+            self._suspected[key] = suspected
+        self._suspected.move_to_end(key)
+        suspected.add_crash(crash)
+        while len(self._suspected) > MAX_SUSPECTED_PARTS:
+            self._suspected.popitem(last=False)
+
+    def _clear(self, key: PartKey, suspected: SuspectedPart, begun_seconds: float) -> bool:
+        """Removes the crashes before an answer began; returns whether that ends a block."""
+        suspected.crashes = [crash for crash in suspected.crashes if crash.seconds > begun_seconds]
+        suspected.was_begun_before = True
+        if suspected.crashes:
+            return False
+        del self._suspected[key]
+        return suspected.is_blocked
+
+
+def _is_same_crash(first: Crash, second: Crash) -> bool:
+    is_same_server = first.server_id == second.server_id or not (
+        first.server_id and second.server_id
+    )
+    return is_same_server and abs(first.seconds - second.seconds) < SAME_CRASH_SECONDS
--- a/packages/router/laburnumpier_router/forward/exchange.py
+++ b/packages/router/laburnumpier_router/forward/exchange.py
@@ -72,6 +72,9 @@
         outcome is unknown.
         """
 
+    async def is_refusing(self, address: str) -> bool:
+        """Returns whether nothing listens at an address; False if that is not known."""
+
     async def close(self) -> None:
         """Closes all connections."""
 
--- a/packages/router/laburnumpier_router/forward/http_client.py
+++ b/packages/router/laburnumpier_router/forward/http_client.py
@@ -4,11 +4,13 @@
 A new connection costs one round trip and avoids both.
 """
 
+import asyncio
 import contextlib
 from collections.abc import AsyncIterator
 
 import aiohttp
 from laburnumpier_core.errors import ServerConnectionLostError, ServerUnreachableError
+from laburnumpier_core.log import get_part_logger
 from multidict import CIMultiDictProxy
 from yarl import URL
 
@@ -22,6 +24,8 @@
 READ_BUFFER_BYTES = 65536
 """Size of the buffer for reading a response body."""
 
+_log = get_part_logger("forward")
+
 
 class HttpServerExchange:
     """A response that is received over HTTP."""
@@ -121,6 +125,20 @@
             reservation.release()
             response.close()
 
+    async def is_refusing(self, address: str) -> bool:
+        """Returns whether a connection to an address is refused; False if that is not known."""
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError, ValueError) as error:
+            _log.debug("server not checked", fields={"address": address, "error": error})
+            return False
+        writer.close()
+        return False
+
     async def close(self) -> None:
         """Closes all connections."""
         if self._session is not None:
--- a/packages/router/laburnumpier_router/forward/request_progress.py
+++ b/packages/router/laburnumpier_router/forward/request_progress.py
@@ -8,6 +8,7 @@
 from ..ports.server_registry import RegisteredServer
 from .event_stream import EventSplitter
 from .exchange import ForwardRequest
+from .watched_run import WatchedRun
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -45,6 +46,8 @@
         software_version: Version at which the stream began, and the only one at which it may go
             on; None before its first event.
         is_version_recorded: Whether this response has passed on an event.
+        is_trial: Whether a blocked part of its prompt is tried, at one server.
+        run: The request at the server to which it was last sent.
     """
 
     request: ForwardRequest
@@ -70,6 +73,13 @@
     sent_to: RegisteredServer | None = None
     software_version: str | None = None
     is_version_recorded: bool = False
+    is_trial: bool = False
+    run: WatchedRun | None = None
+
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Parts of the prompt that other requests may have; the last part is its own."""
+        return self.request.head.shared_parts
 
     @property
     def is_retryable(self) -> bool:
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -27,6 +27,7 @@
 from ..configuration.document import Configuration, Route, RouteKind
 from ..configuration.service import ConfigurationService
 from ..ports.dialect import Dialect, ForwardedRequestInfo, ResponseHead
+from .crash_guard import CrashGuard
 from .event_stream import EventSplitter
 from .exchange import ForwardRequest, ResponseSink, ServerCall, ServerClient, ServerExchange
 from .placement import PlacementRequest, choose_server, prefer_certain_versions
@@ -37,6 +38,7 @@
 from .servers import ServerLoad, ServerTable
 from .stream_versions import StreamVersions
 from .time_limits import TimeLimits
+from .watched_run import PartBlockedError, WatchedRun
 
 MAX_UNREACHABLE_SERVERS = 4
 """Limit of unreachable servers tried for one request; each takes at most a connect timeout."""
@@ -55,6 +57,8 @@
 certain need the rest."""
 OPEN_END = "open_end"
 """Reason of a server attempt whose stream ended with its connection after whole events."""
+PART_BLOCKED = "part_blocked"
+"""Reason of a server attempt that ended because servers crash on a part of the prompt."""
 EVENT_STREAM = "text/event-stream"
 CONFIGURATION_REFUSALS = frozenset(
     {ResultCode.NOT_FOUND, ResultCode.UNKNOWN_KEY, ResultCode.MISSING_KEY}
@@ -71,12 +75,14 @@
     Attributes:
         reason: Short identifier for logs.
         ran: Whether the request ran at the server.
+        crash_check: Finds out whether the server has crashed; None if that does not matter.
     """
 
-    def __init__(self, reason: str, ran: Ran):
+    def __init__(self, reason: str, ran: Ran, *, crash_check: asyncio.Task[bool] | None = None):
         super().__init__(reason)
         self.reason = reason
         self.ran = ran
+        self.crash_check = crash_check
 
 
 class _ServerSilentError(Exception):
@@ -92,6 +98,7 @@
         "_client",
         "_clock",
         "_configuration",
+        "_crash_guard",
         "_data_centre",
         "_dialect",
         "_metrics",
@@ -112,6 +119,7 @@
         budget: BudgetService,
         table: ServerTable,
         client: ServerClient,
+        crash_guard: CrashGuard,
         stream_versions: StreamVersions,
         dialect: Dialect,
         retry_budget: RetryBudget,
@@ -128,6 +136,7 @@
             budget: Reserves and settles tokens.
             table: Registered servers.
             client: Sends requests to servers.
+            crash_guard: Refuses prompts that crash servers.
             stream_versions: Decides at which version streams go on that callers take up.
             dialect: Translates headers between callers, this router and servers.
             retry_budget: Limits the retries to each service.
@@ -141,6 +150,7 @@
         self._budget = budget
         self._table = table
         self._client = client
+        self._crash_guard = crash_guard
         self._stream_versions = stream_versions
         self._dialect = dialect
         self._retry_budget = retry_budget
@@ -173,6 +183,9 @@
             progress = await self._admit_by_newest(request)
             if progress.is_taken_up:
                 await self._find_origin(progress)
+            progress.is_trial = await self._crash_guard.admit(
+                progress.service, progress.shared_parts
+            )
             await self._reserve_and_run(progress, sink)
             outcome = "answered" if sink.finished else "broken_off"
             if progress.is_cut:
@@ -349,13 +362,25 @@
                 progress.attempt_log[-1] = f"{server.entry.server_id}:{failure.reason}"
                 if failure.reason == "unreached":
                     unreachable_count += 1
-                if not self._may_retry(progress, failure, unreachable_count):
+                is_safe = await self._is_safe_for_servers(progress, failure)
+                if not is_safe or not self._may_retry(progress, failure, unreachable_count):
                     await self._fail_request(progress, sink, failure.reason)
                     return
 
+    async def _is_safe_for_servers(
+        self, progress: RequestProgress, failure: _ServerAttemptError
+    ) -> bool:
+        """Returns whether another server may be tried without a part of the prompt crashing it."""
+        if failure.crash_check is not None and progress.is_retryable:
+            run, check = progress.run, failure.crash_check
+            if not await self._crash_guard.is_repeat_safe(run, check):
+                return False
+        return not self._crash_guard.is_blocked(progress.service, progress.shared_parts)
+
     def _choose_server(self, progress: RequestProgress) -> ServerLoad | None:
+        # A trial goes to the least loaded server, where a crash affects the fewest requests.
         request = PlacementRequest(
-            prompt_parts=progress.request.head.prompt_parts,
+            prompt_parts=() if progress.is_trial else progress.request.head.prompt_parts,
             data_centre=self._data_centre,
             exclude=frozenset(progress.tried_server_ids),
         )
@@ -441,9 +466,17 @@
         server.record_start(prompt_tokens)
         exchange = None
         may_have_run_before = progress.may_have_run
+        run = progress.run = WatchedRun(
+            service=progress.service,
+            parts=progress.shared_parts,
+            server=server.entry,
+            attempt_id=progress.request.head.attempt_id,
+        )
         try:
             progress.may_have_run = True
             async with contextlib.AsyncExitStack() as stack:
+                if not progress.is_trial:
+                    await stack.enter_async_context(self._crash_guard.watch(run))
                 exchange = await self._open(progress, server, stack)
                 progress.send_count += 1
                 server.record_prompt_processed(prompt_tokens)
@@ -460,7 +493,16 @@
             server.record_failure()
             server.record_connection_lost(self._clock.monotonic_seconds())
             progress.splitter.discard_partial_event()
-            raise _ServerAttemptError(error.reason, Ran.UNKNOWN) from error
+            crash_check = None
+            if run.parts and not run.has_begun and not isinstance(error, ServerResponseLimitError):
+                crash_check = self._crash_guard.report_lost(run)
+            raise _ServerAttemptError(
+                error.reason, Ran.UNKNOWN, crash_check=crash_check
+            ) from error
+        except PartBlockedError as error:
+            progress.send_count += exchange is None
+            progress.splitter.discard_partial_event()
+            raise _ServerAttemptError(PART_BLOCKED, Ran.UNKNOWN) from error
         except _ServerSilentError as error:
             progress.send_count += exchange is None
             server.record_unreachable(self._clock.monotonic_seconds())
@@ -563,6 +605,7 @@
         media_type = exchange.headers.get("Content-Type", "").partition(";")[0].strip()
         if exchange.status < 300 and media_type == EVENT_STREAM:
             await self._relay_stream(progress, exchange, sink)
+            self._crash_guard.record_begun(progress.run)
             server.record_success()
             return
         if sink.started:
@@ -584,6 +627,7 @@
                 raise _ServerAttemptError(reason, Ran.YES)
             progress.attempt_log[-1] += f":{reason}"
         else:
+            self._crash_guard.record_begun(progress.run)
             server.record_success()
         progress.response_status = exchange.status
         await sink.send_complete(
@@ -638,6 +682,7 @@
             if not events:
                 continue
             is_same_end = False
+            self._crash_guard.record_piece(progress.run)
             self._record_version(progress)
             await self._start_stream(progress, exchange, sink)
             await sink.send_chunk(events)
@@ -718,6 +763,8 @@
             fields["waited_ms"] = progress.waited_ms
             fields["started"] = is_started
             fields["version"] = progress.software_version
+            if progress.is_trial:
+                fields["trial"] = True
         if refusal is not None:
             fields["status"] = RESULT_CODE_TABLE[refusal.code].http_status
             fields["retry_after"] = refusal.retry_after_seconds
