Block no prompt part on two crashes while too few answers were seen, and try common parts often

What callers would see: all prompts refused for ten seconds after routers started anew beside crashes of servers, since a router that has just started has seen no answer with any part. Change: two crashes are enough only for a router that has seen 30 answers of the service and heard from half of the others; requests are taken back from servers only then. Parts of a third of all requests are tried each 4 s at most, so that a service whose servers all crashed for a while goes on soon.

--- a/features/forward/crash_evidence.feature
+++ b/features/forward/crash_evidence.feature
@@ -27,6 +27,27 @@
     Given crashes of servers 3 and 4 at 13.0 and 14.0 seconds under the part x
     Then the part x is blocked
 
+  # Guards against a block of all parts, as a router that has just started has seen no answer with any.
+  Scenario Outline: A router that has seen few answers needs a third crash
+    Given a router that has <state>
+    And crashes of servers 1 and 2 at 10.0 and 12.0 seconds under the part x
+    Then the part x is not blocked
+    Given crashes of servers 3 and 4 at 13.0 and 14.0 seconds under the part x
+    Then the part x is blocked
+
+    Examples:
+      | state           |
+      | just started    |
+      | seen 29 answers |
+
+  # Guards against a service that stands still because all its servers have crashed for a while: the
+  # parts of all requests are blocked then.
+  Scenario: Parts that many requests have are tried every few seconds
+    Given 100 requests of which 2 in 5 have the part x
+    And a part x that was common, blocked at 100 seconds
+    When each trial that is due crashes a server
+    Then the first trials are at 101 105 109 113 117 121 seconds
+
   # Guards against trials that crash one server after the other.
   Scenario Outline: Trials become rarer with each crash
     Given a part x that was <before>, blocked at 100 seconds
--- a/features/forward/crashing_parts.feature
+++ b/features/forward/crashing_parts.feature
@@ -35,6 +35,22 @@
       | 20        |
       | 300       |
 
+  # Guards against a service that stays refused after its servers crashed on whatever they got.
+  Scenario: A service whose servers all crashed for 20 seconds is served again soon after
+    Given 5 routers before 8 servers
+    And prompts of 20 documents
+    When 60 sound requests a second are sent for 20 seconds while servers crash on all of them
+    And the servers are mended
+    And 60 sound requests a second are sent for 30 seconds
+    Then sound requests begin at least 0.9 times as often as before, 10 seconds after the mending
+
+  # Guards against a block of what all requests share by routers that have seen no answer yet.
+  Scenario: Routers that have just started block nothing because servers crash by themselves
+    Given 5 routers before 8 servers
+    When all routers are started again each 5 seconds
+    And 60 sound requests a second are sent for 30 seconds while a server crashes each 1 seconds
+    Then no part is blocked at the end, and few requests were refused for one
+
   # Guards against evidence that is lost with a router, or that a router has not heard of.
   Scenario Outline: A block outlives the routers that know it
     Given 5 routers before 8 servers
--- a/features/steps/crash_evidence_steps.py
+++ b/features/steps/crash_evidence_steps.py
@@ -11,8 +11,11 @@
 
 
 def get_evidence(context):
+    """Returns the evidence of a router that has seen answers with other parts."""
     if not hasattr(context, "evidence"):
         context.evidence = CrashEvidence()
+        for _ in range(30):
+            context.evidence.record_answer(SERVICE, ["other"], 0.0)
     return context.evidence
 
 
@@ -20,8 +23,7 @@
     """Records a crash and blocks the part if that is due, as a router does."""
     evidence = get_evidence(context)
     evidence.record_crash(SERVICE, f"i-{server}", [part], seconds)
-    for key in evidence.list_blockable(SERVICE, [part]):
-        evidence.block(key)
+    evidence.block_suspects(SERVICE, [part], others_answered=True)
 
 
 @given(
@@ -54,9 +56,24 @@
     get_evidence(context).record_begun(SERVICE, ["x"], seconds)
 
 
+@given("a router that has {state}")
+def make_uninformed(context, state):
+    context.evidence = CrashEvidence()
+    if state == "seen 29 answers":
+        for _ in range(29):
+            context.evidence.record_answer(SERVICE, ["other"], 0.0)
+
+
+@given("{count:d} requests of which {share:d} in {total:d} have the part x")
+def send_requests(context, count, share, total):
+    for number in range(count):
+        parts = ["x"] if number % total < share else ["other"]
+        get_evidence(context).record_request(SERVICE, parts, 100 * number / count)
+
+
 @given("a part {part} that was {before}, blocked at {seconds:d} seconds")
 def block_part(context, part, before, seconds):
-    if before == "known":
+    if before in ("known", "common"):
         get_evidence(context).record_begun(SERVICE, [part], 1.0)
         record_crash(context, 1, part, seconds - 4.0)
     record_crash(context, 2, part, seconds - 2.0)
@@ -75,7 +92,9 @@
 
 @when("another router tells of a block with crashes at {first:f} and {second:f} seconds")
 def adopt_block(context, first, second):
-    get_evidence(context).adopt_block((SERVICE, "x"), [first, second], was_begun_before=False)
+    get_evidence(context).adopt_block(
+        (SERVICE, "x"), [first, second], is_certain=True, is_common=False
+    )
 
 
 @given("the part x is blocked")
@@ -94,6 +113,12 @@
     assert context.trial_times == [int(time) for time in times.split()], context.trial_times
 
 
+@then("the first trials are at {times} seconds")
+def check_first_trials(context, times):
+    expected = [int(time) for time in times.split()]
+    assert context.trial_times[: len(expected)] == expected, context.trial_times
+
+
 @then("of {count:d} requests between {first:d} and {last:d} seconds {granted:d} is let through")
 def check_single_trial(context, count, first, last, granted):
     keys = [(SERVICE, "x")]
--- a/features/steps/crashing_part_steps.py
+++ b/features/steps/crashing_part_steps.py
@@ -69,6 +69,10 @@
 
 async def cause_event(world, event, seconds):
     await asyncio.sleep(seconds)
+    while event == "all routers start again":
+        for name in list(world.routers):
+            world.start_router(name)
+        await asyncio.sleep(seconds)
     if event == "all routers but one start again":
         for name in list(world.routers)[1:]:
             world.start_router(name)
@@ -126,6 +130,49 @@
 @when("the servers are mended")
 def mend_servers(context):
     context.world.is_mended = True
+    context.mended_seconds = context.virtual.get_loop().time()
+
+
+@when("{rate:d} sound requests a second are sent for {seconds:d} seconds")
+def send_sound(context, rate, seconds):
+    run(context, play(context, context.world.send_requests(rate, seconds)))
+
+
+@when(
+    "{rate:d} sound requests a second are sent for {seconds:d} seconds while servers crash on all"
+    " of them"
+)
+def send_while_all_crash(context, rate, seconds):
+    world = context.world
+
+    async def send():
+        await world.send_requests(rate, QUIET_SECONDS)
+        context.begun_seconds = asyncio.get_running_loop().time()
+        world.guilty_parts = ["system"]
+        await play(context, world.send_requests(rate, seconds))
+
+    run(context, send())
+
+
+@when("all routers are started again each {interval:d} seconds")
+def start_again(context, interval):
+    context.event = ("all routers start again", interval)
+
+
+@then(
+    "sound requests begin at least {share:f} times as often as before, {seconds:d} seconds after"
+    " the mending"
+)
+def check_mended(context, share, seconds):
+    attempts = list(context.world.attempts.values())
+    before = [attempt for attempt in attempts if attempt.sent_seconds < context.begun_seconds]
+    after = [
+        attempt for attempt in attempts if attempt.sent_seconds > context.mended_seconds + seconds
+    ]
+    shares = [
+        sum(attempt.has_begun for attempt in group) / len(group) for group in (before, after)
+    ]
+    assert shares[1] >= share * shares[0], shares
 
 
 @when(
--- a/packages/router/laburnumpier_router/fleet/member.py
+++ b/packages/router/laburnumpier_router/fleet/member.py
@@ -80,13 +80,15 @@
 
     Attributes:
         crash_ages_ms: Time since each known crash, in milliseconds.
-        was_begun_before: Whether answers with the part began before the first of them.
+        is_certain: Whether no answer with the part is known to have ever begun.
+        is_common: Whether many requests have the part.
     """
 
     service: str
     part: str
     crash_ages_ms: list[int]
-    was_begun_before: bool
+    is_certain: bool
+    is_common: bool
 
 
 class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/packages/router/laburnumpier_router/forward/crash_evidence.py
+++ b/packages/router/laburnumpier_router/forward/crash_evidence.py
@@ -7,10 +7,12 @@
   there. The last part of a prompt is the request's own and is never looked at.
 - *Clearing.* An answer that begins is proof that all parts of its prompt are sound, so crashes
   before it no longer count. Parts that many requests share are cleared within moments.
-- *Blocking.* A part that no answer has ever begun with is blocked at its second crash, one that
-  was sound before at its third.
+- *Blocking.* A part with which no answer has ever begun is blocked at its second crash, if this
+  router has seen enough answers to know that. All others are blocked at their third crash.
 - *Trial.* A blocked part may be sound again, or blocked by chance. One request is let through from
   time to time, more rarely after each further crash. Any answer that begins ends the block.
+- *Common parts.* If servers crash on whatever they get, all parts are blocked, and the service
+  would stand still until the next trial. Parts of a third of all requests are tried often.
 """
 
 import collections
@@ -22,17 +24,25 @@
 """Crashes that block a part with which no answer is known to have begun."""
 CRASHES_OF_KNOWN_PART = 3
 """Crashes that block a part with which answers have begun before."""
+ANSWERS_TO_KNOW = 30
+"""Answers of a service from which on a part that was not among them counts as never answered."""
 FIRST_TRIAL_OF_NEW_PART_SECONDS = 10.0
 FIRST_TRIAL_OF_KNOWN_PART_SECONDS = 1.0
 TRIAL_FACTOR = 4.0
 """Factor of the time to the next trial after each crash."""
 MAX_TRIAL_SECONDS = 600.0
+COMMON_SHARE = 1 / 3
+"""Share of a service's requests from which on a part counts as common."""
+MAX_TRIAL_OF_COMMON_PART_SECONDS = 4.0
 TRIAL_RESULT_SECONDS = 5.0
 """Time within which a trial mostly shows whether it begins; no other one is let through in it."""
 SAME_CRASH_SECONDS = 1.0
 """Reports about one server within this time tell of the same crash."""
 EVIDENCE_SECONDS = 900.0
 """Time after which a crash no longer counts against a part that is not blocked."""
+SHARE_SECONDS = 30.0
+MIN_REQUESTS_OF_SHARE = 20
+MAX_COUNTED_PARTS = 8192
 MAX_CRASHES_PER_PART = 16
 MAX_BEGUN_PARTS = 8192
 MAX_SUSPECTED_PARTS = 2048
@@ -55,15 +65,17 @@
 
     Attributes:
         crashes: Crashes since an answer with the part began, oldest first.
-        was_begun_before: Whether answers with the part began before the first of them.
         is_blocked: Whether requests with the part are refused.
+        is_certain: Whether it was blocked as a part with which no answer has ever begun.
+        is_common: Whether many requests have it.
         trial_after_seconds: Time before which no request is let through, beyond what follows from
             the crashes.
     """
 
     crashes: list[Crash] = dataclasses.field(default_factory=list)
-    was_begun_before: bool = False
     is_blocked: bool = False
+    is_certain: bool = False
+    is_common: bool = False
     trial_after_seconds: float = -math.inf
 
     def add_crash(self, crash: Crash) -> None:
@@ -77,19 +89,15 @@
         self.crashes = crashes[-MAX_CRASHES_PER_PART:]
         self.trial_after_seconds = -math.inf
 
-    @property
-    def crash_limit(self) -> int:
-        """Number of crashes that block the part."""
-        return CRASHES_OF_KNOWN_PART if self.was_begun_before else CRASHES_OF_NEW_PART
-
     @property
     def trial_interval_seconds(self) -> float:
         """Time from the last crash to the next trial."""
-        first = FIRST_TRIAL_OF_NEW_PART_SECONDS
-        if self.was_begun_before:
-            first = FIRST_TRIAL_OF_KNOWN_PART_SECONDS
-        further = max(0, len(self.crashes) - self.crash_limit)
-        return min(MAX_TRIAL_SECONDS, first * TRIAL_FACTOR**further)
+        first, limit = FIRST_TRIAL_OF_KNOWN_PART_SECONDS, CRASHES_OF_KNOWN_PART
+        if self.is_certain:
+            first, limit = FIRST_TRIAL_OF_NEW_PART_SECONDS, CRASHES_OF_NEW_PART
+        most = MAX_TRIAL_OF_COMMON_PART_SECONDS if self.is_common else MAX_TRIAL_SECONDS
+        further = max(0, len(self.crashes) - limit)
+        return min(most, first * TRIAL_FACTOR**further)
 
     @property
     def trial_seconds(self) -> float:
@@ -99,18 +107,53 @@
         )
 
 
+class PartShares:
+    """Shares of the requests of each service that have a part, over the last interval or two."""
+
+    __slots__ = ("_before", "_current", "_started_seconds")
+
+    def __init__(self):
+        """Creates it without a request."""
+        self._before: collections.Counter[PartKey] = collections.Counter()
+        self._current: collections.Counter[PartKey] = collections.Counter()
+        self._started_seconds = -math.inf
+
+    def record(self, service: str, parts: Iterable[str], seconds: float) -> None:
+        """Records a request."""
+        if seconds - self._started_seconds >= SHARE_SECONDS:
+            self._before, self._current = self._current, collections.Counter()
+            self._started_seconds = seconds
+        # The empty part counts the requests themselves.
+        for part in {"", *parts}:
+            if (service, part) in self._current or len(self._current) < MAX_COUNTED_PARTS:
+                self._current[service, part] += 1
+
+    def get_share(self, service: str, part: str) -> float:
+        """Returns the share of a part; 0 if there were hardly any requests."""
+        requests = self._before[service, ""] + self._current[service, ""]
+        if requests < MIN_REQUESTS_OF_SHARE:
+            return 0.0
+        return (self._before[service, part] + self._current[service, part]) / requests
+
+
 class CrashEvidence:
     """What a router knows of crashes and of answers that began."""
 
-    __slots__ = ("_begun", "_suspected")
+    __slots__ = ("_answer_counts", "_begun", "_shares", "_suspected")
 
     def __init__(self):
         """Creates it without any evidence."""
+        self._answer_counts: collections.Counter[str] = collections.Counter()
+        self._shares = PartShares()
         self._begun: collections.OrderedDict[PartKey, float] = collections.OrderedDict()
         self._suspected: collections.OrderedDict[PartKey, SuspectedPart] = (
             collections.OrderedDict()
         )
 
+    def record_request(self, service: str, parts: Iterable[str], seconds: float) -> None:
+        """Records a request, whether it is refused or not."""
+        self._shares.record(service, parts, seconds)
+
     def record_crash(
         self, service: str, server_id: str, parts: Iterable[str], seconds: float
     ) -> None:
@@ -125,8 +168,13 @@
         for part in parts:
             self._add_crash((service, part), Crash(server_id=server_id, seconds=seconds))
 
+    def record_answer(self, service: str, parts: Iterable[str], seconds: float) -> list[PartKey]:
+        """Records an answer that began here; returns the parts that were blocked until now."""
+        self._answer_counts[service] += 1
+        return self.record_begun(service, parts, seconds)
+
     def record_begun(self, service: str, parts: Iterable[str], seconds: float) -> list[PartKey]:
-        """Records an answer that began; returns the parts that were blocked until now."""
+        """Records that answers with parts began; returns those that were blocked until now."""
         unblocked = []
         for part in parts:
             key = (service, part)
@@ -143,24 +191,38 @@
         """Returns when an answer with a part last began; minus infinity if none is known."""
         return self._begun.get((service, part), -math.inf)
 
-    def list_blockable(self, service: str, parts: Iterable[str]) -> list[PartKey]:
-        """Returns those parts that are not blocked yet and have enough crashes."""
-        return [
-            (service, part)
-            for part in parts
-            if (suspected := self._suspected.get((service, part))) is not None
-            and not suspected.is_blocked
-            and len(suspected.crashes) >= suspected.crash_limit
-        ]
+    def block_suspects(
+        self, service: str, parts: Iterable[str], *, others_answered: bool
+    ) -> list[PartKey]:
+        """Blocks those parts that have enough crashes; returns the ones that were not blocked.
 
-    def block(self, key: PartKey) -> SuspectedPart:
-        """Blocks a part that crashes were recorded of; returns the evidence."""
-        suspected = self._suspected[key]
-        suspected.is_blocked = True
-        return suspected
+        Args:
+            service: Service of the servers.
+            parts: The parts to look at.
+            others_answered: Whether most other routers have told what began there.
+        """
+        knows_answers = others_answered and self._answer_counts[service] >= ANSWERS_TO_KNOW
+        blocked = []
+        for part in parts:
+            key = (service, part)
+            suspected = self._suspected.get(key)
+            if suspected is None or suspected.is_blocked:
+                continue
+            is_common = self._shares.get_share(service, part) >= COMMON_SHARE
+            is_certain = knows_answers and key not in self._begun and not is_common
+            limit = CRASHES_OF_NEW_PART if is_certain else CRASHES_OF_KNOWN_PART
+            if len(suspected.crashes) >= limit:
+                suspected.is_blocked = True
+                suspected.is_certain, suspected.is_common = is_certain, is_common
+                blocked.append(key)
+        return blocked
+
+    def get_suspected(self, key: PartKey) -> SuspectedPart:
+        """Returns the evidence against a part that crashes were recorded of."""
+        return self._suspected[key]
 
     def adopt_block(
-        self, key: PartKey, crash_seconds: Iterable[float], *, was_begun_before: bool
+        self, key: PartKey, crash_seconds: Iterable[float], *, is_certain: bool, is_common: bool
     ) -> bool:
         """Takes over a block from another router, with the times of its crashes.
 
@@ -173,8 +235,8 @@
         suspected = self._suspected.get(key)
         if suspected is None or suspected.is_blocked:
             return False
-        suspected.was_begun_before = suspected.was_begun_before or was_begun_before
         suspected.is_blocked = True
+        suspected.is_certain, suspected.is_common = is_certain, is_common
         return True
 
     def list_blocked(self, service: str, parts: Iterable[str]) -> list[PartKey]:
@@ -222,8 +284,7 @@
             return
         suspected = self._suspected.get(key)
         if suspected is None:
-            suspected = SuspectedPart(was_begun_before=begun_seconds > -math.inf)
-            self._suspected[key] = suspected
+            suspected = self._suspected[key] = SuspectedPart()
         self._suspected.move_to_end(key)
         suspected.add_crash(crash)
         while len(self._suspected) > MAX_SUSPECTED_PARTS:
@@ -232,7 +293,6 @@
     def _clear(self, key: PartKey, suspected: SuspectedPart, begun_seconds: float) -> bool:
         """Removes the crashes before an answer began; returns whether that ends a block."""
         suspected.crashes = [crash for crash in suspected.crashes if crash.seconds > begun_seconds]
-        suspected.was_begun_before = True
         if suspected.crashes:
             return False
         del self._suspected[key]
--- a/packages/router/laburnumpier_router/forward/crash_guard.py
+++ b/packages/router/laburnumpier_router/forward/crash_guard.py
@@ -110,10 +110,11 @@
         Raises:
             RequestError: If a part of its prompt is blocked, and no trial is due.
         """
+        now = self._clock.monotonic_seconds()
+        self._evidence.record_request(service, parts, now)
         blocked = self._evidence.list_blocked(service, parts)
         if not blocked:
             return False
-        now = self._clock.monotonic_seconds()
         wait_seconds = self._evidence.get_trial_seconds(blocked) - now
         if wait_seconds <= 0 and await self._ask_trial(blocked):
             self._metrics.count("forward.part_trials")
@@ -159,7 +160,7 @@
         run.has_begun = True
         self._runs.discard(run)
         now = self._clock.monotonic_seconds()
-        unblocked = self._evidence.record_begun(run.service, run.parts, now)
+        unblocked = self._evidence.record_answer(run.service, run.parts, now)
         if unblocked:
             self._log_unblocked(unblocked)
             begun = [BegunPart(service=s, part=part, age_ms=0) for s, part in unblocked]
@@ -207,9 +208,9 @@
             if begun_seconds >= max(crash_seconds, default=-math.inf):
                 ended.append(self._make_begun(key, begun_seconds, now))
             elif self._evidence.adopt_block(
-                key, crash_seconds, was_begun_before=block.was_begun_before
+                key, crash_seconds, is_certain=block.is_certain, is_common=block.is_common
             ):
-                self._handle_block(key, len(block.crash_ages_ms), sender)
+                self._handle_block(key, sender)
         if ended:
             self._tasks.start(self._tell(sender, TellParts(begun=ended)))
 
@@ -295,12 +296,12 @@
         for reply in replies:
             if isinstance(reply, PartsBegun):
                 self._record_begun_elsewhere(service, parts, reply, now)
-        blocks = []
-        for key in self._evidence.list_blockable(service, parts):
-            suspected = self._evidence.block(key)
-            self._handle_block(key, len(suspected.crashes), self._fleet.self_name)
-            blocks.append(self._make_block(key, suspected))
-        if blocks:
+        others_answered = 2 * len(replies) >= len(self._fleet.list_peers())
+        keys = self._evidence.block_suspects(service, parts, others_answered=others_answered)
+        for key in keys:
+            self._handle_block(key, self._fleet.self_name)
+        if keys:
+            blocks = [self._make_block(key, self._evidence.get_suspected(key)) for key in keys]
             await self._broadcast(TellParts(blocked=blocks))
 
     def _record_begun_elsewhere(
@@ -310,17 +311,25 @@
             if age_ms is not None:
                 self._evidence.record_begun(service, [part], now - age_ms / 1000)
 
-    def _handle_block(self, key: PartKey, crash_count: int, router: str) -> None:
-        """Takes the requests with a part that is blocked now back from their servers."""
+    def _handle_block(self, key: PartKey, router: str) -> None:
+        """Takes the requests with a part that is blocked now back from their servers.
+
+        If the part may be sound, they stay there: the first that begins ends the block.
+        """
         service, part = key
-        runs = [run for run in self._runs if run.service == service and part in run.parts]
+        suspected = self._evidence.get_suspected(key)
+        runs = []
+        if suspected.is_certain:
+            runs = [run for run in self._runs if run.service == service and part in run.parts]
         self._metrics.count("forward.parts_blocked")
         _log.warning(
             "prompt part blocked",
             fields={
                 "service": service,
                 "part": part,
-                "crashes": crash_count,
+                "crashes": len(suspected.crashes),
+                "certain": suspected.is_certain,
+                "common": suspected.is_common,
                 "router": router,
                 "taken_back": [run.attempt_id for run in runs],
             },
@@ -370,7 +379,8 @@
             service=key[0],
             part=key[1],
             crash_ages_ms=ages_ms,
-            was_begun_before=suspected.was_begun_before,
+            is_certain=suspected.is_certain,
+            is_common=suspected.is_common,
         )
 
     def _make_begun(self, key: PartKey, begun_seconds: float, now: float) -> BegunPart:
--- a/packages/router/laburnumpier_router/forward/request_progress.py
+++ b/packages/router/laburnumpier_router/forward/request_progress.py
@@ -6,6 +6,7 @@
 
 from ..configuration.document import Route, RouteKind
 from ..ports.server_registry import RegisteredServer
+from .crash_messages import MAX_PART_ID_LENGTH
 from .event_stream import EventSplitter
 from .exchange import ForwardRequest
 from .watched_run import WatchedRun
@@ -78,8 +79,9 @@
 
     @property
     def shared_parts(self) -> tuple[str, ...]:
-        """Parts of the prompt that other requests may have; the last part is its own."""
-        return self.request.head.shared_parts
+        """Ids of the parts of the prompt that other requests may have; the last is its own."""
+        parts = self.request.head.prompt_parts[:-1]
+        return tuple(p.part_id for p in parts if len(p.part_id) <= MAX_PART_ID_LENGTH)
 
     @property
     def is_retryable(self) -> bool:
--- a/packages/router/laburnumpier_router/ports/dialect.py
+++ b/packages/router/laburnumpier_router/ports/dialect.py
@@ -47,11 +47,6 @@
         """Whether the caller has events of the stream already; ids of events start at 1."""
         return bool(self.resume_after and self.resume_after > 0)
 
-    @property
-    def shared_parts(self) -> tuple[str, ...]:
-        """Ids of the parts of the prompt that other requests may have; the last is its own."""
-        return tuple(part.part_id for part in self.prompt_parts[:-1])
-
     @property
     def max_cost_tokens(self) -> int:
         """Upper limit of tokens that the request can cost."""
