Soak: servers that crash on a part of some prompts

A part of the prompts of streams crashes each server that gets it. At most three such prompts of routers without a fault for 3 s may reach servers later than 3 s after the fifth crash.

--- a/features/platform/soak.feature
+++ b/features/platform/soak.feature
@@ -6,7 +6,8 @@
   longer ones with new seeds.
 
   # Guards against answers that look complete though their server broke them off, in the seeds with framings, and
-  # against routers on which an older configuration is in force, in the seed with configurations.
+  # against routers on which an older configuration is in force, in the seed with configurations, and against
+  # servers that crash one after the other on the same part of prompts, in the seed with parts.
   Scenario Outline: A soak with a fixed seed
     When a soak of <routers> routers with seed <seed> and <mixes> runs for <seconds> seconds
     Then callers were served and no guarantee was violated
@@ -18,6 +19,7 @@
       | 6       | 301  | 15      | no mixes         |
       | 4       | 302  | 15      | framing, endless |
       | 5       | 8200 | 20      | configuration    |
+      | 5       | 8400 | 15      | parts            |
 
   # Guards against routers that do not start because an outgoing connection has taken their port.
   Scenario: Routers listen on ports that no outgoing connection can take
