Check again before a request is sent whether its prompt was blocked meanwhile

A request that waits for tokens while a part of its prompt is blocked was still sent to a server. Each send is preceded by the check now, and the refusal has its own code. The new scenario failed before: the request was served.

--- a/features/forward/crashing_parts.feature
+++ b/features/forward/crashing_parts.feature
@@ -81,3 +81,10 @@
     When 60 sound requests a second and 4 with a part that crashes servers are sent for 6 seconds
     Then each refusal for a blocked part has reached no server, took 0.5 seconds at most and names a time
     And no request of the part was sent to two servers
+
+  # Guards against a request that is sent although its part was blocked while it waited for tokens.
+  Scenario: A request whose part is blocked while it waits for tokens reaches no server
+    Given 5 routers before 8 servers
+    And tokens that are granted after 1 second
+    When a request waits for tokens while its part is blocked
+    Then it is refused for a blocked part and has reached no server
--- a/features/steps/crash_world.py
+++ b/features/steps/crash_world.py
@@ -224,10 +224,13 @@
 
 
 class WorldBudget:
-    """A budget that grants everything."""
+    """A budget that grants everything, after a time."""
+
+    wait_seconds = 0.0
 
     async def reserve(self, workspace, amount, deadline_seconds):
         """Grants nothing to settle."""
+        await asyncio.sleep(self.wait_seconds)
 
     def settle_unbilled(self, reservation, used):
         """Does nothing."""
@@ -288,7 +291,7 @@
         )
         self.service = ForwardService(
             configuration=world.configuration,
-            budget=WorldBudget(),
+            budget=world.budget,
             table=table,
             client=client,
             crash_guard=self.guard,
@@ -329,6 +332,7 @@
         self.cut_off = set()
         self.servers = [CrashingServer(self, number) for number in range(servers)]
         self.configuration = WorldConfiguration(RouteKind.STREAM)
+        self.budget = WorldBudget()
         self.routers = {}
         for number in range(1, routers + 1):
             self.start_router(f"r{number}")
--- a/features/steps/crashing_part_steps.py
+++ b/features/steps/crashing_part_steps.py
@@ -8,6 +8,8 @@
 
 from behave import given, then, when
 from crash_world import CrashWorld
+from laburnumpier_core.result_codes import Ran, ResultCode
+from laburnumpier_router.fleet.member import BlockedPart
 
 SEED = 31
 QUIET_SECONDS = 6.0
@@ -253,3 +255,34 @@
 def check_single_sends(context):
     guilty = [attempt for attempt in context.world.attempts.values() if attempt.guilty_part]
     assert all(len(attempt.arrivals) <= 1 for attempt in guilty), guilty
+
+
+@given("tokens that are granted after {seconds:d} second")
+def delay_tokens(context, seconds):
+    context.world.budget.wait_seconds = seconds
+
+
+@when("a request waits for tokens while its part is blocked")
+def block_while_waiting(context):
+    world = context.world
+    block = BlockedPart(
+        service="s", part="p", crash_ages_ms=[10, 3000], is_certain=True, is_common=False
+    )
+
+    async def play_request():
+        sending = asyncio.create_task(world.send_request("p"))
+        await asyncio.sleep(0.5)
+        for router in world.routers.values():
+            router.guard.adopt_blocks("r1", [block])
+        await sending
+
+    run(context, play_request())
+
+
+@then("it is refused for a blocked part and has reached no server")
+def check_refused(context):
+    (attempt,) = context.world.attempts.values()
+    assert attempt.error is not None, attempt
+    assert attempt.error.code is ResultCode.PROMPT_BLOCKED, attempt
+    assert attempt.error.ran is Ran.NO, attempt
+    assert not attempt.arrivals, attempt
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -351,6 +351,9 @@
         self._retry_budget.record_first_send(progress.service, self._clock.monotonic_seconds())
         unreachable_count = 0
         while True:
+            if self._is_blocked(progress):
+                await self._fail_request(progress, sink, PART_BLOCKED)
+                return
             server = self._choose_server(progress)
             if server is None:
                 await self._fail_request(progress, sink, "no_server")
@@ -362,20 +365,24 @@
                 progress.attempt_log[-1] = f"{server.entry.server_id}:{failure.reason}"
                 if failure.reason == "unreached":
                     unreachable_count += 1
-                is_safe = await self._is_safe_for_servers(progress, failure)
+                is_safe = await self._is_repeat_safe(progress, failure)
                 if not is_safe or not self._may_retry(progress, failure, unreachable_count):
                     await self._fail_request(progress, sink, failure.reason)
                     return
 
-    async def _is_safe_for_servers(
+    def _is_blocked(self, progress: RequestProgress) -> bool:
+        """Whether a part of the prompt is blocked now; a trial may be sent to one server."""
+        if progress.is_trial and not progress.send_count:
+            return False
+        return self._crash_guard.is_blocked(progress.service, progress.shared_parts)
+
+    async def _is_repeat_safe(
         self, progress: RequestProgress, failure: _ServerAttemptError
     ) -> bool:
-        """Returns whether another server may be tried without a part of the prompt crashing it."""
-        if failure.crash_check is not None and progress.is_retryable:
-            run, check = progress.run, failure.crash_check
-            if not await self._crash_guard.is_repeat_safe(run, check):
-                return False
-        return not self._crash_guard.is_blocked(progress.service, progress.shared_parts)
+        """Returns whether the request is unlikely to crash another server."""
+        if failure.crash_check is None or not progress.is_retryable:
+            return True
+        return await self._crash_guard.is_repeat_safe(progress.run, failure.crash_check)
 
     def _choose_server(self, progress: RequestProgress) -> ServerLoad | None:
         # A trial goes to the least loaded server, where a crash affects the fewest requests.
@@ -437,7 +444,8 @@
         elif progress.may_have_run:
             raise RequestError(ResultCode.OUTCOME_UNKNOWN, ran=Ran.UNKNOWN, detail=reason)
         else:
-            code = ResultCode.NO_SERVER if reason == "no_server" else ResultCode.SERVER_REFUSED
+            codes = {"no_server": ResultCode.NO_SERVER, PART_BLOCKED: ResultCode.PROMPT_BLOCKED}
+            code = codes.get(reason, ResultCode.SERVER_REFUSED)
             raise RequestError(code, retry_after_seconds=RETRY_AFTER_SECONDS, detail=reason)
 
     async def _end_started_response(self, progress: RequestProgress, sink: ResponseSink) -> None:
