Count only answers to prompts with shared parts as knowledge of parts

What callers saw: sound prompts of one caller refused for ten seconds. Cause: the 30 answers that a router has to have seen included plain calls, which have no parts. The new example failed before.

--- a/features/forward/crash_evidence.feature
+++ b/features/forward/crash_evidence.feature
@@ -39,6 +39,7 @@
       | state           |
       | just started    |
       | seen 29 answers |
+      | seen many answers to prompts without shared parts |
 
   # Guards against a service that stands still because all its servers have crashed for a while: the
   # parts of all requests are blocked then.
--- a/features/steps/crash_evidence_steps.py
+++ b/features/steps/crash_evidence_steps.py
@@ -59,6 +59,9 @@
 @given("a router that has {state}")
 def make_uninformed(context, state):
     context.evidence = CrashEvidence()
+    if "without shared parts" in state:
+        for _ in range(100):
+            context.evidence.record_answer(SERVICE, [], 0.0)
     if state == "seen 29 answers":
         for _ in range(29):
             context.evidence.record_answer(SERVICE, ["other"], 0.0)
--- a/packages/router/laburnumpier_router/forward/crash_evidence.py
+++ b/packages/router/laburnumpier_router/forward/crash_evidence.py
@@ -18,14 +18,14 @@
 import collections
 import dataclasses
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 CRASHES_OF_NEW_PART = 2
 """Crashes that block a part with which no answer is known to have begun."""
 CRASHES_OF_KNOWN_PART = 3
 """Crashes that block a part with which answers have begun before."""
 ANSWERS_TO_KNOW = 30
-"""Answers of a service from which on a part that was not among them counts as never answered."""
+"""Answers to prompts with shared parts from which on any other part counts as never answered."""
 FIRST_TRIAL_OF_NEW_PART_SECONDS = 10.0
 FIRST_TRIAL_OF_KNOWN_PART_SECONDS = 1.0
 TRIAL_FACTOR = 4.0
@@ -168,9 +168,9 @@
         for part in parts:
             self._add_crash((service, part), Crash(server_id=server_id, seconds=seconds))
 
-    def record_answer(self, service: str, parts: Iterable[str], seconds: float) -> list[PartKey]:
+    def record_answer(self, service: str, parts: Sequence[str], seconds: float) -> list[PartKey]:
         """Records an answer that began here; returns the parts that were blocked until now."""
-        self._answer_counts[service] += 1
+        self._answer_counts[service] += bool(parts)
         return self.record_begun(service, parts, seconds)
 
     def record_begun(self, service: str, parts: Iterable[str], seconds: float) -> list[PartKey]:
