Leave answers that have arrived in part at their servers when a part is blocked

Cause: a request is taken back until its answer has gone on for 0.25 s. Change: only requests without any piece of an answer are taken back; the others show within moments whether the part is sound. The new scenario failed before: the stream was not whole.

--- a/features/forward/crashing_parts.feature
+++ b/features/forward/crashing_parts.feature
@@ -88,3 +88,9 @@
     And tokens that are granted after 1 second
     When a request waits for tokens while its part is blocked
     Then it is refused for a blocked part and has reached no server
+
+  # Guards against answers that are broken off because a sound part was blocked by chance.
+  Scenario: An answer that has arrived in part is not broken off by a block
+    Given 5 routers before 8 servers
+    When a part is blocked 0.05 seconds after the first event of an answer with it
+    Then the answer is whole, and the part is no longer blocked
--- a/features/steps/crash_world.py
+++ b/features/steps/crash_world.py
@@ -55,6 +55,7 @@
     guilty_part: str
     arrivals: list[float] = dataclasses.field(default_factory=list)
     has_begun: bool = False
+    is_whole: bool = False
     took_seconds: float = 0.0
     error: RequestError | None = None
 
@@ -417,10 +418,12 @@
             head=PlatformDialect().read_request(headers),
             received_seconds=loop.time(),
         )
+        sink = WorldSink()
         try:
-            await router.service.serve(request, WorldSink())
+            await router.service.serve(request, sink)
         except RequestError as error:
             attempt.error = error
+        attempt.is_whole = sink.finished
         attempt.took_seconds = loop.time() - attempt.sent_seconds
 
     def list_refused(self):
--- a/features/steps/crashing_part_steps.py
+++ b/features/steps/crashing_part_steps.py
@@ -286,3 +286,30 @@
     assert attempt.error.code is ResultCode.PROMPT_BLOCKED, attempt
     assert attempt.error.ran is Ran.NO, attempt
     assert not attempt.arrivals, attempt
+
+
+@when("a part is blocked {seconds:f} seconds after the first event of an answer with it")
+def block_after_first_event(context, seconds):
+    world = context.world
+
+    async def play_request():
+        sending = asyncio.create_task(world.send_request("p"))
+        while not world.attempts or not world.attempts["a0"].has_begun:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(seconds)
+        block = BlockedPart(
+            service="s", part="p", crash_ages_ms=[10, 3000], is_certain=True, is_common=False
+        )
+        for router in world.routers.values():
+            router.guard.adopt_blocks("r1", [block])
+        assert world.list_blocked() == ["p"]
+        await sending
+        await asyncio.sleep(0.1)
+
+    run(context, play_request())
+
+
+@then("the answer is whole, and the part is no longer blocked")
+def check_whole(context):
+    assert context.world.attempts["a0"].is_whole
+    assert not context.world.list_blocked()
--- a/packages/router/laburnumpier_router/forward/crash_guard.py
+++ b/packages/router/laburnumpier_router/forward/crash_guard.py
@@ -314,13 +314,14 @@
     def _handle_block(self, key: PartKey, router: str) -> None:
         """Takes the requests with a part that is blocked now back from their servers.
 
-        If the part may be sound, they stay there: the first that begins ends the block.
+        Those whose answer has arrived in part stay there, as they will soon show whether the part
+        crashes their server. So do all of them if the part may be sound.
         """
         service, part = key
         suspected = self._evidence.get_suspected(key)
         runs = []
         if suspected.is_certain:
-            runs = [run for run in self._runs if run.service == service and part in run.parts]
+            runs = [run for run in self._runs if run.is_silent_with(service, part)]
         self._metrics.count("forward.parts_blocked")
         _log.warning(
             "prompt part blocked",
--- a/packages/router/laburnumpier_router/forward/watched_run.py
+++ b/packages/router/laburnumpier_router/forward/watched_run.py
@@ -41,6 +41,11 @@
         self.first_piece_seconds = min(self.first_piece_seconds, now_seconds)
         return now_seconds - self.first_piece_seconds >= BEGIN_SECONDS
 
+    def is_silent_with(self, service: str, part: str) -> bool:
+        """Whether the prompt has a part, and no piece of the answer has arrived."""
+        has_part = self.service == service and part in self.parts
+        return has_part and self.first_piece_seconds == math.inf
+
     def take_back(self) -> None:
         """Ends the request at its server, at the next turn of the event loop."""
         if self.timeout is not None and not self.has_begun and not self.timeout.expired():
