--- a/packages/router/laburnumpier_router/forward/crash_guard.py
+++ b/packages/router/laburnumpier_router/forward/crash_guard.py
@@ -327,7 +327,7 @@
             "prompt part blocked",
             fields={
                 "service": service,
-                "part": part,
+                "prompt_part": part,
                 "crashes": len(suspected.crashes),
                 "certain": suspected.is_certain,
                 "common": suspected.is_common,
