--- a/features/forward/crash_evidence.feature
+++ b/features/forward/crash_evidence.feature
@@ -49,6 +49,14 @@
     When each trial that is due crashes a server
     Then the first trials are at 101 105 109 113 117 121 seconds
 
+  # Guards against a common part that counts as rare, as the calls without parts outnumber the prompts.
+  Scenario: Requests without shared parts do not count for the share of a part
+    Given 100 requests of which 2 in 5 have the part x
+    And 1000 requests without shared parts
+    And a part x that was common, blocked at 100 seconds
+    When each trial that is due crashes a server
+    Then the first trials are at 101 105 109 113 117 121 seconds
+
   # Guards against trials that crash one server after the other.
   Scenario Outline: Trials become rarer with each crash
     Given a part x that was <before>, blocked at 100 seconds
--- a/features/steps/crash_evidence_steps.py
+++ b/features/steps/crash_evidence_steps.py
@@ -74,6 +74,12 @@
         get_evidence(context).record_request(SERVICE, parts, 100 * number / count)
 
 
+@given("{count:d} requests without shared parts")
+def send_plain_requests(context, count):
+    for number in range(count):
+        get_evidence(context).record_request(SERVICE, [], 100 * number / count)
+
+
 @given("a part {part} that was {before}, blocked at {seconds:d} seconds")
 def block_part(context, part, before, seconds):
     if before in ("known", "common"):
--- a/packages/router/laburnumpier_router/forward/crash_evidence.py
+++ b/packages/router/laburnumpier_router/forward/crash_evidence.py
@@ -32,7 +32,7 @@
 """Factor of the time to the next trial after each crash."""
 MAX_TRIAL_SECONDS = 600.0
 COMMON_SHARE = 1 / 3
-"""Share of a service's requests from which on a part counts as common."""
+"""Share of the requests with shared parts from which on a part counts as common."""
 MAX_TRIAL_OF_COMMON_PART_SECONDS = 4.0
 TRIAL_RESULT_SECONDS = 5.0
 """Time within which a trial mostly shows whether it begins; no other one is let through in it."""
@@ -150,9 +150,10 @@
             collections.OrderedDict()
         )
 
-    def record_request(self, service: str, parts: Iterable[str], seconds: float) -> None:
-        """Records a request, whether it is refused or not."""
-        self._shares.record(service, parts, seconds)
+    def record_request(self, service: str, parts: Sequence[str], seconds: float) -> None:
+        """Records a request with shared parts, whether it is refused or not."""
+        if parts:
+            self._shares.record(service, parts, seconds)
 
     def record_crash(
         self, service: str, server_id: str, parts: Iterable[str], seconds: float
@@ -239,16 +240,16 @@
         suspected.is_certain, suspected.is_common = is_certain, is_common
         return True
 
+    def is_blocked(self, key: PartKey) -> bool:
+        """Returns whether a part is blocked."""
+        suspected = self._suspected.get(key)
+        return suspected is not None and suspected.is_blocked
+
     def list_blocked(self, service: str, parts: Iterable[str]) -> list[PartKey]:
         """Returns those parts that are blocked."""
         if not self._suspected:
             return []
-        return [
-            (service, part)
-            for part in parts
-            if (suspected := self._suspected.get((service, part))) is not None
-            and suspected.is_blocked
-        ]
+        return [(service, part) for part in parts if self.is_blocked((service, part))]
 
     def list_all_blocked(self) -> dict[PartKey, SuspectedPart]:
         """Returns all blocked parts with their evidence."""
