Give the trial of a blocked part only to a request that is ready to be sent

Change: a blocked prompt without a due trial is refused before it waits for tokens, as before; the trial itself is asked for after the tokens were reserved. The new scenario failed before: the request that had tokens was refused.

--- a/features/forward/crashing_parts.feature
+++ b/features/forward/crashing_parts.feature
@@ -94,3 +94,10 @@
     Given 5 routers before 8 servers
     When a part is blocked 0.05 seconds after the first event of an answer with it
     Then the answer is whole, and the part is no longer blocked
+
+  # Guards against a trial that is used up by a request that is never sent, so that a sound part stays blocked.
+  Scenario: A request without tokens is not the trial of a blocked part
+    Given 5 routers before 8 servers
+    And a part that is blocked and due for its trial
+    When 20 requests with the part get no tokens and then one does
+    Then the answer of the last one is whole, and the part is no longer blocked
--- a/features/steps/crash_world.py
+++ b/features/steps/crash_world.py
@@ -228,10 +228,13 @@
     """A budget that grants everything, after a time."""
 
     wait_seconds = 0.0
+    error = None
 
     async def reserve(self, workspace, amount, deadline_seconds):
         """Grants nothing to settle."""
         await asyncio.sleep(self.wait_seconds)
+        if self.error is not None:
+            raise self.error
 
     def settle_unbilled(self, reservation, used):
         """Does nothing."""
--- a/features/steps/crashing_part_steps.py
+++ b/features/steps/crashing_part_steps.py
@@ -8,6 +8,7 @@
 
 from behave import given, then, when
 from crash_world import CrashWorld
+from laburnumpier_core.errors import RequestError
 from laburnumpier_core.result_codes import Ran, ResultCode
 from laburnumpier_router.fleet.member import BlockedPart
 
@@ -313,3 +314,39 @@
 def check_whole(context):
     assert context.world.attempts["a0"].is_whole
     assert not context.world.list_blocked()
+
+
+@given("a part that is blocked and due for its trial")
+def block_due_part(context):
+    block = BlockedPart(
+        service="s", part="p", crash_ages_ms=[20_000, 23_000], is_certain=True, is_common=False
+    )
+
+    async def adopt():
+        for router in context.world.routers.values():
+            router.guard.adopt_blocks("r1", [block])
+
+    run(context, adopt())
+
+
+@when("{count:d} requests with the part get no tokens and then one does")
+def send_without_tokens(context, count):
+    world = context.world
+
+    async def send():
+        world.budget.error = RequestError(ResultCode.BUDGET_UNREACHABLE, retry_after_seconds=1.0)
+        for _ in range(count):
+            await world.send_request("p")
+        world.budget.error = None
+        await asyncio.sleep(0.01)
+        await world.send_request("p")
+        await asyncio.sleep(0.1)
+
+    run(context, send())
+
+
+@then("the answer of the last one is whole, and the part is no longer blocked")
+def check_last_whole(context):
+    *_, last = context.world.attempts.values()
+    assert last.is_whole, last
+    assert not context.world.list_blocked()
--- a/packages/router/laburnumpier_router/forward/crash_guard.py
+++ b/packages/router/laburnumpier_router/forward/crash_guard.py
@@ -104,8 +104,8 @@
         self._lost_runs: dict[str, list[WatchedRun]] = {}
         self._checks: dict[str, asyncio.Task[bool]] = {}
 
-    async def admit(self, service: str, parts: tuple[str, ...]) -> bool:
-        """Returns whether a request is a trial of blocked parts; False for usual requests.
+    def check(self, service: str, parts: tuple[str, ...]) -> None:
+        """Records a request, and refuses one that cannot be let through now.
 
         Raises:
             RequestError: If a part of its prompt is blocked, and no trial is due.
@@ -113,14 +113,33 @@
         now = self._clock.monotonic_seconds()
         self._evidence.record_request(service, parts, now)
         blocked = self._evidence.list_blocked(service, parts)
+        if blocked and now < self._evidence.get_trial_seconds(blocked):
+            raise self._make_refusal(blocked)
+
+    async def admit(self, service: str, parts: tuple[str, ...]) -> bool:
+        """Returns whether a request is a trial of blocked parts; False for usual requests.
+
+        The request has to be ready to be sent, as nobody else gets the trial.
+
+        Raises:
+            RequestError: If a part of its prompt is blocked, and no trial is granted.
+        """
+        blocked = self._evidence.list_blocked(service, parts)
         if not blocked:
             return False
-        wait_seconds = self._evidence.get_trial_seconds(blocked) - now
-        if wait_seconds <= 0 and await self._ask_trial(blocked):
-            self._metrics.count("forward.part_trials")
-            _log.info("trying a blocked prompt", fields={"service": service, "parts": blocked})
-            return True
-        raise RequestError(
+        now = self._clock.monotonic_seconds()
+        is_due = now >= self._evidence.get_trial_seconds(blocked)
+        if not is_due or not await self._ask_trial(blocked):
+            raise self._make_refusal(blocked)
+        self._metrics.count("forward.part_trials")
+        _log.info("trying a blocked prompt", fields={"service": service, "parts": blocked})
+        return True
+
+    def _make_refusal(self, blocked: list[PartKey]) -> RequestError:
+        now = self._clock.monotonic_seconds()
+        blocked = [key for key in blocked if self._evidence.is_blocked(key)]
+        wait_seconds = self._evidence.get_trial_seconds(blocked) - now if blocked else 0.0
+        return RequestError(
             ResultCode.PROMPT_BLOCKED,
             retry_after_seconds=min(max(wait_seconds, 1.0), MAX_RETRY_AFTER_SECONDS),
             facts={"blocked": [part for _, part in blocked]},
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -183,9 +183,7 @@
             progress = await self._admit_by_newest(request)
             if progress.is_taken_up:
                 await self._find_origin(progress)
-            progress.is_trial = await self._crash_guard.admit(
-                progress.service, progress.shared_parts
-            )
+            self._crash_guard.check(progress.service, progress.shared_parts)
             await self._reserve_and_run(progress, sink)
             outcome = "answered" if sink.finished else "broken_off"
             if progress.is_cut:
@@ -305,6 +303,9 @@
         reservation = await self._reserve(progress)
         try:
             async with self._time_limits.limit(progress.deadline_seconds):
+                progress.is_trial = await self._crash_guard.admit(
+                    progress.service, progress.shared_parts
+                )
                 await self._run(progress, sink)
         except TimeoutError as error:
             progress.is_cut = progress.deadline_seconds > self._time_limits.end_seconds
