Log the limits that servers name in their answers

Change: the adapter decodes it; a line for a new, changed or ended limit with its value, and a bounded one for values that are no number. Nothing is decided by it yet.

--- a/features/steps/crash_world.py
+++ b/features/steps/crash_world.py
@@ -28,6 +28,7 @@
 from laburnumpier_router.forward.crash_messages import AskTrial, CrashSeen, TellParts
 from laburnumpier_router.forward.exchange import ForwardRequest
 from laburnumpier_router.forward.retry_budget import RetryBudget
+from laburnumpier_router.forward.server_rate_limits import ServerRateLimits
 from laburnumpier_router.forward.servers import ServerTable
 from laburnumpier_router.forward.service import ForwardService
 from laburnumpier_router.forward.stream_versions import StreamVersions
@@ -304,6 +305,7 @@
             ),
             dialect=PlatformDialect(),
             retry_budget=RetryBudget(ratio=0.2, extra=20, window_seconds=10),
+            rate_limits=ServerRateLimits(clock=clock, metrics=metrics),
             time_limits=TimeLimits(),
             clock=clock,
             metrics=metrics,
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -48,6 +48,7 @@
 from .forward.registry_follower import RegistryFollower
 from .forward.registry_relay import RegistryRelay, RegistryRelayed
 from .forward.retry_budget import RetryBudget
+from .forward.server_rate_limits import ServerRateLimits
 from .forward.servers import ServerTable
 from .forward.service import ForwardService
 from .forward.stream_origins import StreamOrigins
@@ -563,6 +564,7 @@
             extra=settings.retry_extra,
             window_seconds=settings.retry_window_seconds,
         )
+        self._rate_limits = ServerRateLimits(clock=self._clock, metrics=self._metrics)
         self._registry_follower = RegistryFollower(
             registry=self._registry_relay,
             table=self._server_table,
@@ -604,6 +606,7 @@
                 ),
                 dialect=ports.dialect,
                 retry_budget=self._retry_budget,
+                rate_limits=self._rate_limits,
                 time_limits=time_limits,
                 clock=self._clock,
                 metrics=self._metrics,
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -35,6 +35,7 @@
 from .response_limits import StreamLimitError
 from .retry_budget import RetryBudget
 from .routes import RouteTable, choose_service
+from .server_rate_limits import ServerRateLimits
 from .servers import ServerLoad, ServerTable
 from .stream_versions import StreamVersions
 from .time_limits import TimeLimits
@@ -103,6 +104,7 @@
         "_dialect",
         "_metrics",
         "_random",
+        "_rate_limits",
         "_retry_budget",
         "_routes",
         "_routes_configuration",
@@ -123,6 +125,7 @@
         stream_versions: StreamVersions,
         dialect: Dialect,
         retry_budget: RetryBudget,
+        rate_limits: ServerRateLimits,
         time_limits: TimeLimits,
         clock: Clock,
         metrics: Metrics,
@@ -140,6 +143,7 @@
             stream_versions: Decides at which version streams go on that callers take up.
             dialect: Translates headers between callers, this router and servers.
             retry_budget: Limits the retries to each service.
+            rate_limits: Limits that servers name in their answers.
             time_limits: Time limits of all open requests.
             clock: Source of time.
             metrics: Counters.
@@ -154,6 +158,7 @@
         self._stream_versions = stream_versions
         self._dialect = dialect
         self._retry_budget = retry_budget
+        self._rate_limits = rate_limits
         self._time_limits = time_limits
         self._clock = clock
         self._metrics = metrics
@@ -655,13 +660,16 @@
         Raises:
             _ServerAttemptError: If it did not run, or the response is to another request.
         """
+        is_stray = head.attempt_id not in ("", progress.request.head.attempt_id)
+        if not is_stray:
+            self._rate_limits.record_answer(progress.sent_to, head)
         if head.not_executed:
             if exchange.status != 421:
                 server.record_report(server.entry.slots, 1, self._clock.monotonic_seconds())
             else:
                 server.record_unreachable(self._clock.monotonic_seconds())
             raise _ServerAttemptError(f"refused_{exchange.status}", Ran.NO)
-        if head.attempt_id and head.attempt_id != progress.request.head.attempt_id:
+        if is_stray:
             server.record_failure()
             raise _ServerAttemptError("stray_answer", Ran.UNKNOWN)
 
--- a/packages/router/laburnumpier_router/ports/dialect.py
+++ b/packages/router/laburnumpier_router/ports/dialect.py
@@ -82,12 +82,19 @@
         not_executed: Whether the server states that it did not run the request.
         running: Number of requests that the server runs; None if not stated.
         waiting: Number of requests in the server's queue.
+        rate_limit: Requests a second that the server takes from all routers together; None if it
+            names no limit, or none that can be read.
+        has_invalid_rate_limit: Whether it names a limit that cannot be read.
+        is_misdirected: Whether the response may come from another server at the same address.
     """
 
     attempt_id: str
     not_executed: bool
     running: int | None = None
     waiting: int = 0
+    rate_limit: float | None = None
+    has_invalid_rate_limit: bool = False
+    is_misdirected: bool = False
 
 
 class Dialect(Protocol):
