--- a/features/steps/crash_world.py
+++ b/features/steps/crash_world.py
@@ -1,4 +1,4 @@
-"""A small world in virtual time: routers, servers that crash, and callers."""
+"""A small world in virtual time: routers, servers that crash or name limits, and callers."""
 
 import asyncio
 import contextlib
@@ -62,7 +62,13 @@
 
 
 class CrashingServer:
-    """A server that crashes when it begins to answer certain prompts."""
+    """A server that crashes when it begins to answer certain prompts.
+
+    Attributes:
+        limit: What it names as its limit in its answers; None for nothing.
+        arrivals: Time and router of each request that reached it.
+        told: Time at which each router first had an answer with a limit.
+    """
 
     def __init__(self, world, number):
         """Creates a server that runs."""
@@ -71,6 +77,9 @@
         self.address = f"10.0.0.{number}:80"
         self.is_up = True
         self.crashed = asyncio.Event()
+        self.limit = None
+        self.arrivals = []
+        self.told = {}
 
     def crash(self):
         """Resets all connections and closes the port, for some seconds."""
@@ -97,6 +106,8 @@
         self.status = 200
         media_type = "text/event-stream" if world.is_streaming else "text/plain"
         headers = {"Content-Type": media_type, "X-Attempt-Id": attempt_id}
+        if server.limit is not None:
+            headers["Server-Limit"] = server.limit
         self.headers = CIMultiDictProxy(CIMultiDict(headers))
         self.end_marker = EndMarker.CHUNKS
 
@@ -135,9 +146,10 @@
 class CrashingClient:
     """Sends requests to the servers of a world."""
 
-    def __init__(self, world):
-        """Creates a client."""
+    def __init__(self, world, router):
+        """Creates the client of a router."""
         self._world = world
+        self._router = router
 
     @contextlib.asynccontextmanager
     async def open(self, call):
@@ -147,12 +159,17 @@
         if not server.is_up:
             raise ServerUnreachableError("refused")
         attempt = self._world.attempts[attempt_id]
-        attempt.arrivals.append(asyncio.get_running_loop().time())
-        parts = [part.partition(":")[0] for part in call.headers["X-Prompt-Prefix"].split(",")]
+        loop = asyncio.get_running_loop()
+        attempt.arrivals.append(loop.time())
+        server.arrivals.append((loop.time(), self._router))
+        prefix = call.headers.get("X-Prompt-Prefix", "")
+        parts = [part.partition(":")[0] for part in prefix.split(",")]
         exchange = CrashingExchange(self._world, server, attempt_id, parts)
         await exchange.wait(self._world.random.uniform(*PREFILL_SECONDS))
         if self._world.crash_after_events == 0:
             await exchange.begin(0)
+        if "Server-Limit" in exchange.headers:
+            server.told.setdefault(self._router, loop.time())
         yield exchange
 
     async def is_refusing(self, address):
@@ -283,7 +300,7 @@
     def __init__(self, world, name):
         """Creates a router without evidence."""
         clock, metrics = VirtualClock(), Metrics()
-        table, client = ServerTable(), CrashingClient(world)
+        table, client = ServerTable(), CrashingClient(world, name)
         for server in world.servers:
             table.upsert(
                 RegisteredServer(
@@ -332,6 +349,7 @@
         self.documents = 20
         self.crash_after_events = 0
         self.is_streaming = True
+        self.has_prompts = True
         self.is_mended = False
         self.attempts = {}
         self.crashes = {}
@@ -404,16 +422,10 @@
         parts = ["system", f"caller-{self.random.randrange(4)}"]
         parts.append(guilty or f"document-{self.random.randrange(self.documents)}")
         prefix = ",".join(f"{part}:100" for part in [*parts, f"own-{attempt_id}"])
-        headers = CIMultiDictProxy(
-            CIMultiDict(
-                {
-                    "X-Attempt-Id": attempt_id,
-                    "Authorization": f"Token {KEY}",
-                    "X-Token-Usage": "400,30",
-                    "X-Prompt-Prefix": prefix,
-                }
-            )
-        )
+        headers = CIMultiDict({"X-Attempt-Id": attempt_id, "Authorization": f"Token {KEY}"})
+        if self.has_prompts:
+            headers.update({"X-Token-Usage": "400,30", "X-Prompt-Prefix": prefix})
+        headers = CIMultiDictProxy(headers)
         request = ForwardRequest(
             method="POST",
             target="/shop/x",
