Give out permits for requests to servers that name a limit

Callers saw nothing: the requests were served. Cause: an answer's statement about the server's load reached nobody: the limit was not read, and each router decides alone what it sends. A limit is for all routers together, so a count in each router cannot keep it. Change: one router for each limited server, its home, gives out permits at the named rate (generic cell rate algorithm, tolerance 0.5 s); a router without one does not ask again before a time that the home tells it. Limits and their ends spread with heartbeats. While the home is silent each router uses an equal share; in a cut a home gives out the share of the VMs that it hears of. Requests wait for a permit only where all servers left have limits, urgent ones longer; what finds none is refused as not run (5007), with times of return that follow each other. A limit below 0.25 a second lets that much through, as only an answer ends it. Ruled out: equal shares alone (1/9 a second each strand what quiet routers do not use), permits ahead (a dead router takes them along). The scenario of returns now sends 20 requests a second, at most 12 told the same second (before 60 and 20): at 60 the queue is longer than the longest Retry-After of 30 s, so that the returns follow the arrivals.

--- a/features/forward/server_limits.feature
+++ b/features/forward/server_limits.feature
@@ -95,6 +95,6 @@
     Given 9 routers before 8 servers
     And plain calls
     And servers that name the limits 1 1 1 1 1 1 1 1 after 3 seconds
-    When 60 requests a second come for 12 seconds
+    When 20 requests a second come for 12 seconds
     Then requests were refused as not run, within 0.2 seconds or after the wait for a start
-    And no more than 20 of them are told to return in the same second
+    And no more than 12 of them are told to return in the same second
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -27,6 +27,7 @@
 from laburnumpier_router.forward.crash_guard import CrashGuard
 from laburnumpier_router.forward.frontend import ForwardFrontend
 from laburnumpier_router.forward.http_client import HttpServerClient
+from laburnumpier_router.forward.request_limiter import RequestLimiter
 from laburnumpier_router.forward.retry_budget import RetryBudget
 from laburnumpier_router.forward.server_rate_limits import ServerRateLimits
 from laburnumpier_router.forward.servers import ServerTable
@@ -169,6 +170,7 @@
     clock = SystemClock()
     metrics = Metrics()
     time_limits = TimeLimits()
+    limits = ServerRateLimits(clock=clock, metrics=metrics)
     context.frontend = ForwardFrontend(
         service=ForwardService(
             configuration=context.configuration,
@@ -183,7 +185,14 @@
             ),
             dialect=PlatformDialect(),
             retry_budget=RetryBudget(ratio=0.2, extra=20, window_seconds=10),
-            rate_limits=ServerRateLimits(clock=clock, metrics=metrics),
+            rate_limits=limits,
+            limiter=RequestLimiter(
+                fleet=FakeFleet(),
+                limits=limits,
+                clock=clock,
+                metrics=metrics,
+                random_source=random.Random(1),
+            ),
             time_limits=time_limits,
             clock=clock,
             metrics=metrics,
--- a/packages/core/laburnumpier_core/result_codes.py
+++ b/packages/core/laburnumpier_core/result_codes.py
@@ -52,6 +52,7 @@
     OUTCOME_UNKNOWN = 5004
     STREAM_ORIGIN_UNKNOWN = 5005
     PROMPT_BLOCKED = 5006
+    SERVERS_LIMITED = 5007
     CONFLICT = 6001
     OPERATOR_UNAUTHORIZED = 6002
     INVALID_CONFIGURATION = 6003
@@ -118,6 +119,9 @@
     ResultCode.PROMPT_BLOCKED: _info(
         503, "Servers have crashed on a part of this prompt; it is not sent to any now."
     ),
+    ResultCode.SERVERS_LIMITED: _info(
+        503, "The limits that the servers have named leave no room for the request now."
+    ),
     ResultCode.CONFLICT: _info(409, "The patch was written against an outdated number."),
     ResultCode.OPERATOR_UNAUTHORIZED: _info(401, "The operator token is missing or wrong."),
     ResultCode.INVALID_CONFIGURATION: _info(422, "The patched configuration is not valid."),
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -41,12 +41,13 @@
 from .fleet.peer_network import PeerNetwork
 from .fleet.registry import MemberRegistry
 from .fleet.service import FleetService
-from .forward import crash_messages, origin_messages
+from .forward import crash_messages, origin_messages, permit_messages
 from .forward.crash_guard import CrashGuard
 from .forward.exchange import ServerClient
 from .forward.frontend import ForwardFrontend
 from .forward.registry_follower import RegistryFollower
 from .forward.registry_relay import RegistryRelay, RegistryRelayed
+from .forward.request_limiter import RequestLimiter
 from .forward.retry_budget import RetryBudget
 from .forward.server_rate_limits import ServerRateLimits
 from .forward.servers import ServerTable
@@ -99,6 +100,7 @@
     RegistryRelayed,
     *origin_messages.MESSAGE_TYPES,
     *crash_messages.MESSAGE_TYPES,
+    *permit_messages.MESSAGE_TYPES,
     request_messages.OpenRequest,
     request_messages.RequestOpened,
     request_messages.PlaceRequest,
@@ -565,6 +567,14 @@
             window_seconds=settings.retry_window_seconds,
         )
         self._rate_limits = ServerRateLimits(clock=self._clock, metrics=self._metrics)
+        self._fleet.list_named_limits = self._rate_limits.list_told
+        self._request_limiter = RequestLimiter(
+            fleet=self._fleet,
+            limits=self._rate_limits,
+            clock=self._clock,
+            metrics=self._metrics,
+            random_source=self._random,
+        )
         self._registry_follower = RegistryFollower(
             registry=self._registry_relay,
             table=self._server_table,
@@ -607,6 +617,7 @@
                 dialect=ports.dialect,
                 retry_budget=self._retry_budget,
                 rate_limits=self._rate_limits,
+                limiter=self._request_limiter,
                 time_limits=time_limits,
                 clock=self._clock,
                 metrics=self._metrics,
@@ -664,6 +675,7 @@
             register(crash_messages.CrashSeen, self._crash_guard.handle_crash_seen)
             register(crash_messages.TellParts, self._crash_guard.handle_tell_parts)
             register(crash_messages.AskTrial, self._crash_guard.handle_ask_trial)
+            register(permit_messages.AskPermit, self._request_limiter.handle_ask_permit)
 
     async def _handle_submit_changes(
         self, sender: str, message: budget_messages.SubmitChanges
@@ -736,6 +748,7 @@
         self._backend_directory.record_gossiped_leaving(message.leaving_servers)
         if self._crash_guard is not None:
             self._crash_guard.adopt_blocks(sender, message.blocked_parts)
+            self._rate_limits.adopt(message.named_limits)
         # Only homes of shards normally write, but members may temporarily disagree on the homes.
         max_writers = MAX_HOMES_PER_SHARD * self._settings.account_shards
         self._write_pacer.set_member_count(min(1 + len(self._fleet.view.live), max_writers))
--- a/packages/router/laburnumpier_router/fleet/member.py
+++ b/packages/router/laburnumpier_router/fleet/member.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+from typing import Annotated
 
 import msgspec
 
@@ -91,6 +92,21 @@
     is_common: bool
 
 
+class NamedLimit(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """The limit that a backend server named last, or that it named none any more.
+
+    Attributes:
+        started_ms: Start of the server process, from its registry entry.
+        per_second: Requests a second from all routers together; None if there is no limit.
+        age_ms: Time since the answer that said so, in milliseconds.
+    """
+
+    server_id: Annotated[str, msgspec.Meta(max_length=200)]
+    started_ms: int
+    per_second: Annotated[float, msgspec.Meta(ge=0)] | None
+    age_ms: Annotated[int, msgspec.Meta(ge=0)]
+
+
 class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Request to a partner in each heartbeat interval, and the partner's reply.
 
@@ -100,6 +116,7 @@
         leaving_servers: Backend servers that are leaving, as far as the sender knows.
         store_era: Highest era of the store known to the sender.
         blocked_parts: Parts of prompts that the sender refuses.
+        named_limits: Limits of backend servers that the sender knows.
     """
 
     entries: list[GossipEntry]
@@ -107,3 +124,4 @@
     leaving_servers: list[str]
     store_era: int = 0
     blocked_parts: list[BlockedPart] = []
+    named_limits: list[NamedLimit] = []
--- a/packages/router/laburnumpier_router/fleet/service.py
+++ b/packages/router/laburnumpier_router/fleet/service.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from laburnumpier_core.clock import Clock
@@ -15,7 +15,15 @@
 from laburnumpier_core.log import get_part_logger
 from laburnumpier_core.metrics import Metrics
 
-from .member import BlockedPart, GossipEntry, Heartbeat, Member, MemberRecord, MemberState
+from .member import (
+    BlockedPart,
+    GossipEntry,
+    Heartbeat,
+    Member,
+    MemberRecord,
+    MemberState,
+    NamedLimit,
+)
 from .peer_link import PeerLink
 from .registry import MemberRegistry
 from .view import FleetView
@@ -59,6 +67,7 @@
         "get_store_era",
         "list_blocked_parts",
         "list_leaving_servers",
+        "list_named_limits",
         "reaches_store",
     )
 
@@ -114,6 +123,7 @@
         self.get_store_era: Callable[[], int] = lambda: 0
         self.list_leaving_servers: Callable[[], list[str]] = list
         self.list_blocked_parts: Callable[[], list[BlockedPart]] = list
+        self.list_named_limits: Callable[[], list[NamedLimit]] = list
         self.reaches_store: Callable[[], bool] = lambda: True
         link.register_handler(Heartbeat, self._handle_heartbeat)
 
@@ -163,6 +173,14 @@
         """Returns the members that may write a key for others, in order of preference."""
         return self._view.list_writers(key) if self._registered else [self.self_name]
 
+    def count_vms(self) -> int:
+        """Returns the number of VMs with a router that is not proven to have ended."""
+        return len(self._list_vms(self._view.known))
+
+    def count_live_vms(self) -> int:
+        """Returns the number of VMs with a live router; never more than `count_vms`."""
+        return len(self._list_vms(self._view.live))
+
     def list_recent_routers(self, seconds: float) -> list[str]:
         """Returns the other incarnations heard of within some seconds that are not stopping."""
         since_seconds = self._clock.monotonic_seconds() - seconds
@@ -261,6 +279,11 @@
             return_exceptions=True,
         )
 
+    def _list_vms(self, names: Iterable[str]) -> set[str]:
+        """Returns the VMs of some members and of this process."""
+        known = self._view.known
+        return {self._member.vm, *(known[name].member.vm for name in names)}
+
     def _compute_poll_seconds(self) -> float:
         """Returns the interval of the record reads; grows with the fleet to bound their rate."""
         routers = 1 + len(self._view.known)
@@ -342,4 +365,5 @@
             store_era=self.get_store_era(),
             leaving_servers=self.list_leaving_servers(),
             blocked_parts=self.list_blocked_parts(),
+            named_limits=self.list_named_limits(),
         )
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -27,10 +27,12 @@
 from ..configuration.document import Configuration, Route, RouteKind
 from ..configuration.service import ConfigurationService
 from ..ports.dialect import Dialect, ForwardedRequestInfo, ResponseHead
+from ..ports.server_registry import RegisteredServer
 from .crash_guard import CrashGuard
 from .event_stream import EventSplitter
 from .exchange import ForwardRequest, ResponseSink, ServerCall, ServerClient, ServerExchange
 from .placement import PlacementRequest, choose_server, prefer_certain_versions
+from .request_limiter import RequestLimiter
 from .request_progress import ErrorResponse, RequestProgress
 from .response_limits import StreamLimitError
 from .retry_budget import RetryBudget
@@ -60,6 +62,13 @@
 """Reason of a server attempt whose stream ended with its connection after whole events."""
 PART_BLOCKED = "part_blocked"
 """Reason of a server attempt that ended because servers crash on a part of the prompt."""
+SERVERS_LIMITED = "servers_limited"
+"""Reason of a request for which no server was left but those whose limits are used up."""
+MAX_PERMIT_WAIT_SHARE = 0.5
+"""Longest wait of the most urgent requests for a permit, as a share of the target latency."""
+MAX_PERMITS_ASKED = 4
+"""Servers with a limit that are asked about for one request before it is refused."""
+URGENCY_LEVELS = 10
 EVENT_STREAM = "text/event-stream"
 CONFIGURATION_REFUSALS = frozenset(
     {ResultCode.NOT_FOUND, ResultCode.UNKNOWN_KEY, ResultCode.MISSING_KEY}
@@ -102,6 +111,7 @@
         "_crash_guard",
         "_data_centre",
         "_dialect",
+        "_limiter",
         "_metrics",
         "_random",
         "_rate_limits",
@@ -126,6 +136,7 @@
         dialect: Dialect,
         retry_budget: RetryBudget,
         rate_limits: ServerRateLimits,
+        limiter: RequestLimiter,
         time_limits: TimeLimits,
         clock: Clock,
         metrics: Metrics,
@@ -144,6 +155,7 @@
             dialect: Translates headers between callers, this router and servers.
             retry_budget: Limits the retries to each service.
             rate_limits: Limits that servers name in their answers.
+            limiter: Gives permits for requests to servers with a limit.
             time_limits: Time limits of all open requests.
             clock: Source of time.
             metrics: Counters.
@@ -159,6 +171,7 @@
         self._dialect = dialect
         self._retry_budget = retry_budget
         self._rate_limits = rate_limits
+        self._limiter = limiter
         self._time_limits = time_limits
         self._clock = clock
         self._metrics = metrics
@@ -360,9 +373,13 @@
             if self._is_blocked(progress):
                 await self._fail_request(progress, sink, PART_BLOCKED)
                 return
-            server = self._choose_server(progress)
+            server = await self._find_server(progress)
             if server is None:
-                await self._fail_request(progress, sink, "no_server")
+                reason = SERVERS_LIMITED if self._list_limited(progress) else "no_server"
+                await self._fail_request(progress, sink, reason)
+                return
+            if self._is_blocked(progress):
+                await self._fail_request(progress, sink, PART_BLOCKED)
                 return
             try:
                 await self._send_to_server(progress, server, sink)
@@ -390,14 +407,63 @@
             return True
         return await self._crash_guard.is_repeat_safe(progress.run, failure.crash_check)
 
-    def _choose_server(self, progress: RequestProgress) -> ServerLoad | None:
+    async def _find_server(self, progress: RequestProgress) -> ServerLoad | None:
+        """Returns a server that the request may be sent to now; None if there is none.
+
+        A server with a limit is chosen like any other one as long as there are permits for it.
+        The request waits for a permit only if all servers that are left have a limit.
+        """
+        denied: set[str] = set()
+        while True:
+            usable = self._list_untried(progress)
+            unlimited = [s for s in usable if not self._limiter.is_limited(s.entry)]
+            if len(unlimited) == len(usable) or len(denied) >= MAX_PERMITS_ASKED:
+                return self._choose_server(progress, unlimited)
+            max_wait_seconds = 0.0 if unlimited else self._get_max_permit_wait(progress)
+            candidates = [
+                server
+                for server in usable
+                if server.entry.server_id not in denied
+                and self._limiter.may_have_permit(server.entry, max_wait_seconds)
+            ]
+            server = self._choose_server(progress, candidates)
+            if server is None or not self._limiter.is_limited(server.entry):
+                return server
+            has_permit = await self._limiter.acquire(server.entry, max_wait_seconds)
+            # The server may have begun to leave meanwhile.
+            if has_permit and server in self._list_untried(progress):
+                return server
+            denied.add(server.entry.server_id)
+
+    def _get_max_permit_wait(self, progress: RequestProgress) -> float:
+        """Returns the longest wait for a permit in seconds; urgent requests wait longer.
+
+        Less urgent ones are denied while permits are reserved for the moments up to which more
+        urgent ones wait, so these come first.
+        """
+        share = 1.0 - self._get_urgency(progress) / URGENCY_LEVELS
+        remaining_seconds = progress.deadline_seconds - self._clock.monotonic_seconds()
+        target_seconds = MAX_PERMIT_WAIT_SHARE * progress.route.target_latency_seconds
+        return max(0.0, min(share * target_seconds, MAX_PERMIT_WAIT_SHARE * remaining_seconds))
+
+    def _list_untried(self, progress: RequestProgress) -> list[ServerLoad]:
+        usable = self._table.list_usable(progress.service, progress.software_version)
+        return [s for s in usable if s.entry.server_id not in progress.tried_server_ids]
+
+    def _list_limited(self, progress: RequestProgress) -> list[RegisteredServer]:
+        """Returns the servers with a limit that the request was not sent to."""
+        untried = [server.entry for server in self._list_untried(progress)]
+        return [entry for entry in untried if self._limiter.is_limited(entry)]
+
+    def _choose_server(
+        self, progress: RequestProgress, usable: list[ServerLoad]
+    ) -> ServerLoad | None:
         # A trial goes to the least loaded server, where a crash affects the fewest requests.
         request = PlacementRequest(
             prompt_parts=() if progress.is_trial else progress.request.head.prompt_parts,
             data_centre=self._data_centre,
             exclude=frozenset(progress.tried_server_ids),
         )
-        usable = self._table.list_usable(progress.service, progress.software_version)
         now = self._clock.monotonic_seconds()
         if progress.software_version is not None:
             usable = prefer_certain_versions(usable, request, now)
@@ -449,6 +515,12 @@
             )
         elif progress.may_have_run:
             raise RequestError(ResultCode.OUTCOME_UNKNOWN, ran=Ran.UNKNOWN, detail=reason)
+        elif reason == SERVERS_LIMITED:
+            servers = self._list_limited(progress)
+            raise RequestError(
+                ResultCode.SERVERS_LIMITED,
+                retry_after_seconds=self._limiter.plan_return(progress.service, servers),
+            )
         else:
             codes = {"no_server": ResultCode.NO_SERVER, PART_BLOCKED: ResultCode.PROMPT_BLOCKED}
             code = codes.get(reason, ResultCode.SERVER_REFUSED)
@@ -565,7 +637,12 @@
 
     def _has_other_server(self, progress: RequestProgress) -> bool:
         """Whether the request could go on at a server other than the current one."""
-        usable = self._table.list_usable(progress.service, progress.software_version)
+        usable = [
+            server
+            for server in self._table.list_usable(progress.service, progress.software_version)
+            if server.entry is progress.sent_to
+            or self._limiter.may_have_permit(server.entry, max_wait_seconds=0.0)
+        ]
         if progress.software_version is None:
             return len(usable) > 1
         return any(server.entry.server_id not in progress.tried_server_ids for server in usable)
