Log servers that crash under requests without prompt parts, with fingerprints

Change: a fingerprint of method, host, path with query, workspace and body; crashes are looked for after each lost connection. Nothing is decided by either yet.

--- a/packages/router/laburnumpier_router/forward/crash_guard.py
+++ b/packages/router/laburnumpier_router/forward/crash_guard.py
@@ -302,9 +302,12 @@
             fields={
                 "server": server.server_id,
                 "requests": [run.attempt_id for run in runs],
+                "fingerprints": [run.fingerprint for run in runs],
                 "parts": parts,
             },
         )
+        if not parts:
+            return
         self._evidence.record_crash(service, server.server_id, parts, seconds)
         age_ms = round((self._clock.monotonic_seconds() - seconds) * 1000)
         message = CrashSeen(
--- a/packages/router/laburnumpier_router/forward/request_progress.py
+++ b/packages/router/laburnumpier_router/forward/request_progress.py
@@ -9,6 +9,7 @@
 from .crash_messages import MAX_PART_ID_LENGTH
 from .event_stream import EventSplitter
 from .exchange import ForwardRequest
+from .request_fingerprint import make_request_fingerprint
 from .watched_run import WatchedRun
 
 
@@ -76,6 +77,14 @@
     is_version_recorded: bool = False
     is_trial: bool = False
     run: WatchedRun | None = None
+    _fingerprint: str = ""
+
+    @property
+    def fingerprint(self) -> str:
+        """Identifies the request if it comes again."""
+        if not self._fingerprint:
+            self._fingerprint = make_request_fingerprint(self.request, self.workspace)
+        return self._fingerprint
 
     @property
     def shared_parts(self) -> tuple[str, ...]:
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -557,6 +557,7 @@
             parts=progress.shared_parts,
             server=server.entry,
             attempt_id=progress.request.head.attempt_id,
+            fingerprint=progress.fingerprint,
         )
         try:
             progress.may_have_run = True
@@ -580,8 +581,9 @@
             server.record_connection_lost(self._clock.monotonic_seconds())
             progress.splitter.discard_partial_event()
             crash_check = None
-            if run.parts and not run.has_begun and not isinstance(error, ServerResponseLimitError):
-                crash_check = self._crash_guard.report_lost(run)
+            if not run.has_begun and not isinstance(error, ServerResponseLimitError):
+                report = self._crash_guard.report_lost(run)
+                crash_check = report if run.parts else None
             raise _ServerAttemptError(
                 error.reason, Ran.UNKNOWN, crash_check=crash_check
             ) from error
--- a/packages/router/laburnumpier_router/forward/watched_run.py
+++ b/packages/router/laburnumpier_router/forward/watched_run.py
@@ -23,6 +23,7 @@
         parts: Shared parts of its prompt.
         server: Registry entry of the server, as of the moment of sending.
         attempt_id: The caller's attempt, for logs.
+        fingerprint: Identifies the request if it comes again.
         timeout: Ends the request when one of its parts is blocked.
         first_piece_seconds: Monotonic time of the first piece of its answer.
         has_begun: Whether its answer has begun.
@@ -32,6 +33,7 @@
     parts: tuple[str, ...]
     server: RegisteredServer
     attempt_id: str
+    fingerprint: str
     timeout: asyncio.Timeout | None = None
     first_piece_seconds: float = math.inf
     has_begun: bool = False
