--- a/features/steps/crash_world.py
+++ b/features/steps/crash_world.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import itertools
 import random
 
 from laburnumpier_core.errors import (
@@ -56,6 +57,7 @@
 
     sent_seconds: float
     guilty_part: str
+    body: str = ""
     arrivals: list[float] = dataclasses.field(default_factory=list)
     has_begun: bool = False
     is_whole: bool = False
@@ -98,9 +100,11 @@
 class CrashingExchange:
     """The answer of a crashing server."""
 
-    def __init__(self, world, server, attempt_id, parts):
+    def __init__(self, world, server, call, parts):
         """Creates an exchange whose head has arrived."""
+        attempt_id = call.headers["X-Attempt-Id"]
         self._world = world
+        self._call = call
         self._crashed = server.crashed
         self._server = server
         self._attempt_id = attempt_id
@@ -122,8 +126,8 @@
             raise ServerConnectionLostError("reset by peer")
 
     async def begin(self, events):
-        """Crashes the server if it has written so many events of a guilty prompt."""
-        guilty = self._world.find_guilty(self._parts)
+        """Crashes the server if it has written so many events of a guilty request."""
+        guilty = self._world.find_guilty(self._parts) or self._world.find_guilty_call(self._call)
         if guilty and events == self._world.crash_after_events:
             self._world.record_crash(guilty)
             self._server.crash()
@@ -166,7 +170,7 @@
         server.arrivals.append((loop.time(), self._router))
         prefix = call.headers.get("X-Prompt-Prefix", "")
         parts = [part.partition(":")[0] for part in prefix.split(",")]
-        exchange = CrashingExchange(self._world, server, attempt_id, parts)
+        exchange = CrashingExchange(self._world, server, call, parts)
         await exchange.wait(self._world.random.uniform(*PREFILL_SECONDS))
         if self._world.crash_after_events == 0:
             await exchange.begin(0)
@@ -359,6 +363,8 @@
 
     Attributes:
         guilty_parts: Parts that crash servers.
+        guilty_bodies: Bodies of requests that crash servers.
+        popular_share: Share of the sound requests that have one path, caller and body.
         documents: Number of documents, one of which each sound prompt has as its third part.
         attempts: All requests by attempt id.
         crashes: Times of the crashes by part; those without a part under an empty one.
@@ -369,6 +375,8 @@
         """Creates routers and servers that run."""
         self.random = random.Random(seed)
         self.guilty_parts = []
+        self.guilty_bodies = []
+        self.popular_share = 0.0
         self.documents = 20
         self.crash_after_events = 0
         self.is_streaming = True
@@ -384,10 +392,10 @@
         for number in range(1, routers + 1):
             self.start_router(f"r{number}")
 
-    def use_plain_calls(self):
-        """Makes all requests idempotent calls without a stream."""
+    def use_plain_calls(self, kind=RouteKind.IDEMPOTENT):
+        """Makes all requests calls without a stream."""
         self.is_streaming = False
-        self.configuration.configuration = WorldConfiguration(RouteKind.IDEMPOTENT).configuration
+        self.configuration.configuration = WorldConfiguration(kind).configuration
 
     def start_router(self, name):
         """Starts a router, which knows nothing of before."""
@@ -403,6 +411,11 @@
             return ""
         return next((part for part in parts[:-1] if part in self.guilty_parts), "")
 
+    def find_guilty_call(self, call):
+        """Returns the body of a request if it crashes servers; empty if it does not."""
+        body = call.body.decode()
+        return "" if self.is_mended or body not in self.guilty_bodies else body
+
     def record_crash(self, part):
         """Records a crash now."""
         self.crashes.setdefault(part, []).append(asyncio.get_running_loop().time())
@@ -436,11 +449,24 @@
                 guilty = self.random.choice(self.guilty_parts) if is_guilty else ""
                 group.create_task(self.send_request(guilty))
 
-    async def send_request(self, guilty):
-        """Sends a request with a part that may be guilty, and waits until it has ended."""
+    async def repeat_guilty_requests(self, interval_seconds, seconds):
+        """Sends the requests that crash servers in turn, each time at a random router."""
+        loop = asyncio.get_running_loop()
+        end_seconds = loop.time() + seconds
+        bodies = itertools.cycle(self.guilty_bodies)
+        async with asyncio.TaskGroup() as group:
+            while loop.time() < end_seconds:
+                await asyncio.sleep(interval_seconds)
+                group.create_task(self.send_request("", body=next(bodies)))
+
+    async def send_request(self, guilty, body=None, target="/shop/x"):
+        """Sends a request with a part or a body that may be guilty; waits until it has ended."""
         loop = asyncio.get_running_loop()
         attempt_id = f"a{len(self.attempts)}"
-        attempt = Attempt(sent_seconds=loop.time(), guilty_part=guilty)
+        if body is None:
+            is_popular = self.random.random() < self.popular_share
+            body = "popular" if is_popular else f"body-{attempt_id}"
+        attempt = Attempt(sent_seconds=loop.time(), guilty_part=guilty, body=body)
         self.attempts[attempt_id] = attempt
         router = self.random.choice(list(self.routers.values()))
         parts = ["system", f"caller-{self.random.randrange(4)}"]
@@ -452,10 +478,10 @@
         headers = CIMultiDictProxy(headers)
         request = ForwardRequest(
             method="POST",
-            target="/shop/x",
+            target=target,
             host=HOST,
             headers=headers,
-            body=b"",
+            body=body.encode(),
             head=PlatformDialect().read_request(headers),
             received_seconds=loop.time(),
         )
--- a/features/steps/crashing_part_steps.py
+++ b/features/steps/crashing_part_steps.py
@@ -76,6 +76,10 @@
         for name in list(world.routers):
             world.start_router(name)
         await asyncio.sleep(seconds)
+    if event == "all routers start again once":
+        for name in list(world.routers):
+            world.start_router(name)
+        return
     if event == "all routers but one start again":
         for name in list(world.routers)[1:]:
             world.start_router(name)
