--- a/features/steps/crash_world.py
+++ b/features/steps/crash_world.py
@@ -464,7 +464,7 @@
         loop = asyncio.get_running_loop()
         attempt_id = f"a{len(self.attempts)}"
         if body is None:
-            is_popular = self.random.random() < self.popular_share
+            is_popular = self.popular_share and self.random.random() < self.popular_share
             body = "popular" if is_popular else f"body-{attempt_id}"
         attempt = Attempt(sent_seconds=loop.time(), guilty_part=guilty, body=body)
         self.attempts[attempt_id] = attempt
