Keep requests that crash servers away from them, by their fingerprint

Callers saw a service of three servers end within 0.3 s under one attempt, again each few seconds, and 502 and 503 meanwhile. Cause: a crash is only evidence if something is suspected. The guard suspected shared parts of prompts; a plain call has none, and what is a request's own was left out. An idempotent call or a stream then went on to the next server up to MaxAttempts. Change: each lost request is a suspect by its fingerprint, in the same evidence, messages, blocks and trials as parts. An answer clears it. After its first loss a request may go to a second server at once, as most are lost beside the cause; after a second one only if that server has not crashed. A trial comes 1 s after the second crash, since it may have been lost twice by chance; after the third only 30, 300 and 3000 s after the last one. Answers are counted for both kinds, so that plain calls count as knowledge of requests, not of parts. Why it works: the second crash of a request that nobody has answered blocks it at all routers, whichever of them saw the crashes. Ruled out: no second server after any crash (each ordinary crash would refuse all it lost). 'No part is blocked at the end' looked at all suspects, the request among them, which has to stay blocked; it looks at shared parts now. Now it must never be refused as blocked, at any time, and be served from 6 s on as in the other scenarios.

--- a/features/forward/crashing_requests.feature
+++ b/features/forward/crashing_requests.feature
@@ -29,7 +29,7 @@
     When 60 sound requests a second come for 25 seconds and those each 0.33 seconds
     Then at most 4 servers crash under each of them
     And at most 3 of each reach a server later than 3 seconds after its third crash
-    And no part is blocked at the end
+    And no shared part is blocked at the end
     And sound requests are served 0.97 times as often as before, 6 seconds after the first crash
 
   # Guards against a small service that one request keeps down as a whole.
@@ -49,7 +49,7 @@
     And 6 requests that crash servers
     And 0.4 of the sound requests have the same body
     When 60 sound requests a second come for 25 seconds and those each 0.33 seconds
-    Then the popular request is served 0.97 times as often as before, from the first crash on
+    Then the popular request is never refused as blocked, and served 0.97 times as often as before, 6 seconds after the first crash
 
   # Guards against the block of sound requests that meet two crashes by chance.
   Scenario: Servers that crash by themselves block no request for long
--- a/packages/core/laburnumpier_core/result_codes.py
+++ b/packages/core/laburnumpier_core/result_codes.py
@@ -117,7 +117,7 @@
         503, "It is unknown at which server or version the stream began."
     ),
     ResultCode.PROMPT_BLOCKED: _info(
-        503, "Servers have crashed on a part of this prompt; it is not sent to any now."
+        503, "Servers have crashed on this request or on a part of its prompt."
     ),
     ResultCode.SERVERS_LIMITED: _info(
         503, "The limits that the servers have named leave no room for the request now."
--- a/packages/router/laburnumpier_router/forward/crash_evidence.py
+++ b/packages/router/laburnumpier_router/forward/crash_evidence.py
@@ -1,36 +1,53 @@
-"""Decides which parts of prompts crash servers. Needs no network.
+"""Decides which requests and which parts of prompts crash servers. Needs no network.
 
-Pattern: requests with one part in common crash every server that begins to answer them, while
-nearly all other requests share their remaining parts, and servers crash for other reasons as well.
+Pattern: one request that comes again, or requests with one part in common, crash every server that
+begins to answer them, while nearly all other requests share their remaining parts, and servers
+crash for other reasons as well.
 
-- *Suspects.* A crash is evidence against each shared part of the requests that had not begun
-  there. The last part of a prompt is the request's own and is never looked at.
+- *Suspects.* A crash is evidence against each request that had not begun there, by its
+  fingerprint, and against each shared part of its prompt. The last part of a prompt is the
+  request's own and is never looked at. Both kinds are called parts below.
 - *Clearing.* An answer that begins is proof that all parts of its prompt are sound, so crashes
   before it no longer count. Parts that many requests share are cleared within moments.
 - *Blocking.* A part with which no answer has ever begun is blocked at its second crash, if this
   router has seen enough answers to know that. All others are blocked at their third crash.
 - *Trial.* A blocked part may be sound again, or blocked by chance. One request is let through from
   time to time, more rarely after each further crash. Any answer that begins ends the block.
+- *Requests.* A request that was lost beside the one that crashed its server is tried again soon
+  after its second crash. After its third crash it is let through only a few times a day.
 - *Common parts.* If servers crash on whatever they get, all parts are blocked, and the service
   would stand still until the next trial. Parts of a third of all requests are tried often.
 """
 
 import collections
 import dataclasses
+import itertools
 import math
 from collections.abc import Iterable, Sequence
 
+from .request_fingerprint import is_request_fingerprint
+
 CRASHES_OF_NEW_PART = 2
 """Crashes that block a part with which no answer is known to have begun."""
 CRASHES_OF_KNOWN_PART = 3
 """Crashes that block a part with which answers have begun before."""
 ANSWERS_TO_KNOW = 30
-"""Answers to prompts with shared parts from which on any other part counts as never answered."""
+"""Answers from which on any other request counts as never answered; for parts, answers to prompts
+with shared parts."""
 FIRST_TRIAL_OF_NEW_PART_SECONDS = 10.0
 FIRST_TRIAL_OF_KNOWN_PART_SECONDS = 1.0
 TRIAL_FACTOR = 4.0
 """Factor of the time to the next trial after each crash."""
 MAX_TRIAL_SECONDS = 600.0
+CRASHES_OF_CERTAIN_REQUEST = 3
+"""Crashes after which a request is hardly one that was only lost beside another one."""
+FIRST_TRIAL_OF_REQUEST_SECONDS = 1.0
+TRIALS_OF_CERTAIN_REQUEST_SECONDS = (30.0, 300.0, 3_000.0)
+"""Time from the last crash to each of the trials after that."""
+LAST_TRIAL_OF_REQUEST_SECONDS = 24 * 3_600.0
+TRIAL_GAP_SECONDS = 3.0
+"""Time after the last crash from which on a crash is the result of a trial. Others are of requests
+that were at their servers when the block came."""
 COMMON_SHARE = 1 / 3
 """Share of the requests with shared parts from which on a part counts as common."""
 MAX_TRIAL_OF_COMMON_PART_SECONDS = 4.0
@@ -48,7 +65,8 @@
 MAX_SUSPECTED_PARTS = 2048
 
 PartKey = tuple[str, str]
-"""Service and id of a part; a part may be sound at the servers of another service."""
+"""Service, and id of a part or fingerprint of a request, which may be sound at the servers of
+another service."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -64,6 +82,7 @@
     """Evidence against a part.
 
     Attributes:
+        is_request: Whether it is a whole request.
         crashes: Crashes since an answer with the part began, oldest first.
         is_blocked: Whether requests with the part are refused.
         is_certain: Whether it was blocked as a part with which no answer has ever begun.
@@ -72,6 +91,7 @@
             the crashes.
     """
 
+    is_request: bool = False
     crashes: list[Crash] = dataclasses.field(default_factory=list)
     is_blocked: bool = False
     is_certain: bool = False
@@ -92,6 +112,8 @@
     @property
     def trial_interval_seconds(self) -> float:
         """Time from the last crash to the next trial."""
+        if self.is_request:
+            return self._get_trial_interval_of_request()
         first, limit = FIRST_TRIAL_OF_KNOWN_PART_SECONDS, CRASHES_OF_KNOWN_PART
         if self.is_certain:
             first, limit = FIRST_TRIAL_OF_NEW_PART_SECONDS, CRASHES_OF_NEW_PART
@@ -99,6 +121,17 @@
         further = max(0, len(self.crashes) - limit)
         return min(most, first * TRIAL_FACTOR**further)
 
+    def _get_trial_interval_of_request(self) -> float:
+        if len(self.crashes) < CRASHES_OF_CERTAIN_REQUEST:
+            return FIRST_TRIAL_OF_REQUEST_SECONDS
+        trials = sum(
+            later.seconds - earlier.seconds > TRIAL_GAP_SECONDS
+            for earlier, later in itertools.pairwise(self.crashes)
+        )
+        if trials >= len(TRIALS_OF_CERTAIN_REQUEST_SECONDS):
+            return LAST_TRIAL_OF_REQUEST_SECONDS
+        return TRIALS_OF_CERTAIN_REQUEST_SECONDS[trials]
+
     @property
     def trial_seconds(self) -> float:
         """Time from which a request is let through."""
@@ -139,11 +172,12 @@
 class CrashEvidence:
     """What a router knows of crashes and of answers that began."""
 
-    __slots__ = ("_answer_counts", "_begun", "_shares", "_suspected")
+    __slots__ = ("_answer_counts", "_begun", "_prompt_answer_counts", "_shares", "_suspected")
 
     def __init__(self):
         """Creates it without any evidence."""
         self._answer_counts: collections.Counter[str] = collections.Counter()
+        self._prompt_answer_counts: collections.Counter[str] = collections.Counter()
         self._shares = PartShares()
         self._begun: collections.OrderedDict[PartKey, float] = collections.OrderedDict()
         self._suspected: collections.OrderedDict[PartKey, SuspectedPart] = (
@@ -169,10 +203,21 @@
         for part in parts:
             self._add_crash((service, part), Crash(server_id=server_id, seconds=seconds))
 
-    def record_answer(self, service: str, parts: Sequence[str], seconds: float) -> list[PartKey]:
-        """Records an answer that began here; returns the parts that were blocked until now."""
-        self._answer_counts[service] += bool(parts)
-        return self.record_begun(service, parts, seconds)
+    def record_answer(
+        self, service: str, parts: Sequence[str], seconds: float, fingerprint: str = ""
+    ) -> list[PartKey]:
+        """Records an answer that began here; returns the parts that were blocked until now.
+
+        Args:
+            service: Service of the server.
+            parts: Shared parts of the prompt.
+            seconds: Monotonic time of the answer.
+            fingerprint: Identifies the request; empty if it is not to be remembered.
+        """
+        self._answer_counts[service] += bool(fingerprint)
+        self._prompt_answer_counts[service] += bool(parts)
+        suspects = [*parts, fingerprint] if fingerprint else parts
+        return self.record_begun(service, suspects, seconds)
 
     def record_begun(self, service: str, parts: Iterable[str], seconds: float) -> list[PartKey]:
         """Records that answers with parts began; returns those that were blocked until now."""
@@ -202,13 +247,14 @@
             parts: The parts to look at.
             others_answered: Whether most other routers have told what began there.
         """
-        knows_answers = others_answered and self._answer_counts[service] >= ANSWERS_TO_KNOW
         blocked = []
         for part in parts:
             key = (service, part)
             suspected = self._suspected.get(key)
             if suspected is None or suspected.is_blocked:
                 continue
+            counts = self._answer_counts if suspected.is_request else self._prompt_answer_counts
+            knows_answers = others_answered and counts[service] >= ANSWERS_TO_KNOW
             is_common = self._shares.get_share(service, part) >= COMMON_SHARE
             is_certain = knows_answers and key not in self._begun and not is_common
             limit = CRASHES_OF_NEW_PART if is_certain else CRASHES_OF_KNOWN_PART
@@ -285,7 +331,9 @@
             return
         suspected = self._suspected.get(key)
         if suspected is None:
-            suspected = self._suspected[key] = SuspectedPart()
+            suspected = self._suspected[key] = SuspectedPart(
+                is_request=is_request_fingerprint(key[1])
+            )
         self._suspected.move_to_end(key)
         suspected.add_crash(crash)
         while len(self._suspected) > MAX_SUSPECTED_PARTS:
--- a/packages/router/laburnumpier_router/forward/crash_guard.py
+++ b/packages/router/laburnumpier_router/forward/crash_guard.py
@@ -1,10 +1,12 @@
-"""Keeps requests whose prompts crash servers away from them, across the fleet.
+"""Keeps requests that crash servers away from them, across the fleet.
 
-Each router sees some of the requests that a crash has ended. One whose requests had not begun at
-the server checks whether the server still listens, and tells all routers of the crash and of the
-parts of these prompts. They answer when an answer with each of these parts last began, so that the
-evidence of all routers meets at the one that decides. It tells all which parts are blocked, and
-heartbeats tell it again, to routers that were cut off or have just started.
+The cause may be a request itself, or a part that its prompt shares with others; both are handled
+alike, and called parts below. Each router sees some of the requests that a crash has ended. One
+whose requests had not begun at the server checks whether the server still listens, and tells all
+routers of the crash and of the parts of these requests. They answer when an answer with each of
+these parts last began, so that the evidence of all routers meets at the one that decides. It tells
+all which parts are blocked, and heartbeats tell it again, to routers that were cut off or have
+just started.
 
 Whether a request with a blocked part may be tried is decided by one router for each part, the home
 of the part, so that there is one trial at a time. In a partition there is one on each side.
@@ -104,15 +106,22 @@
         self._lost_runs: dict[str, list[WatchedRun]] = {}
         self._checks: dict[str, asyncio.Task[bool]] = {}
 
-    def check(self, service: str, parts: tuple[str, ...]) -> None:
+    def check(
+        self, service: str, shared_parts: tuple[str, ...], suspects: tuple[str, ...]
+    ) -> None:
         """Records a request, and refuses one that cannot be let through now.
 
+        Args:
+            service: Service of the request.
+            shared_parts: Parts of its prompt that others may have.
+            suspects: These parts and the request itself.
+
         Raises:
-            RequestError: If a part of its prompt is blocked, and no trial is due.
+            RequestError: If one of the suspects is blocked, and no trial is due.
         """
         now = self._clock.monotonic_seconds()
-        self._evidence.record_request(service, parts, now)
-        blocked = self._evidence.list_blocked(service, parts)
+        self._evidence.record_request(service, shared_parts, now)
+        blocked = self._evidence.list_blocked(service, suspects)
         if blocked and now < self._evidence.get_trial_seconds(blocked):
             raise self._make_refusal(blocked)
 
@@ -179,7 +188,7 @@
         run.has_begun = True
         self._runs.discard(run)
         now = self._clock.monotonic_seconds()
-        unblocked = self._evidence.record_answer(run.service, run.parts, now)
+        unblocked = self._evidence.record_answer(run.service, run.parts, now, run.fingerprint)
         if unblocked:
             self._log_unblocked(unblocked)
             begun = [BegunPart(service=s, part=part, age_ms=0) for s, part in unblocked]
@@ -197,13 +206,16 @@
             self._checks[server_id] = self._tasks.start(self._check_server(run.server))
         return self._checks[server_id]
 
-    async def is_repeat_safe(self, run: WatchedRun, check: asyncio.Task[bool]) -> bool:
+    async def is_repeat_safe(
+        self, run: WatchedRun, check: asyncio.Task[bool], *, is_first_loss: bool
+    ) -> bool:
         """Returns whether a request that was lost may be sent to another server.
 
-        It may if its server has not crashed, or if answers with all of its parts began lately.
+        It may if its server has not crashed. After its first loss it also may if answers with all
+        parts of its prompt began lately: most requests are lost beside the cause of a crash.
         """
         oldest_seconds = self._clock.monotonic_seconds() - KNOWN_PART_SECONDS
-        if all(
+        if is_first_loss and all(
             self._evidence.get_begun_seconds(run.service, part) >= oldest_seconds
             for part in run.parts
         ):
@@ -295,19 +307,16 @@
     ) -> None:
         """Tells all routers of a crash, and blocks the parts with too many crashes."""
         service = runs[0].service
-        parts = sorted({part for run in runs for part in run.parts})[:MAX_PARTS_PER_MESSAGE]
+        parts = sorted({part for run in runs for part in run.suspects})[:MAX_PARTS_PER_MESSAGE]
         self._metrics.count("forward.server_crashes")
         _log.warning(
             "server crashed",
             fields={
                 "server": server.server_id,
                 "requests": [run.attempt_id for run in runs],
-                "fingerprints": [run.fingerprint for run in runs],
                 "parts": parts,
             },
         )
-        if not parts:
-            return
         self._evidence.record_crash(service, server.server_id, parts, seconds)
         age_ms = round((self._clock.monotonic_seconds() - seconds) * 1000)
         message = CrashSeen(
--- a/packages/router/laburnumpier_router/forward/request_progress.py
+++ b/packages/router/laburnumpier_router/forward/request_progress.py
@@ -50,6 +50,7 @@
         is_version_recorded: Whether this response has passed on an event.
         is_trial: Whether a blocked part of its prompt is tried, at one server.
         run: The request at the server to which it was last sent.
+        lost_count: Number of servers that lost it before its answer had begun.
     """
 
     request: ForwardRequest
@@ -77,6 +78,7 @@
     is_version_recorded: bool = False
     is_trial: bool = False
     run: WatchedRun | None = None
+    lost_count: int = 0
     _fingerprint: str = ""
 
     @property
@@ -92,6 +94,11 @@
         parts = self.request.head.prompt_parts[:-1]
         return tuple(p.part_id for p in parts if len(p.part_id) <= MAX_PART_ID_LENGTH)
 
+    @property
+    def suspects(self) -> tuple[str, ...]:
+        """What may crash a server: the shared parts of the prompt, and the request itself."""
+        return (*self.shared_parts, self.fingerprint)
+
     @property
     def is_retryable(self) -> bool:
         """Whether the request may be sent again although it may have run already."""
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -201,7 +201,7 @@
             progress = await self._admit_by_newest(request)
             if progress.is_taken_up:
                 await self._find_origin(progress)
-            self._crash_guard.check(progress.service, progress.shared_parts)
+            self._crash_guard.check(progress.service, progress.shared_parts, progress.suspects)
             await self._reserve_and_run(progress, sink)
             outcome = "answered" if sink.finished else "broken_off"
             if progress.is_cut:
@@ -322,7 +322,7 @@
         try:
             async with self._time_limits.limit(progress.deadline_seconds):
                 progress.is_trial = await self._crash_guard.admit(
-                    progress.service, progress.shared_parts
+                    progress.service, progress.suspects
                 )
                 await self._run(progress, sink)
         except TimeoutError as error:
@@ -394,10 +394,10 @@
                     return
 
     def _is_blocked(self, progress: RequestProgress) -> bool:
-        """Whether a part of the prompt is blocked now; a trial may be sent to one server."""
+        """Whether the request or a part is blocked now; a trial may be sent to one server."""
         if progress.is_trial and not progress.send_count:
             return False
-        return self._crash_guard.is_blocked(progress.service, progress.shared_parts)
+        return self._crash_guard.is_blocked(progress.service, progress.suspects)
 
     async def _is_repeat_safe(
         self, progress: RequestProgress, failure: _ServerAttemptError
@@ -405,7 +405,9 @@
         """Returns whether the request is unlikely to crash another server."""
         if failure.crash_check is None or not progress.is_retryable:
             return True
-        return await self._crash_guard.is_repeat_safe(progress.run, failure.crash_check)
+        return await self._crash_guard.is_repeat_safe(
+            progress.run, failure.crash_check, is_first_loss=progress.lost_count == 1
+        )
 
     async def _find_server(self, progress: RequestProgress) -> ServerLoad | None:
         """Returns a server that the request may be sent to now; None if there is none.
@@ -582,8 +584,8 @@
             progress.splitter.discard_partial_event()
             crash_check = None
             if not run.has_begun and not isinstance(error, ServerResponseLimitError):
-                report = self._crash_guard.report_lost(run)
-                crash_check = report if run.parts else None
+                progress.lost_count += 1
+                crash_check = self._crash_guard.report_lost(run)
             raise _ServerAttemptError(
                 error.reason, Ran.UNKNOWN, crash_check=crash_check
             ) from error
--- a/packages/router/laburnumpier_router/forward/watched_run.py
+++ b/packages/router/laburnumpier_router/forward/watched_run.py
@@ -38,14 +38,19 @@
     first_piece_seconds: float = math.inf
     has_begun: bool = False
 
+    @property
+    def suspects(self) -> tuple[str, ...]:
+        """What may be the cause if its server crashes: the parts, and the request itself."""
+        return (*self.parts, self.fingerprint)
+
     def is_begun_by(self, now_seconds: float) -> bool:
         """Returns whether a piece that arrives now shows that the answer has begun."""
         self.first_piece_seconds = min(self.first_piece_seconds, now_seconds)
         return now_seconds - self.first_piece_seconds >= BEGIN_SECONDS
 
     def is_silent_with(self, service: str, part: str) -> bool:
-        """Whether the prompt has a part, and no piece of the answer has arrived."""
-        has_part = self.service == service and part in self.parts
+        """Whether the request has a part or is blocked itself, and no piece has arrived."""
+        has_part = self.service == service and part in self.suspects
         return has_part and self.first_piece_seconds == math.inf
 
     def take_back(self) -> None:
