--- a/Makefile
+++ b/Makefile
@@ -49,7 +49,8 @@
 	$(PY) -m laburnumpier_measure.store_returns
 
 # SOAK holds the flags of the soak, for example SOAK="--seed=7 --runs=3 --seconds=30 --routers=4".
-# Without --seed, the first seed is drawn at random. --noframing, --noversions, --noendless, --noconfiguration and --noparts leave a mix out.
+# Without --seed, the first seed is drawn at random. --noframing, --noversions, --noendless, --noconfiguration, --noparts,
+# --norequests and --nolimits leave a mix out.
 SOAK ?= --runs=8 --seconds=15
 soak: setup
 	$(PY) -m laburnumpier_platform_standin.soak $(SOAK)
