Keep origins of streams in the store while a service has several versions

Callers saw: after a kill of all routers during a release, every stream that they took up again was refused, although servers of its version were there. No answer was joined from two versions.

Cause: origins are in the memory of three routers only. After a kill of all, a stream may go on only if a single version has served, and during a release two have.

A router reads them when a stream is taken up whose origin no router knows.

--- a/features/forward/software_versions.feature
+++ b/features/forward/software_versions.feature
@@ -68,6 +68,55 @@
     And no caller misses an event or has one twice
     And the share of streams that go on is at least half of that of new streams that begin
 
+  # Guards against callers who are all turned away since only the routers knew where their streams began.
+  Scenario: Streams go on after all routers were killed while two versions serve
+    Given 3 routers and servers of the software versions v1 v1.2 v1 v1.2
+    When callers at router 1 leave their streams after 2 events
+    And 1 seconds pass for the routers
+    And all routers are killed and 3 others start
+    And the callers come back at router 5, again 2 times if they are refused
+    Then every caller has events of one version only
+    And no caller misses an event or has one twice
+    And the share of streams that go on is at least half of that of new streams that begin
+
+  # Guards against a later version that goes on with the streams of one that has just left.
+  Scenario: No stream goes on after all routers were killed and its version has left
+    Given 3 routers and servers of the software versions v1 v1.2
+    When callers at router 1 leave their streams after 2 events
+    And 1 seconds pass for the routers
+    And all routers are killed, the server i-0 leaves and 3 others start
+    And the callers come back at router 4
+    Then every caller has events of one version only
+    And no caller misses an event or has one twice
+    And every caller whose stream began at v1 was refused as not run
+
+  # Guards against a caller's tries at several routers that all had to be told by the store.
+  Scenario: A stream goes on for the third time after two kills of all routers
+    Given 3 routers and servers of the software versions v1 v1.2 v1 v1.2
+    When callers at router 1 leave their streams after 1 events
+    And 1 seconds pass for the routers
+    And all routers are killed and 3 others start
+    And 1 seconds pass for the routers
+    And the callers come back at router 4 and leave after 1 events
+    And 1 seconds pass for the routers
+    And all routers are killed and 3 others start
+    And the callers come back at router 8, again 2 times if they are refused
+    Then every caller has events of one version only
+    And no caller misses an event or has one twice
+    And the share of streams that go on is at least half of that of new streams that begin
+
+  # Guards against writes for each stream, or while there is nothing to keep.
+  Scenario Outline: Origins are written to the store only while several versions serve, many in one call
+    Given 3 routers and servers of the software versions <versions>
+    When callers at router 1 leave their streams after 2 events
+    And 2 seconds pass for the routers
+    Then the store holds origins of streams in <least> to <most> values
+
+    Examples:
+      | versions | least | most |
+      | v1 v1    | 0     | 0    |
+      | v1 v1.2  | 1     | 4    |
+
   # Guards against a stream that goes on elsewhere because no server of its version is left.
   Scenario: A stream whose version has no server any more is refused as not run
     Given 2 routers and servers of the software versions v1
--- a/features/steps/version_steps.py
+++ b/features/steps/version_steps.py
@@ -27,6 +27,7 @@
 
 HOST = "shop.example"
 NO_VERSION = "none"
+PREFIX = "stream-origins/"
 CALLERS = 12
 """Callers that take streams up; the least number for which the target of streams that go on
 holds."""
@@ -388,11 +389,45 @@
     run(context, context.routers.pop(number).kill())
 
 
+@when("all routers are killed and {count:d} others start")
+def replace_routers(context, count):
+    run(context, start_others(context, count))
+
+
+@when("all routers are killed, the server i-{number:d} leaves and {count:d} others start")
+def replace_routers_and_remove(context, number, count):
+    context.entry_versions.pop(number)
+    context.version_store.remove(f"servers/i-{number}")
+    run(context, start_others(context, count))
+
+
+async def start_others(context, count):
+    """Kills all routers at the same time and starts others."""
+    killed, context.routers = context.routers, {}
+    await asyncio.gather(*(router.kill() for router in killed.values()))
+    for number in range(max(killed) + 1, max(killed) + 1 + count):
+        await start_router_in_process(context, number)
+    await wait_until_seen(context)
+
+
 @when("the callers come back at router {router:d}")
 def come_back_at_router(context, router):
     run(context, take_up(context, router, None))
 
 
+@when("the callers come back at router {router:d}, again {times:d} times if they are refused")
+def come_back_again(context, router, times):
+    async def come():
+        await take_up(context, router, None)
+        for _ in range(times):
+            if context.status != 503:
+                return
+            await asyncio.sleep(float(context.headers["Retry-After"]))
+            await take_up(context, router, None)
+
+    run(context, come())
+
+
 @when("the callers come back at router {router:d} and leave after {count:d} events")
 def come_back_and_leave(context, router, count):
     run(context, take_up(context, router, count))
@@ -446,6 +481,22 @@
     assert not mixed, mixed
 
 
+@then("every caller whose stream began at {version} was refused as not run")
+def check_all_refused(context, version):
+    last_tries = [c.tries[-1] for c in context.callers if c.events[0][1] == version]
+    assert last_tries
+    for taken in last_tries:
+        assert taken.status == 503, taken
+        assert json.loads(taken.body)["ran"] == "no", taken
+        assert float(taken.headers["Retry-After"]) > 0, taken
+
+
+@then("the store holds origins of streams in {least:d} to {most:d} values")
+def check_archive(context, least, most):
+    keys = [key for key in context.version_store.state.entries if key.startswith(PREFIX)]
+    assert least <= len(keys) <= most, keys
+
+
 @then("no caller misses an event or has one twice")
 def check_order(context):
     for caller in context.callers:
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -45,6 +45,7 @@
 from .forward.crash_guard import CrashGuard
 from .forward.exchange import ServerClient
 from .forward.frontend import ForwardFrontend
+from .forward.origin_archive import OriginArchive
 from .forward.registry_follower import RegistryFollower
 from .forward.registry_relay import RegistryRelay, RegistryRelayed
 from .forward.request_limiter import RequestLimiter
@@ -222,7 +223,16 @@
         )
         self._build_budget()
         self._build_backend(policy or ExpectedWait())
-        self._stream_origins = StreamOrigins(fleet=self._fleet, clock=clock, metrics=metrics)
+        self._origin_archive = OriginArchive(
+            fleet=self._fleet,
+            store=ports.store,
+            clock=clock,
+            metrics=metrics,
+            is_small_fleet=self.is_small_fleet,
+        )
+        self._stream_origins = StreamOrigins(
+            fleet=self._fleet, clock=clock, metrics=metrics, archive=self._origin_archive
+        )
         self._build_requests()
         self._build_forwarding()
         self._build_controller()
@@ -670,6 +680,7 @@
         register(budget_messages.CollectHoldings, self._handle_collect_holdings)
         register(RegistryRelayed, self._handle_registry_relayed)
         register(origin_messages.TellOrigins, self._stream_origins.handle_tell)
+        register(origin_messages.ArchiveOrigins, self._origin_archive.handle_archive)
         register(origin_messages.FindOrigin, self._stream_origins.handle_find)
         if self._crash_guard is not None:
             register(crash_messages.CrashSeen, self._crash_guard.handle_crash_seen)
--- a/packages/router/laburnumpier_router/forward/origin_messages.py
+++ b/packages/router/laburnumpier_router/forward/origin_messages.py
@@ -42,8 +42,14 @@
     groups: list[OriginGroup]
 
 
+class ArchiveOrigins(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Asks a collector to write to the store where streams began."""
+
+    groups: list[OriginGroup]
+
+
 class OriginsKept(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Reply to `TellOrigins`."""
+    """Reply to `TellOrigins` and `ArchiveOrigins`."""
 
 
 class FindOrigin(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -66,7 +72,13 @@
     known: KnownOrigin | None
 
 
-MESSAGE_TYPES: tuple[type, ...] = (TellOrigins, OriginsKept, FindOrigin, OriginAnswered)
+MESSAGE_TYPES: tuple[type, ...] = (
+    TellOrigins,
+    ArchiveOrigins,
+    OriginsKept,
+    FindOrigin,
+    OriginAnswered,
+)
 
 
 def group_origins(records: Iterable[tuple[str, StreamOrigin, float]]) -> TellOrigins:
--- a/packages/router/laburnumpier_router/forward/stream_origins.py
+++ b/packages/router/laburnumpier_router/forward/stream_origins.py
@@ -7,13 +7,14 @@
 routers at which the hash places the attempt. It tells the holders anew what it has found, so that
 the record survives its own end as well.
 
-Records are hints for one decision and have no effect on tokens. They are kept in memory only, and
-an unknown origin has to be treated as unknown, never as a guess:
+Records are hints for one decision and have no effect on tokens. They are kept in memory, and in
+the store only while a service has several versions (`origin_archive`). An unknown origin has to
+be treated as unknown, never as a guess:
 
 - *Killed router.* What it wrote is known to its two holders, except for records of the last
   milliseconds before the kill (`BATCH_INTERVAL_SECONDS` and the way to the holder). A holder that
   is killed leaves the writer and the other holder. If the writer and both holders end within the
-  time that a record is kept, the attempt is unknown.
+  time that a record is kept, only the store can still know the attempt.
 - *Router that has just started.* It remembers nothing and asks the members that it knows; until it
   knows one, every attempt that it did not record itself is unknown.
 - *Cut network.* A router finds what it recorded itself, and what a holder that it reaches knows. A
@@ -31,6 +32,7 @@
 from laburnumpier_core.metrics import Metrics
 
 from ..fleet.service import FleetService
+from .origin_archive import OriginArchive
 from .origin_memory import OriginMemory
 from .origin_messages import (
     MAX_ATTEMPT_ID_LENGTH,
@@ -57,6 +59,7 @@
     """Records where streams began and finds it again, here or at other routers."""
 
     __slots__ = (
+        "_archive",
         "_clock",
         "_fleet",
         "_memory",
@@ -66,8 +69,23 @@
         "_teller",
     )
 
-    def __init__(self, *, fleet: FleetService, clock: Clock, metrics: Metrics):
-        """Creates the service with an empty memory."""
+    def __init__(
+        self,
+        *,
+        fleet: FleetService,
+        clock: Clock,
+        metrics: Metrics,
+        archive: OriginArchive | None = None,
+    ):
+        """Creates the service with an empty memory.
+
+        Args:
+            fleet: The other routers.
+            clock: Source of time.
+            metrics: Counters.
+            archive: Keeps origins in the store; None to keep them in memory only.
+        """
+        self._archive = archive
         self._fleet = fleet
         self._clock = clock
         self._metrics = metrics
@@ -104,6 +122,27 @@
         if kept is not before:
             self._teller.tell(attempt_id, kept)
 
+    def archive(self, attempt_id: str) -> None:
+        """Has the origin of an attempt written to the store, so that it outlasts all routers."""
+        kept = self._memory.find(attempt_id)
+        if self._archive is not None and kept is not None:
+            self._archive.add(attempt_id, kept)
+
+    async def find_archived(self, attempt_id: str) -> StreamOrigin | None:
+        """Returns the origin of an attempt that no router knew, from the store; None if unknown.
+
+        Args:
+            attempt_id: Attempt that brought the first event of the stream.
+        """
+        if self._archive is None:
+            return None
+        await self._archive.read_into(self._memory)
+        kept = self._memory.find(attempt_id)
+        if kept is None:
+            return None
+        self._metrics.count("forward.origins_found_archived")
+        return kept.origin
+
     async def find(self, attempt_id: str) -> StreamOrigin | None:
         """Returns where the stream of an attempt began; None if that is unknown.
 
@@ -151,6 +190,8 @@
     async def close(self) -> None:
         """Cancels the messages in progress."""
         await self._teller.close()
+        if self._archive is not None:
+            await self._archive.close()
 
     async def _find_at_peers(self, attempt_id: str) -> StreamOrigin | None:
         peers = self._placement.list_asked(attempt_id)
--- a/packages/router/laburnumpier_router/forward/stream_versions.py
+++ b/packages/router/laburnumpier_router/forward/stream_versions.py
@@ -37,6 +37,12 @@
     async def find(self, attempt_id: str) -> StreamOrigin | None:
         """Returns where the stream of an attempt began; None if that is unknown."""
 
+    def archive(self, attempt_id: str) -> None:
+        """Keeps what was recorded of an attempt beyond the end of all routers."""
+
+    async def find_archived(self, attempt_id: str) -> StreamOrigin | None:
+        """Returns what is kept of an attempt beyond the end of all routers; None if nothing."""
+
 
 class StreamVersions:
     """Records where streams begin, and finds it for those that callers take up."""
@@ -76,6 +82,8 @@
         if route.resumable and attempt_id:
             origin = StreamOrigin(service=server.service, software_version=server.software_version)
             self._origins.record(attempt_id, origin, get_keep_seconds(route))
+            if self._find_only_origin(server.service, route) is None:
+                self._origins.archive(attempt_id)
 
     async def find(self, head: RequestHead, route: Route, service: str) -> StreamOrigin:
         """Returns where a stream that a caller takes up has to go on.
@@ -93,6 +101,8 @@
             origin = await self._origins.find(head.resumes_attempt_id)
         if origin is None:
             origin = self._find_only_origin(service, route)
+        if origin is None and head.resumes_attempt_id:
+            origin = await self._origins.find_archived(head.resumes_attempt_id)
         if origin is None:
             self._metrics.count("forward.taken_up_unknown")
             raise RequestError(
