Give each call to an engine a connection of its own

Callers of the own interface could get the answer of another run: an engine that sends a second copy of an answer late, on a connection that is in use again, had it taken for the next one.

Cause: the client of engines kept connections open, and an engine's answer does not name its run. Forwarded requests and plain services were never affected; they use a connection each.

Change: the client of engines opens a connection for each call too, and never sends one twice.

Measured: the new scenario failed before (run b got the events of run a) and passes now.

--- a/features/backend/engine_contract.feature
+++ b/features/backend/engine_contract.feature
@@ -22,6 +22,13 @@
       | stall after event 3      | ServerConnectionLostError | 3      |
       | be unreachable           | ServerUnreachableError    | 0      |
 
+  # Guards against an answer of an earlier run that arrives where the next one is due.
+  Scenario: A late second copy of an answer reaches no later run on the same connection
+    Given an engine that answers each request, and before it once more the one before on its connection
+    When the runs a and b are streamed one after the other
+    Then each run got only its own events
+    And the engine received each run once
+
   Scenario: A run is resumed after the last event
     When the engine will disconnect after event 3
     And a run of 10 tokens is streamed
--- a/features/steps/contract_steps.py
+++ b/features/steps/contract_steps.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 
 from aiohttp.test_utils import TestServer
 from behave import given, then, when
@@ -317,6 +318,74 @@
         context.engine.faults = {"stall_after": 3}
 
 
+class RepeatingEngine:
+    """Keeps connections open, and sends the last answer of each once more before the next one.
+
+    Attributes:
+        runs: Ids of the runs in the order of their requests.
+    """
+
+    def __init__(self):
+        self.runs = []
+
+    async def serve(self, reader, writer):
+        """Answers the requests of one connection until its client closes it."""
+        previous = b""
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+                lines = dict(x.split(": ", 1) for x in head.split("\r\n")[1:] if ": " in x)
+                await reader.readexactly(int(lines["content-length"]))
+                run_id = lines["x-request-id"]
+                self.runs.append(run_id)
+                body = f'id: 1\ndata: {{"run": "{run_id}"}}\n\ndata: [DONE]\n\n'.encode()
+                answer = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                answer += b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+                writer.write(previous + answer)
+                previous = answer
+        writer.close()
+
+
+@given("an engine that answers each request, and before it once more the one before on its {link}")
+def make_repeating_engine(context, link):
+    context.engine = RepeatingEngine()
+    context.client = HttpEngineClient(stall_seconds=1.0)
+
+    async def start():
+        server = await asyncio.start_server(context.engine.serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        context.url = f"http://{host}:{port}"
+        context.cleanups.append((context.real, context.client.close))
+        return server
+
+    server = run(context, start())
+
+    async def stop():
+        server.close()
+
+    context.cleanups.append((context.real, stop))
+
+
+@when("the runs {first} and {second} are streamed one after the other")
+def stream_two_runs(context, first, second):
+    context.events_by_run = {}
+    for run_id in (first, second):
+        context.events = []
+        stream(context, run_id, 5, 0)
+        context.events_by_run[run_id] = [e.data for e in context.events if e.data is not None]
+
+
+@then("each run got only its own events")
+def check_own_events(context):
+    expected = {run_id: [{"run": run_id}] for run_id in context.events_by_run}
+    assert context.events_by_run == expected, context.events_by_run
+
+
+@then("the engine received each run once")
+def check_received_once(context):
+    assert context.engine.runs == list(context.events_by_run), context.engine.runs
+
+
 @when("a run of {tokens:d} tokens is streamed")
 def stream_run(context, tokens):
     stream(context, "run-1", tokens, 0)
--- a/packages/router/laburnumpier_router/backend/http_clients.py
+++ b/packages/router/laburnumpier_router/backend/http_clients.py
@@ -17,7 +17,6 @@
     BodyMemory,
     BodyReservation,
     make_lost_error,
-    make_session,
     read_body,
 )
 from ..response_end import get_end_marker, make_server_session
@@ -42,7 +41,11 @@
 
 
 class HttpEngineClient:
-    """Client of the chat completions API with server-sent events."""
+    """Client of the chat completions API with server-sent events.
+
+    Each call has a connection of its own. Answers do not name their request, so a late second copy
+    of one would be taken for the answer to the next call on its connection.
+    """
 
     __slots__ = ("_session", "_stall_seconds")
 
@@ -141,7 +144,7 @@
 
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            self._session = make_session(limit=0)
+            self._session = make_server_session()
         return self._session
 
     async def _post(self, url: str, body: dict[str, Any]) -> dict[str, Any]:
