Leave out member records that cannot be decoded

One malformed record of any VM in the store kept every router that started from starting, and made the others read the records again four times a second without ever seeing a new member.

Cause: the decoder's error is not a store error, so it passed through the start and the periodic task. Change: an unreadable record is logged and left out; the VM's own next write replaces it.

Measured: five examples in membership.feature ended with an error before and pass now.

--- a/features/fleet/membership.feature
+++ b/features/fleet/membership.feature
@@ -24,6 +24,22 @@
     And 10 seconds pass
     Then every router sees 4 live peers
 
+  # Guards against a router that does not start, or loses sight of the others, because of one bad value.
+  Scenario Outline: An unreadable record of a VM keeps no router from joining the others
+    Given the member record of VM vm-<vm> is <content>
+    When router 7 starts
+    And 20 seconds pass
+    Then every router sees 6 live peers
+    And router 7 has the same configuration number as the others
+
+    Examples:
+      | vm | content                          |
+      | 3  | no MessagePack                   |
+      | 3  | a record of an unknown format    |
+      | 7  | no MessagePack                   |
+      | 7  | a record of an unknown format    |
+      | 99 | empty                            |
+
   Scenario: The death of a router moves only the keys placed on it
     When the homes of 300 keys are recorded
     And router 4 is killed
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -117,6 +117,16 @@
     run(context, patch_once(context))
 
 
+@given("the member record of VM {vm} is {content}")
+def spoil_member_record(context, vm, content):
+    values = {
+        "no MessagePack": b"\xc1\xff{",
+        "a record of an unknown format": msgspec.msgpack.encode({"member": 5, "departed": "x"}),
+        "empty": b"",
+    }
+    context.fleet.store.state.commit({}, [(f"members/{vm}", values[content], 0)])
+
+
 @when("router {number:d} starts")
 def start_router(context, number):
     run(context, context.fleet.start_router(router_name(number), "dc-a"))
--- a/packages/router/laburnumpier_router/fleet/registry.py
+++ b/packages/router/laburnumpier_router/fleet/registry.py
@@ -8,6 +8,7 @@
 
 import msgspec
 from laburnumpier_core.errors import StoreError, WriteOutcomeUnknownError
+from laburnumpier_core.log import get_part_logger
 
 from ..ports.key_value_service import KeyValueService, StoredValue, Write
 from .member import Departure, Member, MemberRecord
@@ -17,6 +18,8 @@
 MAX_COMMIT_ATTEMPTS = 8
 PROOF_NEW_INCARNATION = "a new process started on the VM"
 
+_log = get_part_logger("fleet")
+
 
 class MemberRegistry:
     """Access to the member records of all VMs and to the lease of this process."""
@@ -113,13 +116,14 @@
         await self._update(vm, change)
 
     async def list_records(self) -> dict[str, MemberRecord]:
-        """Returns the member records by VM.
+        """Returns the member records by VM; unreadable ones are left out.
 
         Raises:
             StoreError: If the store does not respond.
         """
         stored = await self._store.list_prefix(MEMBER_PREFIX)
-        return {value.key.removeprefix(MEMBER_PREFIX): _decode(value) for value in stored}
+        records = {value.key.removeprefix(MEMBER_PREFIX): _decode(value) for value in stored}
+        return {vm: record for vm, record in records.items() if record is not None}
 
     async def list_leased_vms(self) -> set[str]:
         """Returns the VMs whose process holds an unexpired lease.
@@ -145,7 +149,7 @@
         for _ in range(MAX_COMMIT_ATTEMPTS):
             found = await self._store.read([key])
             stored = found.get(key)
-            before = _decode(stored) if stored else MemberRecord(member=None)
+            before = (_decode(stored) if stored else None) or MemberRecord(member=None)
             after = change(before)
             if after == before and stored is not None:
                 return
@@ -159,5 +163,10 @@
         raise StoreError(f"the record of VM {vm} kept changing")
 
 
-def _decode(stored: StoredValue) -> MemberRecord:
-    return msgspec.msgpack.decode(stored.value, type=MemberRecord)
+def _decode(stored: StoredValue) -> MemberRecord | None:
+    """Returns a stored record; None if it is unreadable, and the next write replaces it."""
+    try:
+        return msgspec.msgpack.decode(stored.value, type=MemberRecord)
+    except msgspec.MsgspecError as error:
+        _log.error("cannot decode a member record", fields={"key": stored.key, "error": error})
+        return None
