--- a/features/steps/crash_world.py
+++ b/features/steps/crash_world.py
@@ -183,10 +183,22 @@
         await asyncio.sleep(0.001)
         return not self._world.find_server(address).is_up
 
+    async def is_accepting(self, address):
+        """Returns whether a server is up."""
+        return not await self.is_refusing(address)
+
     async def close(self):
         """Does nothing."""
 
 
+class OneVersionHistory:
+    """A history of servers that state no version."""
+
+    def find_only_version(self, service, seconds):
+        """Returns the only version."""
+        return ""
+
+
 class WorldFleet:
     """The other routers of a world, as one router sees them."""
 
@@ -344,7 +356,7 @@
             client=client,
             crash_guard=self.guard,
             stream_versions=StreamVersions(
-                origins=WorldOrigins(), history=None, table=table, metrics=metrics
+                origins=WorldOrigins(), history=OneVersionHistory(), table=table, metrics=metrics
             ),
             dialect=PlatformDialect(),
             retry_budget=RetryBudget(ratio=0.2, extra=20, window_seconds=10),
