--- a/features/platform/key_value.feature
+++ b/features/platform/key_value.feature
@@ -58,3 +58,18 @@
       | service   |
       | in-memory |
       | platform  |
+
+  # Guards against calls whose number grows while nobody can tell why they are made.
+  Scenario: Calls to the platform's store are counted by kind, area and cause
+    Given the platform key-value service
+    When a key under op/ is read twice to confirm it and once for no named cause
+    And the keys under servers/ are listed and watched
+    And a key under accounts/ is written with a lease
+    Then the store calls are counted as
+      | name            | count |
+      | read.op.confirm | 2     |
+      | read.op         | 1     |
+      | list.servers    | 1     |
+      | watch.servers   | 1     |
+      | write.accounts  | 1     |
+      | lease           | 1     |
--- a/features/steps/contract_steps.py
+++ b/features/steps/contract_steps.py
@@ -27,6 +27,7 @@
 from laburnumpier_router.fleet.peer_network import PynngPeerNetwork
 from laburnumpier_router.ports.etcd_service import EtcdKeyValueService
 from laburnumpier_router.ports.key_value_service import Write
+from laburnumpier_router.ports.store_calls import COUNTER_PREFIX, name_store_calls
 from laburnumpier_router.ports.store_era import StorePosition
 from laburnumpier_standins.engine import EngineStandIn, count_prompt_tokens
 from laburnumpier_standins.etcd_gateway import EtcdGatewayStandIn
@@ -58,7 +59,8 @@
         context.server = TestServer(context.control.make_app())
         await context.server.start_server()
         url = str(context.server.make_url("")).rstrip("/")
-        context.store = make_adapter(url=url, timeout_seconds=5, metrics=Metrics())
+        context.store_metrics = Metrics()
+        context.store = make_adapter(url=url, timeout_seconds=5, metrics=context.store_metrics)
 
     async def stop():
         await context.store.close()
@@ -265,6 +267,46 @@
     assert entry.value == value.encode(), entry
 
 
+@when("a key under op/ is read twice to confirm it and once for no named cause")
+def read_with_causes(context):
+    async def read():
+        with name_store_calls("confirm"):
+            await asyncio.gather(context.store.read(["op/config"]), context.store.read(["op/x"]))
+        await context.store.read(["op/config"])
+
+    run(context, read())
+
+
+@when("the keys under servers/ are listed and watched")
+def list_and_watch(context):
+    async def watch():
+        snapshot = await context.store.read_servers()
+        await context.store.wait_for_changes(snapshot.position, 0.02)
+
+    run(context, watch())
+
+
+@when("a key under accounts/ is written with a lease")
+def write_with_lease(context):
+    async def commit():
+        lease_id = await context.store.grant_lease(60)
+        write_ = Write(key="accounts/1", value=b"1", lease_id=lease_id)
+        await context.store.commit({}, [write_])
+
+    run(context, commit())
+
+
+@then("the store calls are counted as")
+def check_call_counts(context):
+    expected = {row["name"]: int(row["count"]) for row in context.table}
+    counted = {
+        name.removeprefix(COUNTER_PREFIX): count
+        for name, count in context.store_metrics.counters.items()
+        if name.startswith(COUNTER_PREFIX)
+    }
+    assert counted == expected, counted
+
+
 @given("a stand-in engine over HTTP")
 def make_engine(context):
     context.engine = EngineStandIn(models=["m"])
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -65,6 +65,7 @@
 from .ports.dialect import Dialect
 from .ports.key_value_service import KeyValueService
 from .ports.server_registry import ServerRegistry
+from .ports.store_calls import log_store_calls_periodically
 from .ports.vm_list import VmList
 from .request import messages as request_messages
 from .request.call_service import CallService
@@ -370,6 +371,7 @@
             self._keep_running(self._registry_follower.follow_periodically)
             self._keep_running(self._version_history.update_periodically)
             self._keep_running(self._budget.refill_periodically)
+        self._keep_running(self._log_store_calls_periodically)
         if self._settings.give_engine_orders:
             self._keep_running(self._controller.send_orders_periodically)
         _log.info("router started", fields={"router": self._fleet.self_name})
@@ -827,6 +829,9 @@
             self._registry_relay is not None and not self._registry_relay.is_receiving
         )
 
+    async def _log_store_calls_periodically(self) -> None:
+        await log_store_calls_periodically(self._metrics)
+
     def _keep_running(self, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
         """Runs a periodic task in the background, again after each unexpected error."""
         self._run_in_background(self._repeat_after_errors(run))
--- a/packages/router/laburnumpier_router/configuration/service.py
+++ b/packages/router/laburnumpier_router/configuration/service.py
@@ -29,6 +29,7 @@
 
 from ..budget.peers import BudgetFleet, ConfiguredBudget
 from ..ports.key_value_service import KeyValueService, StoredValue, Write
+from ..ports.store_calls import name_store_calls
 from ..ports.store_era import UNKNOWN_ERA, StorePosition
 from .document import Configuration, ConfigurationProblem
 from .record import (
@@ -306,7 +307,7 @@
         """
         if not self._is_confirmed():
             if self._confirmation_task is None or self._confirmation_task.done():
-                self._confirmation_task = self._background.start(self._ask_store())
+                self._confirmation_task = self._background.start(self._ask_store("confirm"))
             await asyncio.wait({self._confirmation_task}, timeout=CONFIRMATION_TIMEOUT_SECONDS)
         is_confirmed = self._is_confirmed()
         if not is_confirmed:
@@ -317,9 +318,15 @@
         age_seconds = self._clock.monotonic_seconds() - self._confirmed_seconds
         return age_seconds <= CONFIRMATION_MAX_AGE_SECONDS
 
-    async def _ask_store(self) -> None:
+    async def _ask_store(self, cause: str) -> None:
+        """Reads the store, and logs it if there is no answer.
+
+        Args:
+            cause: Why it is read, for the counters of store calls.
+        """
         try:
-            await self._read_from_store()
+            with name_store_calls(cause):
+                await self._read_from_store()
         except StoreError as error:
             _log.info(
                 "configuration not confirmed", fields={"number": self.number, "error": error}
@@ -370,7 +377,7 @@
     async def _catch_up(self, *, reads_store: bool) -> None:
         """Asks one source after the other until none has a higher number than the active one."""
         if reads_store:
-            await self._ask_patiently(self._ask_store())
+            await self._ask_patiently(self._ask_store("newer"))
         while (peer := self._take_newest_source()) is not None:
             await self._ask_patiently(self.fetch_from_peer(peer))
 
