Spread configurations through the routers, and confirm refusals once for all

Now a router fetches a newer configuration from the watchers of its data centre, at most one each half second, always the newest, and reads the store only if no router provides it, spread over half a second. Before a refusal it asks one router, the confirmer, which asks the store at most twice a second for all; the age that it tells counts from the question, so no confirmation seems newer than it is. A silent confirmer or source leads to the store as before.

--- a/features/steps/confirmation_steps.py
+++ b/features/steps/confirmation_steps.py
@@ -11,8 +11,9 @@
 from behave import given, then, when
 from laburnumpier_core.errors import PeerUnreachableError
 from laburnumpier_core.metrics import Metrics
+from laburnumpier_router.configuration.peer_sources import ConfigurationFetched
 from laburnumpier_router.configuration.record import CONFIGURATION_KEY, ConfigurationRecord
-from laburnumpier_router.configuration.service import ConfigurationFetched, ConfigurationService
+from laburnumpier_router.configuration.service import ConfigurationService
 from laburnumpier_standins.memory_store import MemoryKeyValueService, StoreControl
 from laburnumpier_standins.store_state import StoreFault
 from laburnumpier_standins.virtual_loop import VirtualClock
--- a/features/steps/contract_steps.py
+++ b/features/steps/contract_steps.py
@@ -21,8 +21,8 @@
 from laburnumpier_platform_standin.store import PlatformStoreStandIn
 from laburnumpier_router.backend.engine_port import EngineCall, EngineOrder, ServiceCall
 from laburnumpier_router.backend.http_clients import HttpEngineClient, HttpServiceClient
+from laburnumpier_router.configuration.peer_sources import ConfigurationFetched, FetchConfiguration
 from laburnumpier_router.configuration.record import ConfigurationRecord
-from laburnumpier_router.configuration.service import ConfigurationFetched, FetchConfiguration
 from laburnumpier_router.fleet.peer_link import PeerLink
 from laburnumpier_router.fleet.peer_network import PynngPeerNetwork
 from laburnumpier_router.ports.etcd_service import EtcdKeyValueService
--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -18,12 +18,12 @@
 from laburnumpier_core.settings import parse_settings
 from laburnumpier_measure.local_fleet import find_free_port
 from laburnumpier_router.callers import chat_body
+from laburnumpier_router.configuration.peer_sources import ConfigurationFetched, FetchConfiguration
 from laburnumpier_router.configuration.record import (
     ConfigurationRecord,
     decode_document,
     merge_patch,
 )
-from laburnumpier_router.configuration.service import ConfigurationFetched, FetchConfiguration
 from laburnumpier_router.fleet.peer_network import FLEET_TLS_NAME, PynngPeerNetwork
 from laburnumpier_router.main import make_tls_context
 from laburnumpier_standins.memory_fleet import make_settings
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -27,13 +27,11 @@
 from .budget.submitter import ChangeSubmitter
 from .budget.write_pacer import WritePacer
 from .callers.frontend import CallerFrontend
+from .configuration.confirmation import ConfigurationConfirmed, ConfirmConfiguration
 from .configuration.document import Configuration
+from .configuration.peer_sources import ConfigurationFetched, FetchConfiguration
 from .configuration.record import RecordFormat
-from .configuration.service import (
-    ConfigurationFetched,
-    ConfigurationService,
-    FetchConfiguration,
-)
+from .configuration.service import ConfigurationService
 from .fleet.broadcast import Broadcaster
 from .fleet.departures import DepartureMonitor
 from .fleet.member import Heartbeat, Member
@@ -75,6 +73,8 @@
 
 MAX_HOMES_PER_SHARD = 2
 """Maximum number of processes that consider themselves the home of one shard at the same time."""
+CONFIRMER_KEY = "configuration"
+"""Key whose home asks the store for all routers of a large fleet before they refuse requests."""
 TASK_RESTART_SECONDS = 0.25
 """Pause before a periodic task that failed is started again."""
 REGISTRY_MARGIN_SECONDS = 1.0
@@ -86,6 +86,8 @@
     Heartbeat,
     FetchConfiguration,
     ConfigurationFetched,
+    ConfirmConfiguration,
+    ConfigurationConfirmed,
     budget_messages.SubmitChanges,
     budget_messages.ChangesSubmitted,
     budget_messages.KeepShardCopy,
@@ -221,6 +223,7 @@
             on_change=self._apply_configuration,
             record_format=ports.record_format,
             watch_seconds=settings.watch_seconds,
+            find_confirmer=self._find_confirmer,
         )
         self._build_budget()
         self._build_backend(policy or ExpectedWait())
@@ -668,6 +671,7 @@
         """Registers the handler of each type of peer request."""
         register = self._peer_link.register_handler
         register(FetchConfiguration, self._configuration.handle_fetch_configuration)
+        register(ConfirmConfiguration, self._configuration.handle_confirm_configuration)
         register(request_messages.OpenRequest, self._request_directory.handle_open_request)
         register(request_messages.PlaceRequest, self._request_directory.handle_place_request)
         register(request_messages.ReadAnswer, self._chats.handle_read_answer)
@@ -819,6 +823,13 @@
         routes = self._configuration.configuration.routes.values()
         return max((get_keep_seconds(route) for route in routes), default=math.inf)
 
+    def _find_confirmer(self) -> str | None:
+        """Returns the router that confirms configurations for all; None if this one does."""
+        if self._forward_frontend is None or self.is_small_fleet():
+            return None
+        home = self._fleet.find_home(CONFIRMER_KEY)
+        return None if home == self._fleet.self_name else home
+
     def watches_configuration(self) -> bool:
         """Whether this process watches the configuration.
 
--- a/packages/router/laburnumpier_router/configuration/service.py
+++ b/packages/router/laburnumpier_router/configuration/service.py
@@ -2,17 +2,17 @@
 
 One number covers the whole document. Updates are a compare-and-swap on the stored record, so if
 two operators patch the same number, one of them gets a conflict. Only a few routers watch the
-store; the others learn of a higher number from heartbeats and fetch the configuration from the
-peer that has it. A lower number is never applied.
+store; the others learn of a higher number from these and from heartbeats, and fetch the
+configuration from the peer that has it (`peer_sources`). A lower number is never applied.
 
 A change can be in force elsewhere before this process learns of it. What the active configuration
-allows is served at once; before a request is refused by it, `confirm` asks the store whether it is
-still the newest one.
+allows is served at once; before a request is refused by it, `confirm` finds out whether it is
+still the newest one (`confirmation`).
 """
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -20,7 +20,6 @@
 from laburnumpier_core.clock import Clock
 from laburnumpier_core.errors import (
     LaburnumpierError,
-    PeerError,
     StoreError,
     WriteOutcomeUnknownError,
 )
@@ -31,7 +30,9 @@
 from ..ports.key_value_service import KeyValueService, StoredValue, Write
 from ..ports.store_calls import name_store_calls
 from ..ports.store_era import UNKNOWN_ERA, StorePosition
+from .confirmation import ConfigurationConfirmed, Confirmations, ConfirmConfiguration
 from .document import Configuration, ConfigurationProblem
+from .peer_sources import ConfigurationFetched, FetchConfiguration, PeerSources
 from .record import (
     CONFIGURATION_KEY,
     HISTORY_PREFIX,
@@ -47,28 +48,10 @@
 MAX_UPDATE_ATTEMPTS = 10
 WATCH_SECONDS = 30.0
 WATCH_RETRY_SECONDS = 0.5
-PEER_TIMEOUT_SECONDS = 1.0
-SOURCE_PATIENCE_SECONDS = 0.2
-"""Time after which the next source of a newer configuration is asked beside a silent one."""
-CONFIRMATION_MAX_AGE_SECONDS = 1.0
-"""Age up to which the store's last confirmation covers a refusal; half of the time within which
-operators expect a change to be in force."""
-CONFIRMATION_TIMEOUT_SECONDS = 0.5
-"""Longest time for which a request waits for a confirmation."""
 
 _log = get_part_logger("config")
 
 
-class FetchConfiguration(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Request to a peer for its active configuration."""
-
-
-class ConfigurationFetched(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Response with the active configuration of the peer."""
-
-    record: ConfigurationRecord
-
-
 class PatchConflictError(LaburnumpierError):
     """The patch is based on a configuration number that is not the current one."""
 
@@ -94,18 +77,15 @@
         "_background",
         "_clock",
         "_configuration",
-        "_confirmation_task",
-        "_confirmed_seconds",
-        "_fetch_task",
-        "_fleet",
+        "_confirmations",
         "_format",
         "_is_watcher",
         "_last_read",
         "_metrics",
         "_on_change",
+        "_peer_sources",
         "_random",
         "_record",
-        "_sources",
         "_store",
         "_store_position",
         "_watch_seconds",
@@ -124,6 +104,7 @@
         on_change: Callable[[Configuration], None],
         record_format: RecordFormat | None = None,
         watch_seconds: float = WATCH_SECONDS,
+        find_confirmer: Callable[[], str | None] = lambda: None,
     ):
         """Creates the service with the empty configuration number 0.
 
@@ -137,9 +118,10 @@
             on_change: Called after each change of the active configuration.
             record_format: Location and encoding of the record; `JsonRecordFormat` by default.
             watch_seconds: Timeout of a watch, after which it is renewed.
+            find_confirmer: Returns the router that asks the store for all before requests are
+                refused; None if this one asks itself.
         """
         self._store = store
-        self._fleet = fleet
         self._clock = clock
         self._metrics = metrics
         self._random = random_source
@@ -151,11 +133,26 @@
         self._configuration = Configuration()
         self._workspaces_by_key_hash: dict[str, str] = {}
         self._store_position = StorePosition(era=UNKNOWN_ERA, revision=0)
-        self._confirmed_seconds = float("-inf")
         self._background = BackgroundTasks(part="config", metrics=metrics)
-        self._fetch_task: asyncio.Task[None] | None = None
-        self._sources: dict[str, int] = {}
-        self._confirmation_task: asyncio.Task[None] | None = None
+        self._peer_sources = PeerSources(
+            fleet=fleet,
+            clock=clock,
+            random_source=random_source,
+            background=self._background,
+            get_number=lambda: self.number,
+            apply=self.apply,
+            ask_store=lambda: self._ask_store("newer"),
+        )
+        self._confirmations = Confirmations(
+            fleet=fleet,
+            clock=clock,
+            metrics=metrics,
+            background=self._background,
+            find_confirmer=find_confirmer,
+            get_number=lambda: self.number,
+            ask_store=lambda: self._ask_store("confirm"),
+            fetch_from_peer=self._peer_sources.fetch,
+        )
         self._last_read: tuple[StorePosition, ConfigurationRecord] | None = None
 
     @property
@@ -166,7 +163,7 @@
     @property
     def confirmed_seconds(self) -> float:
         """Monotonic time as of which the store had no newer configuration than the active one."""
-        return self._confirmed_seconds
+        return self._confirmations.confirmed_seconds
 
     @property
     def record(self) -> ConfigurationRecord:
@@ -302,21 +299,10 @@
     async def confirm(self) -> bool:
         """Returns whether the store has confirmed lately that no newer configuration exists.
 
-        Asks the store if necessary, in one call for all requests that wait for the answer, and
-        activates what it finds. Returns False if there is no answer in time.
+        Asks if necessary, once for all requests that wait for the answer, and activates what is
+        found. Returns False if there is no answer in time.
         """
-        if not self._is_confirmed():
-            if self._confirmation_task is None or self._confirmation_task.done():
-                self._confirmation_task = self._background.start(self._ask_store("confirm"))
-            await asyncio.wait({self._confirmation_task}, timeout=CONFIRMATION_TIMEOUT_SECONDS)
-        is_confirmed = self._is_confirmed()
-        if not is_confirmed:
-            self._metrics.count("config.unconfirmed")
-        return is_confirmed
-
-    def _is_confirmed(self) -> bool:
-        age_seconds = self._clock.monotonic_seconds() - self._confirmed_seconds
-        return age_seconds <= CONFIRMATION_MAX_AGE_SECONDS
+        return await self._confirmations.confirm()
 
     async def _ask_store(self, cause: str) -> None:
         """Reads the store, and logs it if there is no answer.
@@ -356,54 +342,14 @@
 
     def fetch_if_newer(self, peer: str, number: int) -> None:
         """Fetches the configuration of a peer if its number is higher than the active one."""
-        self._record_source(peer, number, reads_store=False)
+        self._peer_sources.hear(peer, number, is_stored=False)
 
     def refresh_if_newer(self, peer: str, number: int) -> None:
-        """Reads the store if a peer that watches it has a higher number than the active one.
+        """Fetches the configuration of a peer that watches the store, if its number is higher.
 
-        The configuration is fetched from the peer only if the store does not provide that number:
-        many routers learn of a change at the same time, and the peer's bandwidth may be low.
+        The store is read only if no peer provides that number.
         """
-        self._record_source(peer, number, reads_store=True)
-
-    def _record_source(self, peer: str, number: int, *, reads_store: bool) -> None:
-        """Remembers a peer with a newer configuration until it was asked for it."""
-        if number <= self.number:
-            return
-        self._sources[peer] = number
-        if self._fetch_task is None or self._fetch_task.done():
-            self._fetch_task = self._background.start(self._catch_up(reads_store=reads_store))
-
-    async def _catch_up(self, *, reads_store: bool) -> None:
-        """Asks one source after the other until none has a higher number than the active one."""
-        if reads_store:
-            await self._ask_patiently(self._ask_store("newer"))
-        while (peer := self._take_newest_source()) is not None:
-            await self._ask_patiently(self.fetch_from_peer(peer))
-
-    async def _ask_patiently(self, asking: Coroutine[Any, Any, None]) -> None:
-        """Waits for a source, which stays asked if it is silent for too long."""
-        task = self._background.start(asking)
-        await asyncio.wait({task}, timeout=SOURCE_PATIENCE_SECONDS)
-
-    def _take_newest_source(self) -> str | None:
-        self._sources = {
-            peer: number for peer, number in self._sources.items() if number > self.number
-        }
-        if not self._sources:
-            return None
-        peer = max(self._sources, key=self._sources.__getitem__)
-        del self._sources[peer]
-        return peer
-
-    async def fetch_from_peer(self, peer: str) -> None:
-        """Fetches and activates a peer's newer configuration; an unreachable peer is ignored."""
-        try:
-            reply = await self._fleet.call(peer, FetchConfiguration(), PEER_TIMEOUT_SECONDS)
-        except PeerError:
-            return
-        if isinstance(reply, ConfigurationFetched):
-            self.apply(reply.record)
+        self._peer_sources.hear(peer, number, is_stored=True)
 
     async def handle_fetch_configuration(
         self, sender: str, message: FetchConfiguration
@@ -411,6 +357,12 @@
         """Answers a peer's request with the active configuration."""
         return ConfigurationFetched(record=self._record)
 
+    async def handle_confirm_configuration(
+        self, sender: str, message: ConfirmConfiguration
+    ) -> ConfigurationConfirmed:
+        """Answers a peer that has to confirm a refusal."""
+        return await self._confirmations.handle_confirm(sender, message)
+
     async def _watch_once(self) -> None:
         if self._store_position.revision == 0:
             await self._read_from_store()
@@ -428,7 +380,7 @@
         found = await self._store.read([self._format.key])
         stored = found.get(self._format.key)
         if stored is None:
-            self._record_confirmation(started_seconds)
+            self._confirmations.record(started_seconds)
             return ConfigurationRecord(), found.get_position(self._format.key)
         record = self._take(stored, started_seconds)
         if record is None:
@@ -455,12 +407,9 @@
             self._last_read = (stored.position, record)
         self.apply(record)
         if record.number <= self.number:
-            self._record_confirmation(asked_seconds)
+            self._confirmations.record(asked_seconds)
         return record
 
-    def _record_confirmation(self, seconds: float) -> None:
-        self._confirmed_seconds = max(self._confirmed_seconds, seconds)
-
     def _decode(self, stored: StoredValue) -> ConfigurationRecord | None:
         """Decodes a stored record; returns None, and keeps the active one, if it is invalid."""
         try:
