Bound the writes of stream origins while routers are cut off

Two faults of the archive: a router that could not tell which versions serve archived all streams, also of services with one version, and routers that are cut off from each other each wrote as often as the collector of the whole fleet would.

Now only streams of services that are known to have several versions are archived, and routers that do not see the others share the writes by their number.

--- a/features/steps/crash_world.py
+++ b/features/steps/crash_world.py
@@ -198,6 +198,10 @@
         """Returns the only version."""
         return ""
 
+    def has_several_versions(self, service, seconds):
+        """Returns that there is one version."""
+        return False
+
 
 class WorldFleet:
     """The other routers of a world, as one router sees them."""
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -109,6 +109,10 @@
         """Returns the only version."""
         return ""
 
+    def has_several_versions(self, service, seconds):
+        """Returns that there is one version."""
+        return False
+
 
 class FakeFleet:
     """A fleet of one router."""
--- a/packages/router/laburnumpier_router/forward/origin_archive.py
+++ b/packages/router/laburnumpier_router/forward/origin_archive.py
@@ -37,7 +37,7 @@
 GATHER_SECONDS = 0.05
 """Time for which a router gathers records before it sends them to a collector."""
 WRITE_INTERVAL_SECONDS = 0.2
-"""Shortest time between two writes of the fleet; a collector waits it once for each collector."""
+"""Shortest time between two writes of the whole fleet, which its collectors share."""
 LEASE_SECONDS = 60.0
 LEASE_CHANGE_SECONDS = 20.0
 """Time for which values are bound to the same lease; each is kept for the rest of it at least."""
@@ -191,9 +191,7 @@
 
     async def _write_collected(self) -> None:
         while self._collected:
-            interval_seconds = WRITE_INTERVAL_SECONDS * len(self._list_collectors())
-            due_seconds = self._last_write_seconds + interval_seconds
-            await asyncio.sleep(max(0.0, due_seconds - self._clock.monotonic_seconds()))
+            await self._wait_for_turn()
             self._last_write_seconds = self._clock.monotonic_seconds()
             records = self._collected[:MAX_RECORDS_PER_WRITE]
             del self._collected[: len(records)]
@@ -204,6 +202,19 @@
                 self._metrics.count("forward.origins_not_archived", len(records))
                 _log.info("stream origins not written", fields={"error": error})
 
+    async def _wait_for_turn(self) -> None:
+        """Waits until this collector may write again.
+
+        Routers that are cut off are collectors themselves, and share the writes by their number.
+        """
+        interval_seconds = WRITE_INTERVAL_SECONDS * len(self._list_collectors())
+        unseen_parts = self._fleet.count_vms() / (1 + len(self._fleet.view.live))
+        if unseen_parts > 1.0:
+            await asyncio.sleep(interval_seconds * unseen_parts)
+            return
+        due_seconds = self._last_write_seconds + interval_seconds
+        await asyncio.sleep(max(0.0, due_seconds - self._clock.monotonic_seconds()))
+
     async def _write(self, records: list[_Record]) -> None:
         now = self._clock.monotonic_seconds()
         if now - self._lease_granted_seconds > LEASE_CHANGE_SECONDS:
--- a/packages/router/laburnumpier_router/forward/stream_versions.py
+++ b/packages/router/laburnumpier_router/forward/stream_versions.py
@@ -82,7 +82,7 @@
         if route.resumable and attempt_id:
             origin = StreamOrigin(service=server.service, software_version=server.software_version)
             self._origins.record(attempt_id, origin, get_keep_seconds(route))
-            if self._find_only_origin(server.service, route) is None:
+            if self._history.has_several_versions(server.service, get_keep_seconds(route)):
                 self._origins.archive(attempt_id)
 
     async def find(self, head: RequestHead, route: Route, service: str) -> StreamOrigin:
--- a/packages/router/laburnumpier_router/forward/version_history.py
+++ b/packages/router/laburnumpier_router/forward/version_history.py
@@ -113,6 +113,19 @@
         """
         if not self._is_loaded or not self._is_registry_current():
             return None
+        versions = self._list_recent(service, seconds)
+        return versions.pop() if len(versions) == 1 else None
+
+    def has_several_versions(self, service: str, seconds: float) -> bool:
+        """Returns whether several versions are known to have served within a time.
+
+        Args:
+            service: Name of the service.
+            seconds: Longest time for which a caller may hold events of a stream.
+        """
+        return len(self._list_recent(service, seconds)) > 1
+
+    def _list_recent(self, service: str, seconds: float) -> set[str]:
         since_seconds = self._clock.monotonic_seconds() - seconds
         versions = {version for name, version in self._list_present() if name == service}
         versions.update(
@@ -120,7 +133,7 @@
             for (name, version), seen_seconds in self._last_seen.items()
             if name == service and seen_seconds >= since_seconds
         )
-        return versions.pop() if len(versions) == 1 else None
+        return versions
 
     def invalidate(self) -> None:
         """Makes the record be read again before it is relied on."""
