Keep a silent server until another one can take over, and count whole events as signs of life

Callers saw: streams and repeatable calls of servers that were only slow were broken off although nobody could go on with them; a stalled server that sent a byte now and then was kept to the end of the time limit.

Cause: a time limit cancelled the exchange with the silent server first and looked for another one afterwards, which the retry budget, a backoff or a failed connection then refused; any byte started the time limit anew.

Change: when a server is silent, the exchange stays open while the router checks that the retry budget has a retry and that another server accepts a connection; only then it is given up. Only whole events count as signs of life.

--- a/features/forward/forwarding.feature
+++ b/features/forward/forwarding.feature
@@ -72,6 +72,33 @@
       | refuses as full                      | plain stream     | 1        | 503    | none      | is complete | 0      |
       | does not listen                      | plain stream     | 1        | 200    | 1 2 3 4 5 | is complete | 115    |
 
+  # Guards against the end of a slow answer that nobody else can complete.
+  Scenario Outline: A server that is only slow is kept while no other one can take over
+    Given 2 servers of which the first <behaviour>
+    And <obstacle>
+    When a caller sends a <kind> request with at most 2 attempts
+    Then the response status is 200
+    And the caller receives the events <events>
+    And the response is complete
+    And servers ran the request 1 times
+
+    Examples:
+      | behaviour                               | kind             | obstacle                        | events    |
+      | pauses for 2 seconds after 2 events     | resumable stream | the second server cannot be reached | 1 2 3 4 5 |
+      | pauses for 2 seconds after 2 events     | resumable stream | the retry budget is used up     | 1 2 3 4 5 |
+      | pauses for 2 seconds after 2 events     | resumable stream | the second server has just failed to connect | 1 2 3 4 5 |
+      | streams its first event after 2 seconds | resumable stream | the second server cannot be reached | 1 2 3 4 5 |
+      | answers after a second                  | idempotent       | the second server cannot be reached | none      |
+      | answers after a second                  | idempotent       | the retry budget is used up     | none      |
+
+  # Guards against a stalled server that looks alive because of single bytes.
+  Scenario: A stream that brings bytes but no whole event goes on at another server
+    Given 2 servers of which the first sends a byte now and then after 2 events
+    When a caller sends a resumable stream request with at most 2 attempts
+    Then the caller receives the events 1 2 3 4 5
+    And the response is complete
+    And the request took at most 2.3 seconds
+
   Scenario: A caller that already has events receives only the later ones
     Given 2 servers of which the first streams
     When a caller with the last event id 3 sends a resumable stream request
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -174,6 +174,7 @@
     clock = SystemClock()
     metrics = Metrics()
     time_limits = TimeLimits()
+    context.retry_budget = RetryBudget(ratio=0.2, extra=20, window_seconds=10)
     limits = ServerRateLimits(clock=clock, metrics=metrics)
     context.frontend = ForwardFrontend(
         service=ForwardService(
@@ -188,7 +189,7 @@
                 origins=FakeOrigins(), history=FakeHistory(), table=table, metrics=metrics
             ),
             dialect=PlatformDialect(),
-            retry_budget=RetryBudget(ratio=0.2, extra=20, window_seconds=10),
+            retry_budget=context.retry_budget,
             rate_limits=limits,
             limiter=RequestLimiter(
                 fleet=FakeFleet(),
@@ -368,6 +369,24 @@
     run(context, send(context, headers, path))
 
 
+@given("the second server cannot be reached")
+def make_second_unreachable(context):
+    run(context, context.servers[1].stop())
+
+
+@given("the second server has just failed to connect")
+def back_second_off(context):
+    run(context, context.servers[1].stop())
+    context.server_table.servers["i-1"].record_unreachable(context.real.get_loop().time())
+
+
+@given("the retry budget is used up")
+def use_up_retries(context):
+    now = context.real.get_loop().time()
+    while context.retry_budget.try_acquire("s", now):
+        pass
+
+
 @given("no configuration in force")
 def remove_configuration(context):
     context.configuration.number = 0
--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -9,6 +9,7 @@
 
 EVENTS = {n: b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6)}
 SLOW_EVENT_SECONDS = 0.06
+BYTE_INTERVAL_SECONDS = 0.2
 LARGE_EVENT = b"id: 1\ndata: " + b"x" * 60_000 + b"\n\n"
 RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Server-Signature: sig\r\n"
 MAX_ENDLESS_BYTES = 64 * 1024 * 1024
@@ -177,6 +178,22 @@
             case "falls silent after 2 events":
                 await self._send(writer, chunked_head + _encode_chunk(b"".join(events[:2])))
                 await self._wait_for_close(reader)
+            case "pauses for 2 seconds after 2 events":
+                await self._send(writer, chunked_head + _encode_chunk(b"".join(events[:2])))
+                await asyncio.sleep(2.0)
+                await self._send(writer, _encode_chunk(b"".join(events[2:])) + b"0\r\n\r\n")
+            case "streams its first event after 2 seconds":
+                await self._send(writer, chunked_head)
+                await asyncio.sleep(2.0)
+                await self._send(writer, _encode_chunk(b"".join(events)) + b"0\r\n\r\n")
+            case "answers after a second":
+                await asyncio.sleep(1.0)
+                await self._send(writer, response)
+            case "sends a byte now and then after 2 events":
+                await self._send(writer, chunked_head + _encode_chunk(b"".join(events[:2])))
+                while not reader.at_eof():
+                    await asyncio.sleep(BYTE_INTERVAL_SECONDS)
+                    await self._send(writer, _encode_chunk(b":"))
             case "falls silent after 2 events without a length":
                 await self._send(writer, stream_head + b"\r\n" + b"".join(events[:2]))
                 await self._wait_for_close(reader)
--- a/packages/router/laburnumpier_router/forward/exchange.py
+++ b/packages/router/laburnumpier_router/forward/exchange.py
@@ -75,6 +75,9 @@
     async def is_refusing(self, address: str) -> bool:
         """Returns whether nothing listens at an address; False if that is not known."""
 
+    async def is_accepting(self, address: str) -> bool:
+        """Returns whether a connection to an address is accepted at once."""
+
     async def close(self) -> None:
         """Closes all connections."""
 
--- a/packages/router/laburnumpier_router/forward/http_client.py
+++ b/packages/router/laburnumpier_router/forward/http_client.py
@@ -127,18 +127,23 @@
 
     async def is_refusing(self, address: str) -> bool:
         """Returns whether a connection to an address is refused; False if that is not known."""
-        host, _, port = address.rpartition(":")
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                _, writer = await asyncio.open_connection(host, int(port))
+            await _try_connection(address)
         except ConnectionRefusedError:
             return True
         except (OSError, TimeoutError, ValueError) as error:
             _log.debug("server not checked", fields={"address": address, "error": error})
-            return False
-        writer.close()
         return False
 
+    async def is_accepting(self, address: str) -> bool:
+        """Returns whether a connection to an address is accepted at once."""
+        try:
+            await _try_connection(address)
+        except (OSError, TimeoutError, ValueError) as error:
+            _log.debug("server not reached", fields={"address": address, "error": error})
+            return False
+        return True
+
     async def close(self) -> None:
         """Closes all connections."""
         if self._session is not None:
@@ -153,3 +158,17 @@
                 read_bufsize=READ_BUFFER_BYTES,
             )
         return self._session
+
+
+async def _try_connection(address: str) -> None:
+    """Opens a connection to an address and closes it again.
+
+    Raises:
+        OSError: If it is refused or fails.
+        TimeoutError: If it is not accepted in time.
+        ValueError: If the address has no port.
+    """
+    host, _, port = address.rpartition(":")
+    async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+        _, writer = await asyncio.open_connection(host, int(port))
+    writer.close()
--- a/packages/router/laburnumpier_router/forward/retry_budget.py
+++ b/packages/router/laburnumpier_router/forward/retry_budget.py
@@ -61,19 +61,26 @@
             now_seconds: Current monotonic time.
             share: Part of the allowance that retries of this kind may use up.
         """
+        if not self.has_retry(service, now_seconds, share=share):
+            return False
+        self._retries[service].append(now_seconds)
+        return True
+
+    def has_retry(self, service: str, now_seconds: float, *, share: float = 1.0) -> bool:
+        """Returns whether the budget allows a retry now, without recording one.
+
+        Args:
+            service: Service to which the request would be sent again.
+            now_seconds: Current monotonic time.
+            share: Part of the allowance that retries of this kind may use up.
+        """
         first_sends = self._first_sends.setdefault(service, collections.deque())
         retries = self._retries.setdefault(service, collections.deque())
         self._discard_expired(first_sends, now_seconds)
         self._discard_expired(retries, now_seconds)
-        allowed = (
-            share
-            * SAFETY_FACTOR
-            * (self._ratio * len(first_sends) + self._extra / self._member_count)
-        )
-        if len(retries) + 1 > allowed:
-            return False
-        retries.append(now_seconds)
-        return True
+        fixed = self._extra / self._member_count
+        allowed = share * SAFETY_FACTOR * (self._ratio * len(first_sends) + fixed)
+        return len(retries) + 1 <= allowed
 
     def _discard_expired(self, times: collections.deque[float], now_seconds: float) -> None:
         oldest = now_seconds - self._window_seconds
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -31,6 +31,7 @@
 from .crash_guard import CrashGuard
 from .event_stream import EventSplitter
 from .exchange import ForwardRequest, ResponseSink, ServerCall, ServerClient, ServerExchange
+from .patience import PatientReader, PatientWait, read_patiently
 from .placement import PlacementRequest, choose_server, prefer_certain_versions
 from .request_limiter import RequestLimiter
 from .request_progress import ErrorResponse, RequestProgress
@@ -611,13 +612,40 @@
     async def _open(
         self, progress: RequestProgress, server: ServerLoad, stack: contextlib.AsyncExitStack
     ) -> ServerExchange:
-        """Sends the request and waits for the response head."""
-        opening = self._client.open(self._build_call(progress, server))
-        try:
-            async with asyncio.timeout(self._get_silence_timeout(progress, sink_started=False)):
-                return await stack.enter_async_context(opening)
-        except TimeoutError as error:
-            raise _ServerSilentError from error
+        """Sends the request and waits for the response head.
+
+        Raises:
+            _ServerSilentError: If there is none in time and another server can take over.
+        """
+        opening = stack.enter_async_context(self._client.open(self._build_call(progress, server)))
+        timeout_seconds = self._get_silence_timeout(progress, sink_started=False)
+        async with PatientWait(opening) as wait:
+            while True:
+                with contextlib.suppress(TimeoutError):
+                    return await wait.get_result(timeout_seconds)
+                if await self._can_go_on_elsewhere(progress) and not wait.is_done:
+                    raise _ServerSilentError
+
+    async def _can_go_on_elsewhere(self, progress: RequestProgress) -> bool:
+        """Whether another server could take over from a silent one, which would be given up.
+
+        A server that is only slow still completes its answer if nobody else does.
+        """
+        if progress.is_end_asked:
+            return True
+        now = self._clock.monotonic_seconds()
+        if not self._retry_budget.has_retry(progress.service, now):
+            return False
+        server = self._choose_server(
+            progress,
+            [
+                other
+                for other in self._list_untried(progress)
+                if other.backoff_until_seconds <= now
+                and self._limiter.may_have_permit(other.entry, max_wait_seconds=0.0)
+            ],
+        )
+        return server is not None and await self._client.is_accepting(server.entry.address)
 
     def _get_silence_timeout(
         self, progress: RequestProgress, *, sink_started: bool
@@ -767,23 +795,13 @@
         splitter = progress.splitter
         # A server that was asked what follows and answers has not said yet that nothing does.
         is_same_end, progress.has_open_end = progress.has_open_end, False
-        chunks = exchange.iterate_chunks()
-        while True:
-            chunk = await self._read_next_chunk(progress, chunks, sink)
-            if chunk is None:
-                break
-            try:
-                events = splitter.feed(chunk)
-            except StreamLimitError as error:
-                progress.is_spoiled = sink.started and error.spoils_stream
-                raise ServerResponseLimitError(error.reason, str(error)) from error
-            if not events:
-                continue
-            is_same_end = False
-            self._crash_guard.record_piece(progress.run)
-            self._record_version(progress)
-            await self._start_stream(progress, exchange, sink)
-            await sink.send_chunk(events)
+        async with read_patiently(exchange.iterate_chunks()) as reader:
+            while (events := await self._read_next_events(progress, reader, sink)) is not None:
+                is_same_end = False
+                self._crash_guard.record_piece(progress.run)
+                self._record_version(progress)
+                await self._start_stream(progress, exchange, sink)
+                await sink.send_chunk(events)
         if splitter.has_partial_event:
             raise ServerConnectionLostError("the stream ended within an event")
         await self._start_stream(progress, exchange, sink)
@@ -817,16 +835,48 @@
             exchange.status, headers, has_explicit_end=exchange.end_marker.is_explicit
         )
 
-    async def _read_next_chunk(self, progress: RequestProgress, chunks, sink: ResponseSink):
-        """Returns the next chunk of a stream, or None at its end."""
-        timeout_seconds = None
-        if progress.is_end_asked or progress.send_count < progress.route.max_attempts:
-            timeout_seconds = self._get_silence_timeout(progress, sink_started=sink.started)
-        try:
-            async with asyncio.timeout(timeout_seconds):
-                return await anext(chunks, None)
-        except TimeoutError as error:
-            raise _ServerSilentError from error
+    async def _read_next_events(
+        self, progress: RequestProgress, reader: PatientReader, sink: ResponseSink
+    ) -> bytes | None:
+        """Returns the next complete events of a stream, or None at its end.
+
+        Bytes that complete no event do not count as a sign of life.
+
+        Raises:
+            ServerConnectionLostError: If the stream ends early or passes a limit.
+            _ServerSilentError: If there are none in time and another server can take over.
+        """
+        silent_since_seconds = self._clock.monotonic_seconds()
+        while True:
+            timeout_seconds = self._get_event_timeout(progress, sink, silent_since_seconds)
+            try:
+                chunk = await reader.read(timeout_seconds)
+            except TimeoutError as error:
+                if await self._can_go_on_elsewhere(progress) and not reader.has_chunk:
+                    raise _ServerSilentError from error
+                silent_since_seconds = self._clock.monotonic_seconds()
+                continue
+            if chunk is None:
+                return None
+            try:
+                events = progress.splitter.feed(chunk)
+            except StreamLimitError as error:
+                progress.is_spoiled = sink.started and error.spoils_stream
+                raise ServerResponseLimitError(error.reason, str(error)) from error
+            if events:
+                return events
+
+    def _get_event_timeout(
+        self, progress: RequestProgress, sink: ResponseSink, silent_since_seconds: float
+    ) -> float | None:
+        """Returns the seconds left of the silence timeout of a stream; None if it has none."""
+        if not progress.is_end_asked and progress.send_count >= progress.route.max_attempts:
+            return None
+        timeout_seconds = self._get_silence_timeout(progress, sink_started=sink.started)
+        if timeout_seconds is None:
+            return None
+        silent_seconds = self._clock.monotonic_seconds() - silent_since_seconds
+        return max(0.0, timeout_seconds - silent_seconds)
 
     def _log_outcome(
         self,
