List the registry at a watcher, and watch with full waits while no watcher is heard

While the routers were cut off from each other each renewed its own watch every 0.8 s.

Now a router asks one of the two watchers of its data centre for all entries, and the store if these are silent or know less than it has seen itself; an older list brings no server back. A router that hears no watcher watches with the full wait, which the first message of a watcher ends.

--- a/features/forward/relay.feature
+++ b/features/forward/relay.feature
@@ -56,3 +56,35 @@
     When 30 servers register within 30 seconds
     Then all routers know 36 servers immediately
     And no message was sent
+
+  # Guards against watches that are renewed several times a second by each router that is cut off.
+  Scenario Outline: Routers that are cut off from the watchers watch with full waits
+    Given <routers> routers that follow a registry of 6 servers, 2 of which watch it
+    When the others are cut off from the watchers for 8 seconds
+    Then each of them called the store at most 5 times
+    And a server that leaves during the next cut is gone at all routers within 1.5 seconds of its start
+
+    Examples:
+      | routers |
+      | 25      |
+      | 195     |
+
+  # Guards against a list of all entries from the store by each router that starts or lost the history.
+  Scenario Outline: Routers that need all entries get them from a watcher
+    Given 25 routers that follow a registry of 6 servers, 2 of which watch it
+    When <event>
+    Then all routers know 6 servers within 1 seconds
+    And the other routers listed the store at most <lists> times
+
+    Examples:
+      | event                                              | lists |
+      | all routers but the watchers begin to follow anew  | 0     |
+      | the watchers do not answer, and the others begin to follow anew | 23 |
+      | the watchers' entries are older than what the others have seen, and these begin to follow anew | 23 |
+
+  # Guards against a server that left and is back because a watcher's list was old.
+  Scenario: An older list of a watcher brings no server back
+    Given 25 routers that follow a registry of 6 servers, 2 of which watch it
+    When a registered server leaves
+    And the watchers' entries are older than what the others have seen, and these begin to follow anew
+    Then all routers know 5 servers within 1 seconds
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 from fleet_steps import run
 from laburnumpier_router.forward.registry_follower import RegistryFollower
-from laburnumpier_router.forward.registry_relay import RegistryRelay
+from laburnumpier_router.forward.registry_relay import RegistryListed, RegistryRelay
 from laburnumpier_router.forward.servers import ServerTable
 from laburnumpier_router.ports.server_registry import (
     RegisteredServer,
@@ -33,6 +33,7 @@
         self.log = []
         self.first_kept_revision = 0
         self.calls = {}
+        self.lists = {}
         self.changed = asyncio.Event()
 
     @property
@@ -52,6 +53,7 @@
 
     async def read(self, router):
         """Returns all entries and counts the call."""
+        self.lists[router] = self.lists.get(router, 0) + 1
         self.calls[router] = self.calls.get(router, 0) + 1
         await asyncio.sleep(CALL_DELAY_SECONDS)
         return RegistrySnapshot(servers=dict(self.entries), position=self.position)
@@ -99,6 +101,9 @@
         self.partitioned, self.drops_messages, self.sent = set(), False, []
         self.configuration_number = 1
         self.tables, self.relays, self.tasks = [], [], []
+        self.followers = []
+        self.answers_lists = True
+        self.old_list = None
 
     def start(self):
         """Starts all routers."""
@@ -109,6 +114,7 @@
                 everyone_watches=lambda: len(self.watchers) == self.count,
                 send=self.send,
                 get_configuration_number=lambda: self.configuration_number,
+                ask_watcher=self.list_at_watcher,
                 clock=VirtualClock(),
             )
             table = ServerTable()
@@ -122,8 +128,26 @@
             )
             self.tables.append(table)
             self.relays.append(relay)
+            self.followers.append(follower)
             self.tasks.append(asyncio.create_task(follower.follow_periodically()))
 
+    async def list_at_watcher(self, message):
+        """Returns the entries of the first watcher, or older ones that a test has set."""
+        await asyncio.sleep(MESSAGE_DELAY_SECONDS)
+        if not self.answers_lists:
+            return None
+        if self.old_list is not None:
+            return self.old_list
+        return self.followers[0].make_listing()
+
+    def follow_anew(self):
+        """Makes all routers but the watchers forget how far they have followed the registry."""
+        for number in set(range(self.count)) - self.watchers:
+            self.tasks[number].cancel()
+            self.followers[number]._position = None
+            follow = self.followers[number].follow_periodically()
+            self.tasks[number] = asyncio.create_task(follow)
+
     def send(self, message):
         """Sends a message to all routers that do not watch."""
         self.sent.append(message)
@@ -266,6 +290,88 @@
     assert not context.relay_fleet.sent, len(context.relay_fleet.sent)
 
 
+@when("the others are cut off from the watchers for {seconds:g} seconds")
+def cut_off_others(context, seconds):
+    fleet = context.relay_fleet
+
+    async def cut():
+        await asyncio.sleep(2.0)
+        fleet.registry.calls.clear()
+        fleet.partitioned = set(range(fleet.count)) - fleet.watchers
+        await asyncio.sleep(seconds)
+        fleet.partitioned = set()
+        context.calls_in_cut = dict(fleet.registry.calls)
+        await asyncio.sleep(3.0)
+
+    run(context, cut())
+
+
+@then("each of them called the store at most {count:d} times")
+def check_calls_in_cut(context, count):
+    watchers = context.relay_fleet.watchers
+    calls = {n: c for n, c in context.calls_in_cut.items() if n not in watchers}
+    assert calls
+    assert max(calls.values()) <= count, calls
+
+
+@then(
+    "a server that leaves during the next cut is gone at all routers within {seconds:g} seconds"
+    " of its start"
+)
+def check_change_in_cut(context, seconds):
+    fleet = context.relay_fleet
+
+    async def change():
+        fleet.partitioned = set(range(fleet.count)) - fleet.watchers
+        await asyncio.sleep(0.05)
+        await remove_next_server(context)
+        await asyncio.sleep(seconds)
+
+    run(context, change())
+    assert set(count_known_servers(context)) == {5}, count_known_servers(context)
+
+
+@when("all routers but the watchers begin to follow anew")
+def begin_anew(context):
+    async def begin():
+        context.relay_fleet.registry.lists.clear()
+        context.relay_fleet.follow_anew()
+
+    run(context, begin())
+
+
+@when("the watchers do not answer, and the others begin to follow anew")
+def begin_anew_without_answers(context):
+    context.relay_fleet.answers_lists = False
+    begin_anew(context)
+
+
+@when(
+    "the watchers' entries are older than what the others have seen, and these begin to follow"
+    " anew"
+)
+def begin_anew_with_old_list(context):
+    entries = [make_entry(number) for number in range(6)]
+    context.relay_fleet.old_list = RegistryListed(
+        servers=entries, position=StorePosition(era=1, revision=1)
+    )
+    run(context, asyncio.sleep(1.0))
+    begin_anew(context)
+
+
+@then("all routers know {count:d} servers within {seconds:g} seconds")
+def check_known_within(context, count, seconds):
+    run(context, asyncio.sleep(seconds))
+    assert set(count_known_servers(context)) == {count}, count_known_servers(context)
+
+
+@then("the other routers listed the store at most {count:d} times")
+def check_lists(context, count):
+    fleet = context.relay_fleet
+    lists = sum(c for n, c in fleet.registry.lists.items() if n not in fleet.watchers)
+    assert lists <= count, lists
+
+
 def count_known_servers(context):
     return [len(table.servers) for table in context.relay_fleet.tables if table is not None]
 
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -9,7 +9,7 @@
 
 import msgspec
 from laburnumpier_core.clock import Clock
-from laburnumpier_core.errors import StoreError
+from laburnumpier_core.errors import PeerError, StoreError
 from laburnumpier_core.log import get_part_logger
 from laburnumpier_core.metrics import Metrics
 from laburnumpier_core.settings import Settings
@@ -45,7 +45,12 @@
 from .forward.frontend import ForwardFrontend
 from .forward.origin_archive import OriginArchive
 from .forward.registry_follower import RegistryFollower
-from .forward.registry_relay import RegistryRelay, RegistryRelayed
+from .forward.registry_relay import (
+    ListRegistry,
+    RegistryListed,
+    RegistryRelay,
+    RegistryRelayed,
+)
 from .forward.request_limiter import RequestLimiter
 from .forward.retry_budget import RetryBudget
 from .forward.server_rate_limits import ServerRateLimits
@@ -75,6 +80,7 @@
 """Maximum number of processes that consider themselves the home of one shard at the same time."""
 CONFIRMER_KEY = "configuration"
 """Key whose home asks the store for all routers of a large fleet before they refuse requests."""
+WATCHER_LIST_TIMEOUT_SECONDS = 0.5
 TASK_RESTART_SECONDS = 0.25
 """Pause before a periodic task that failed is started again."""
 REGISTRY_MARGIN_SECONDS = 1.0
@@ -102,6 +108,8 @@
     budget_messages.HoldingsCollected,
     budget_messages.Acknowledged,
     RegistryRelayed,
+    ListRegistry,
+    RegistryListed,
     *origin_messages.MESSAGE_TYPES,
     *crash_messages.MESSAGE_TYPES,
     *permit_messages.MESSAGE_TYPES,
@@ -573,6 +581,7 @@
             everyone_watches=self.is_small_fleet,
             send=self._broadcaster.send,
             get_configuration_number=lambda: self._configuration.number,
+            ask_watcher=self._ask_watcher,
             clock=self._clock,
         )
         self._server_table = ServerTable()
@@ -692,6 +701,7 @@
             register(crash_messages.CrashSeen, self._crash_guard.handle_crash_seen)
             register(crash_messages.TellParts, self._crash_guard.handle_tell_parts)
             register(crash_messages.AskTrial, self._crash_guard.handle_ask_trial)
+            register(ListRegistry, self._registry_follower.handle_list)
             register(permit_messages.AskPermit, self._request_limiter.handle_ask_permit)
 
     async def _handle_submit_changes(
@@ -789,25 +799,36 @@
         """Whether the fleet is small enough that every forwarding router watches the store."""
         return 1 + len(self._fleet.view.live) < self._settings.relay_from_routers
 
+    def _list_watchers(self) -> list[str]:
+        """Returns the routers of the own data centre that watch the store in a large fleet."""
+        own = self._fleet.member
+        view = self._fleet.view
+        names = [n for n in view.live if view.known[n].member.data_centre == own.data_centre]
+        return sorted([*names, own.incarnation])[: self._settings.watchers]
+
+    async def _ask_watcher(self, message: ListRegistry) -> RegistryListed | None:
+        """Sends a message to a watcher of the own data centre; returns None if it is silent."""
+        watchers = [name for name in self._list_watchers() if name != self._fleet.self_name]
+        if not watchers:
+            return None
+        try:
+            reply = await self._fleet.call(
+                self._random.choice(watchers), message, WATCHER_LIST_TIMEOUT_SECONDS
+            )
+        except PeerError as error:
+            _log.info("watcher did not list the registry", fields={"error": error})
+            return None
+        return reply if isinstance(reply, RegistryListed) else None
+
     def watches_store(self) -> bool:
         """Whether this process is one of the routers of its data centre that watch the store.
 
         In a small fleet every forwarding router watches, because the total rate of store calls
         stays low.
         """
-        view = self._fleet.view
         if self._forward_frontend is not None and self.is_small_fleet():
             return True
-        own_member = self._fleet.member
-        router_names = [
-            name
-            for name in view.live
-            if view.known[name].member.data_centre == own_member.data_centre
-        ]
-        return (
-            sorted([*router_names, own_member.incarnation]).index(own_member.incarnation)
-            < self._settings.watchers
-        )
+        return self._fleet.self_name in self._list_watchers()
 
     def is_registry_current(self) -> bool:
         """Whether the registry has confirmed the table of servers lately."""
--- a/packages/router/laburnumpier_router/forward/registry_follower.py
+++ b/packages/router/laburnumpier_router/forward/registry_follower.py
@@ -20,6 +20,7 @@
     ServerRegistry,
 )
 from ..ports.store_era import UNKNOWN_ERA, StorePosition
+from .registry_relay import ListRegistry, RegistryListed
 from .servers import ServerTable
 
 OUTAGE_WINDOW_SECONDS = 4.0
@@ -86,6 +87,19 @@
         """Monotonic time at which the registry last confirmed the table or changed it."""
         return self._confirmed_seconds
 
+    def make_listing(self) -> RegistryListed:
+        """Returns all entries for another router, without those whose lease has expired."""
+        servers = [
+            server.entry
+            for server_id, server in self._table.servers.items()
+            if server_id not in self._missing_timers
+        ]
+        return RegistryListed(servers=servers, position=self._position)
+
+    async def handle_list(self, sender: str, message: ListRegistry) -> RegistryListed:
+        """Answers a router that needs all entries."""
+        return self.make_listing()
+
     async def follow_periodically(self) -> None:
         """Follows the registry until cancelled."""
         while True:
--- a/packages/router/laburnumpier_router/forward/registry_relay.py
+++ b/packages/router/laburnumpier_router/forward/registry_relay.py
@@ -5,14 +5,17 @@
 
 A watcher sends the result of each watch with the positions that it covers, even if there are no
 changes, so that the others can distinguish a quiet registry from a stopped watcher. A router that
-receives no messages, or has missed one, watches the registry itself. Correctness does not depend
-on the delay of the messages.
+receives no messages, or has missed one, watches the registry itself until messages arrive.
+Correctness does not depend on the delay of the messages.
+
+A router that needs all entries asks a watcher for them first, and the registry if no watcher has
+what is at least as new as all that the router has seen.
 """
 
 import asyncio
 import collections
 import contextlib
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 from laburnumpier_core.clock import Clock
@@ -56,16 +59,34 @@
     configuration_number: int = 0
 
 
+class ListRegistry(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Asks a watcher for all entries of the registry."""
+
+
+class RegistryListed(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Reply to `ListRegistry`.
+
+    Attributes:
+        servers: All entries as of `position`.
+        position: Position from which later changes follow; None if the sender does not know it.
+    """
+
+    servers: list[RegisteredServer]
+    position: StorePosition | None
+
+
 class RegistryRelay:
     """A `ServerRegistry` that calls the store only if no watcher's messages arrive."""
 
     __slots__ = (
+        "_ask_watcher",
         "_clock",
         "_everyone_watches",
         "_get_configuration_number",
         "_is_watcher",
         "_message_received",
         "_messages",
+        "_newest_position",
         "_position",
         "_registry",
         "_send",
@@ -80,6 +101,7 @@
         everyone_watches: Callable[[], bool],
         send: Callable[[RegistryRelayed], None],
         get_configuration_number: Callable[[], int],
+        ask_watcher: Callable[[ListRegistry], Awaitable[RegistryListed | None]],
         clock: Clock,
     ):
         """Creates a relay that has received no messages.
@@ -91,6 +113,7 @@
                 no messages are needed.
             send: Sends a message to the routers that do not watch; must not block.
             get_configuration_number: Returns the number of the active configuration.
+            ask_watcher: Sends a message to a watcher; returns None if none answers.
             clock: Source of time.
         """
         self._registry = registry
@@ -98,6 +121,7 @@
         self._everyone_watches = everyone_watches
         self._send = send
         self._get_configuration_number = get_configuration_number
+        self._ask_watcher = ask_watcher
         self._clock = clock
         self._messages: collections.deque[RegistryRelayed] = collections.deque(
             maxlen=MAX_QUEUED_MESSAGES
@@ -105,6 +129,7 @@
         self._message_received = asyncio.Event()
         self._watcher_expires_seconds = float("-inf")
         self._position = StorePosition(era=UNKNOWN_ERA, revision=0)
+        self._newest_position = self._position
 
     @property
     def is_receiving(self) -> bool:
@@ -112,12 +137,20 @@
         return self._clock.monotonic_seconds() < self._watcher_expires_seconds
 
     async def read_servers(self) -> RegistrySnapshot:
-        """Returns all entries, read from the registry.
+        """Returns all entries, from a watcher or from the registry.
 
         Raises:
-            StoreError: If the registry does not answer.
+            StoreError: If the registry was asked and does not answer.
         """
-        return await self._registry.read_servers()
+        if not self._everyone_watches() and not self._is_watcher():
+            listed = await self._ask_watcher(ListRegistry())
+            position = None if listed is None else listed.position
+            if position is not None and position >= self._newest_position:
+                servers = {entry.server_id: entry for entry in listed.servers}
+                return RegistrySnapshot(servers=servers, position=position)
+        snapshot = await self._registry.read_servers()
+        self._newest_position = max(self._newest_position, snapshot.position)
+        return snapshot
 
     async def wait_for_changes(
         self, position: StorePosition, timeout_seconds: float
@@ -133,10 +166,11 @@
         if self._is_watcher():
             return await self._watch_and_publish(position, timeout_seconds)
         if not self.is_receiving:
-            return await self._registry.wait_for_changes(
-                position, min(timeout_seconds, WATCHER_HEARTBEAT_SECONDS)
-            )
-        return await self._wait_for_message(position, timeout_seconds)
+            changes = await self._watch_until_receiving(position, timeout_seconds)
+        else:
+            changes = await self._wait_for_message(position, timeout_seconds)
+        self._newest_position = max(self._newest_position, changes.position)
+        return changes
 
     def receive(self, message: RegistryRelayed) -> None:
         """Queues a message from a watcher."""
@@ -152,12 +186,31 @@
             no_changes = RegistryChanges(written=[], removed=[], position=self._position)
             self._send(self._make_message(self._position, no_changes))
 
+    async def _watch_until_receiving(
+        self, position: StorePosition, timeout_seconds: float
+    ) -> RegistryChanges:
+        """Watches the registry; a watcher's message ends the watch early, without changes."""
+        self._messages.clear()
+        self._message_received.clear()
+        watch = asyncio.ensure_future(self._registry.wait_for_changes(position, timeout_seconds))
+        message = asyncio.ensure_future(self._message_received.wait())
+        try:
+            await asyncio.wait({watch, message}, return_when=asyncio.FIRST_COMPLETED)
+            if watch.done():
+                return watch.result()
+            return RegistryChanges(written=[], removed=[], position=position)
+        finally:
+            for task in (watch, message):
+                task.cancel()
+            await asyncio.gather(watch, message, return_exceptions=True)
+
     async def _watch_and_publish(
         self, position: StorePosition, timeout_seconds: float
     ) -> RegistryChanges:
         wait_seconds = min(timeout_seconds, WATCHER_HEARTBEAT_SECONDS)
         changes = await self._registry.wait_for_changes(position, wait_seconds)
         self._position = changes.position
+        self._newest_position = max(self._newest_position, changes.position)
         self._send(self._make_message(position, changes))
         return changes
 
