Spare calls to the store at a start of all routers, in storms and in cuts of a large fleet

At a start of 195 routers each watched and read the store for seconds: the watchers did not know the routers to which they send. Each also read its own record before it created it, listed the members twice and read the record of versions. In a cut of all routers each renewed a watch of the configuration every 2 s.

Changes: the watchers of a data centre are heartbeat partners of its routers; a router that starts waits half a second, in a large fleet up to 2 s, for their first message, and reads the first configuration itself only if it watches; it creates its record without reading it and lists the members once; larger fleets read the member records once a second all together; 20 routers read the record of versions, the others when it is needed; watchers gather changes once four came within a second; a watch of the configuration that stands in for the watchers waits 10 s.

--- a/features/fleet/membership.feature
+++ b/features/fleet/membership.feature
@@ -69,3 +69,17 @@
     When router 7 starts
     And 20 seconds pass
     Then router 7 has the same configuration number as the others
+
+  # Guards against watchers that send what they see to a few routers only, while the others watch the
+  # store themselves, and against needless calls by each router that starts: the needed ones create its
+  # record, take a lease and write it, list the records and read the configuration.
+  Scenario Outline: Routers that send to all of their data centre know it soon after a start of all
+    When <routers> other routers start at the same time in <centres> data centres
+    And 3 seconds pass
+    Then the first 2 routers of each data centre know all routers there
+    And the store received at most 5.5 calls for each of them
+
+    Examples:
+      | routers | centres |
+      | 30      | 1       |
+      | 90      | 3       |
--- a/features/forward/version_history.feature
+++ b/features/forward/version_history.feature
@@ -53,3 +53,11 @@
     And all routers end and another one starts
     And 5 seconds of watching pass
     Then no router finds a version alone
+
+  # Guards against a read by each router of a large fleet at each start and after each lost connection.
+  Scenario: Only some routers of a large fleet read the record before it is needed
+    Given 195 routers that watch servers of v1
+    When 5 seconds of watching pass
+    Then the store received at most 9 writes and 20 reads of the record
+    When every router is asked, and 2 seconds of watching pass
+    Then every router finds v1 alone
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -1,6 +1,7 @@
 """Steps about fleet membership, the configuration in force and leaving backend servers."""
 
 import asyncio
+import random
 
 import msgspec
 from behave import given, then, when
@@ -127,6 +128,44 @@
     context.fleet.store.state.commit({}, [(f"members/{vm}", values[content], 0)])
 
 
+@when("{count:d} other routers start at the same time in {centres:d} data centres")
+def start_many(context, count, centres):
+    fleet = context.fleet
+    context.calls_before = fleet.store.state.call_count
+    context.started = [f"z-{number:03d}" for number in range(count)]
+
+    async def start_one(number, name):
+        await asyncio.sleep(0.3 * context.random.random())
+        await fleet.start_router(name, f"dc-z{number % centres}")
+
+    async def start_all():
+        await asyncio.gather(*(start_one(n, name) for n, name in enumerate(context.started)))
+        context.calls_of_start = fleet.store.state.call_count - context.calls_before
+
+    context.random = random.Random(7)
+    run(context, start_all())
+
+
+@then("the first {count:d} routers of each data centre know all routers there")
+def check_known_in_centre(context, count):
+    by_centre = {}
+    for name in context.started:
+        member = context.fleet.routers[name].application.fleet.member
+        by_centre.setdefault(member.data_centre, []).append(member)
+    for members in by_centre.values():
+        names = {member.incarnation for member in members}
+        for first in sorted(members, key=lambda member: member.incarnation)[:count]:
+            view = context.fleet.routers[first.vm].application.fleet.view
+            missing = names - set(view.live) - {first.incarnation}
+            assert not missing, (first.incarnation, len(missing), len(names))
+
+
+@then("the store received at most {count:g} calls for each of them")
+def check_calls_of_start(context, count):
+    calls = context.calls_of_start / len(context.started)
+    assert calls <= count, calls
+
+
 @when("router {number:d} starts")
 def start_router(context, number):
     run(context, context.fleet.start_router(router_name(number), "dc-a"))
--- a/features/steps/version_history_steps.py
+++ b/features/steps/version_history_steps.py
@@ -168,6 +168,16 @@
     return [router.history.find_only_version("s", KEEP_SECONDS) for router in context.watching]
 
 
+@when("every router is asked, and {seconds:d} seconds of watching pass")
+def ask_all(context, seconds):
+    async def ask():
+        for router in context.watching:
+            router.history.find_only_version("s", KEEP_SECONDS)
+        await asyncio.sleep(seconds)
+
+    run(context, ask())
+
+
 @then("every router finds {version} alone")
 def check_alone(context, version):
     async def check():
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -231,8 +231,10 @@
             on_change=self._apply_configuration,
             record_format=ports.record_format,
             watch_seconds=settings.watch_seconds,
+            is_fallback_watcher=self._is_fallback_watcher,
             find_confirmer=self._find_confirmer,
         )
+        self._fleet.list_preferred_partners = self._list_preferred_partners
         self._build_budget()
         self._build_backend(policy or ExpectedWait())
         self._origin_archive = OriginArchive(
@@ -360,13 +362,8 @@
         """Opens the peer link, registers in the fleet and starts the background tasks."""
         await self._peer_link.start()
         await self._fleet.register()
-        try:
-            await self._configuration.refresh_from_store()
-        except StoreError as error:
-            _log.warning(
-                "cannot read the configuration from the store; retrying in the background",
-                fields={"error": error},
-            )
+        if self.watches_store() or self._registry_relay is None:
+            await self._read_first_configuration()
         self._keep_running(self._fleet.refresh_membership_periodically)
         self._keep_running(self._fleet.send_heartbeats_periodically)
         self._keep_running(self._configuration.follow_store_periodically)
@@ -387,6 +384,15 @@
             self._keep_running(self._controller.send_orders_periodically)
         _log.info("router started", fields={"router": self._fleet.self_name})
 
+    async def _read_first_configuration(self) -> None:
+        try:
+            await self._configuration.refresh_from_store()
+        except StoreError as error:
+            _log.warning(
+                "cannot read the configuration from the store; retrying in the background",
+                fields={"error": error},
+            )
+
     async def stop_gracefully(self) -> None:
         """Serves open requests, releases what this process holds, and closes everything."""
         await self.finish_work()
@@ -806,6 +812,10 @@
         names = [n for n in view.live if view.known[n].member.data_centre == own.data_centre]
         return sorted([*names, own.incarnation])[: self._settings.watchers]
 
+    def _list_preferred_partners(self) -> list[str]:
+        """Returns the watchers that have to know this router to send it what they see."""
+        return [] if self.is_small_fleet() else self._list_watchers()
+
     async def _ask_watcher(self, message: ListRegistry) -> RegistryListed | None:
         """Sends a message to a watcher of the own data centre; returns None if it is silent."""
         watchers = [name for name in self._list_watchers() if name != self._fleet.self_name]
@@ -855,11 +865,23 @@
         """Whether this process watches the configuration.
 
         Routers that watch the store also watch the configuration, and so do forwarding routers
-        that currently receive no messages from a watcher.
+        that currently receive no messages from a watcher, nor expect the first one.
         """
-        return self.watches_store() or (
-            self._registry_relay is not None and not self._registry_relay.is_receiving
-        )
+        relay = self._registry_relay
+        if relay is not None and relay.is_expecting and not self._is_first_configuration_due():
+            return False
+        return self.watches_store() or (relay is not None and not relay.is_receiving)
+
+    def _is_fallback_watcher(self) -> bool:
+        """Whether this process watches only because no watcher of a large fleet is heard."""
+        routers = self._fleet.count_vms()
+        if self._forward_frontend is None or routers < self._settings.relay_from_routers:
+            return False
+        return len(self._fleet.view.live) < routers / 2 or not self.watches_store()
+
+    def _is_first_configuration_due(self) -> bool:
+        """Whether this router has to read its first configuration itself."""
+        return self._configuration.number == 0 and self.watches_store()
 
     async def _log_store_calls_periodically(self) -> None:
         await log_store_calls_periodically(self._metrics)
--- a/packages/router/laburnumpier_router/configuration/service.py
+++ b/packages/router/laburnumpier_router/configuration/service.py
@@ -48,6 +48,9 @@
 MAX_UPDATE_ATTEMPTS = 10
 WATCH_SECONDS = 30.0
 WATCH_RETRY_SECONDS = 0.5
+FALLBACK_WATCH_SECONDS = 10.0
+CHANGE_PAUSE_SECONDS = 0.2
+"""Time after a change before the next watch; versions that follow quickly are read as one."""
 
 _log = get_part_logger("config")
 
@@ -79,6 +82,7 @@
         "_configuration",
         "_confirmations",
         "_format",
+        "_is_fallback_watcher",
         "_is_watcher",
         "_last_read",
         "_metrics",
@@ -104,6 +108,7 @@
         on_change: Callable[[Configuration], None],
         record_format: RecordFormat | None = None,
         watch_seconds: float = WATCH_SECONDS,
+        is_fallback_watcher: Callable[[], bool] = lambda: False,
         find_confirmer: Callable[[], str | None] = lambda: None,
     ):
         """Creates the service with the empty configuration number 0.
@@ -118,6 +123,8 @@
             on_change: Called after each change of the active configuration.
             record_format: Location and encoding of the record; `JsonRecordFormat` by default.
             watch_seconds: Timeout of a watch, after which it is renewed.
+            is_fallback_watcher: Returns whether this process watches only until it hears of others
+                that do.
             find_confirmer: Returns the router that asks the store for all before requests are
                 refused; None if this one asks itself.
         """
@@ -126,6 +133,7 @@
         self._metrics = metrics
         self._random = random_source
         self._is_watcher = is_watcher
+        self._is_fallback_watcher = is_fallback_watcher
         self._on_change = on_change
         self._format = record_format or JsonRecordFormat()
         self._watch_seconds = watch_seconds
@@ -368,12 +376,23 @@
             await self._read_from_store()
         started_seconds = self._clock.monotonic_seconds()
         stored = await self._store.wait_for_change(
-            self._format.key, self._store_position, self._watch_seconds
+            self._format.key, self._store_position, self._get_watch_seconds()
         )
         if stored is None:
             # Not a confirmation: a watch whose connection is silent may look like a quiet one.
             return
         self._take(stored, started_seconds)
+        await asyncio.sleep(CHANGE_PAUSE_SECONDS)
+
+    def _get_watch_seconds(self) -> float:
+        """Returns the wait of a watch.
+
+        All routers of a large fleet watch while they are cut off from each other. Their waits are
+        long, as the others tell them of what a silent connection has kept back afterwards.
+        """
+        if self._is_fallback_watcher():
+            return max(self._watch_seconds, FALLBACK_WATCH_SECONDS)
+        return self._watch_seconds
 
     async def _read_from_store(self) -> tuple[ConfigurationRecord, StorePosition]:
         started_seconds = self._clock.monotonic_seconds()
--- a/packages/router/laburnumpier_router/fleet/registry.py
+++ b/packages/router/laburnumpier_router/fleet/registry.py
@@ -10,7 +10,7 @@
 from laburnumpier_core.errors import StoreError, WriteOutcomeUnknownError
 from laburnumpier_core.log import get_part_logger
 
-from ..ports.key_value_service import KeyValueService, StoredValue, Write
+from ..ports.key_value_service import FoundValues, KeyValueService, StoredValue, Write
 from .member import Departure, Member, MemberRecord
 
 MEMBER_PREFIX = "members/"
@@ -63,7 +63,7 @@
                 departed = (*departed, departure)
             return MemberRecord(member=member, departed=departed)
 
-        await self._update(member.vm, change)
+        await self._update(member.vm, change, is_probably_absent=True)
         await self.renew_lease(member)
 
     async def renew_lease(self, member: Member) -> None:
@@ -144,10 +144,25 @@
             await self._store.revoke_lease(self._lease_id)
             self._lease_id = 0
 
-    async def _update(self, vm: str, change: Callable[[MemberRecord], MemberRecord]) -> None:
+    async def _update(
+        self,
+        vm: str,
+        change: Callable[[MemberRecord], MemberRecord],
+        *,
+        is_probably_absent: bool = False,
+    ) -> None:
+        """Changes the record of a VM.
+
+        Args:
+            vm: Name of the VM.
+            change: Returns the changed record.
+            is_probably_absent: Whether to try first to create the record, without reading it.
+        """
         key = MEMBER_PREFIX + vm
+        found = FoundValues(self._store.era.current, {}) if is_probably_absent else None
         for _ in range(MAX_COMMIT_ATTEMPTS):
-            found = await self._store.read([key])
+            if found is None:
+                found = await self._store.read([key])
             stored = found.get(key)
             before = (_decode(stored) if stored else None) or MemberRecord(member=None)
             after = change(before)
@@ -157,9 +172,11 @@
             try:
                 outcome = await self._store.commit({key: found.get_position(key)}, [write])
             except WriteOutcomeUnknownError:
+                found = None
                 continue
             if outcome.committed:
                 return
+            found = outcome.found
         raise StoreError(f"the record of VM {vm} kept changing")
 
 
--- a/packages/router/laburnumpier_router/fleet/service.py
+++ b/packages/router/laburnumpier_router/fleet/service.py
@@ -1,7 +1,8 @@
 """Membership of this process: registration, heartbeats and calls to other members.
 
 A task sends heartbeats to each of a bounded number of partners, most of them in the own data
-centre and a few in others. The heartbeats also carry gossip about the other members.
+centre and a few in others. The heartbeats also carry gossip about the other members. Routers that
+send to many others are preferred partners of these, so that they know them soon after a start.
 """
 
 import asyncio
@@ -36,9 +37,11 @@
 GOSSIP_MESSAGES_PER_INTERVAL = 2 * (LOCAL_PARTNERS + REMOTE_PARTNERS)
 DEFAULT_STORE_POLL_SECONDS = 5.0
 MAX_FULL_RATE_POLLERS = 20
-"""Fleet size up to which each router reads the member records at the full rate. In a larger fleet
-each reads them less often: most members are discovered by heartbeats, and the records only serve
-to find those that no heartbeat has mentioned."""
+"""Fleet size up to which each router reads the member records at the full rate."""
+LARGE_FLEET_READ_SECONDS = 1.0
+"""Mean time between two reads of the member records by all routers of a larger fleet together.
+Most members are discovered by heartbeats; the records only serve to find those that no heartbeat
+has mentioned, and the router that finds them tells the others."""
 
 _log = get_part_logger("fleet")
 
@@ -68,6 +71,7 @@
         "list_blocked_parts",
         "list_leaving_servers",
         "list_named_limits",
+        "list_preferred_partners",
         "reaches_store",
     )
 
@@ -125,6 +129,7 @@
         self.list_blocked_parts: Callable[[], list[BlockedPart]] = list
         self.list_named_limits: Callable[[], list[NamedLimit]] = list
         self.reaches_store: Callable[[], bool] = lambda: True
+        self.list_preferred_partners: Callable[[], list[str]] = list
         link.register_handler(Heartbeat, self._handle_heartbeat)
 
     @property
@@ -244,17 +249,24 @@
 
     async def refresh_membership_periodically(self) -> None:
         """Registers this process, renews its lease and reads the records; runs until cancelled."""
+        # Who is registered already has just read the records.
+        is_due = not self._registered
         while True:
-            try:
-                if not self._registered:
-                    await self.register()
-                else:
-                    await self._registry.renew_lease(self._member)
-                    await self.read_records()
-            except StoreError as error:
-                _log.debug("membership refresh failed; will be retried", fields={"error": error})
+            if is_due:
+                await self._refresh_membership()
+            is_due = True
             await asyncio.sleep(self._compute_poll_seconds() * self._random.uniform(0.7, 1.3))
 
+    async def _refresh_membership(self) -> None:
+        try:
+            if not self._registered:
+                await self.register()
+            else:
+                await self._registry.renew_lease(self._member)
+                await self.read_records()
+        except StoreError as error:
+            _log.debug("membership refresh failed; will be retried", fields={"error": error})
+
     async def send_heartbeats_periodically(self) -> None:
         """Runs one heartbeat task for each partner until cancelled."""
         try:
@@ -287,7 +299,9 @@
     def _compute_poll_seconds(self) -> float:
         """Returns the interval of the record reads; grows with the fleet to bound their rate."""
         routers = 1 + len(self._view.known)
-        return self._store_poll_seconds * max(1.0, routers / MAX_FULL_RATE_POLLERS)
+        if routers <= MAX_FULL_RATE_POLLERS:
+            return self._store_poll_seconds
+        return max(self._store_poll_seconds, routers * LARGE_FLEET_READ_SECONDS)
 
     def _compute_suspicion_timeout_seconds(self) -> float:
         """Returns the suspicion timeout, which grows as gossip on each member becomes rarer."""
@@ -306,6 +320,7 @@
         remote = [name for name, entry in known.items() if entry.member.data_centre != own]
         chosen = set(rank_by_rendezvous(self.self_name, local)[:LOCAL_PARTNERS])
         chosen.update(rank_by_rendezvous(self.self_name, remote)[:REMOTE_PARTNERS])
+        chosen.update(name for name in self.list_preferred_partners() if name in known)
         if not known:
             chosen = {f"seed:{address}" for address in self._seed_addresses}
         for name in [key for key in self._partners if key not in chosen]:
--- a/packages/router/laburnumpier_router/forward/registry_relay.py
+++ b/packages/router/laburnumpier_router/forward/registry_relay.py
@@ -34,6 +34,14 @@
 WATCHER_TIMEOUT_SECONDS = 1.3
 """Time without a message after which a router watches the registry itself. Together with the call
 that follows it stays below the 2 s within which a leaving server must be known."""
+MAX_CHANGES_PER_SECOND = 4
+"""Watches that may end with a change within a second; servers often change together."""
+CHANGE_PAUSE_SECONDS = 0.2
+"""Time in which a watcher gathers further changes once it has seen that many."""
+START_SETTLE_SECONDS = 0.5
+"""Time after its start in which a router watches nothing: it finds out how large the fleet is."""
+START_PATIENCE_SECONDS = 2.0
+"""Time after its start in which a router of a large fleet waits for the first message."""
 MAX_QUEUED_MESSAGES = 64
 """Limit of messages queued while a router handles an earlier one; two watchers send only a few a
 second."""
@@ -80,6 +88,7 @@
 
     __slots__ = (
         "_ask_watcher",
+        "_change_times",
         "_clock",
         "_everyone_watches",
         "_get_configuration_number",
@@ -90,6 +99,7 @@
         "_position",
         "_registry",
         "_send",
+        "_started_seconds",
         "_watcher_expires_seconds",
     )
 
@@ -128,6 +138,10 @@
         )
         self._message_received = asyncio.Event()
         self._watcher_expires_seconds = float("-inf")
+        self._change_times: collections.deque[float] = collections.deque(
+            maxlen=MAX_CHANGES_PER_SECOND
+        )
+        self._started_seconds: float | None = None
         self._position = StorePosition(era=UNKNOWN_ERA, revision=0)
         self._newest_position = self._position
 
@@ -136,6 +150,17 @@
         """Whether a watcher's message arrived within the watcher timeout."""
         return self._clock.monotonic_seconds() < self._watcher_expires_seconds
 
+    @property
+    def is_expecting(self) -> bool:
+        """Whether this router has just started, so that a first message may be on its way."""
+        if self._started_seconds is None:
+            return True
+        age_seconds = self._clock.monotonic_seconds() - self._started_seconds
+        is_settling = age_seconds < START_SETTLE_SECONDS
+        return is_settling or (
+            age_seconds < START_PATIENCE_SECONDS and not self._everyone_watches()
+        )
+
     async def read_servers(self) -> RegistrySnapshot:
         """Returns all entries, from a watcher or from the registry.
 
@@ -161,10 +186,15 @@
             RegistryHistoryLostError: If changes were missed.
             StoreError: If a watch of its own is not answered.
         """
+        if self._started_seconds is None:
+            self._started_seconds = self._clock.monotonic_seconds()
+            await asyncio.sleep(START_SETTLE_SECONDS)
         if self._everyone_watches():
             return await self._registry.wait_for_changes(position, timeout_seconds)
         if self._is_watcher():
             return await self._watch_and_publish(position, timeout_seconds)
+        if not self.is_receiving and self.is_expecting:
+            await self._wait_for_first_message()
         if not self.is_receiving:
             changes = await self._watch_until_receiving(position, timeout_seconds)
         else:
@@ -186,6 +216,13 @@
             no_changes = RegistryChanges(written=[], removed=[], position=self._position)
             self._send(self._make_message(self._position, no_changes))
 
+    async def _wait_for_first_message(self) -> None:
+        end_seconds = self._started_seconds + START_PATIENCE_SECONDS
+        self._message_received.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(end_seconds - self._clock.monotonic_seconds()):
+                await self._message_received.wait()
+
     async def _watch_until_receiving(
         self, position: StorePosition, timeout_seconds: float
     ) -> RegistryChanges:
@@ -207,13 +244,22 @@
     async def _watch_and_publish(
         self, position: StorePosition, timeout_seconds: float
     ) -> RegistryChanges:
+        if self._has_many_changes():
+            await asyncio.sleep(CHANGE_PAUSE_SECONDS)
         wait_seconds = min(timeout_seconds, WATCHER_HEARTBEAT_SECONDS)
         changes = await self._registry.wait_for_changes(position, wait_seconds)
         self._position = changes.position
         self._newest_position = max(self._newest_position, changes.position)
         self._send(self._make_message(position, changes))
+        if changes.written or changes.removed:
+            self._change_times.append(self._clock.monotonic_seconds())
         return changes
 
+    def _has_many_changes(self) -> bool:
+        if len(self._change_times) < MAX_CHANGES_PER_SECOND:
+            return False
+        return self._clock.monotonic_seconds() - self._change_times[0] < 1.0
+
     def _make_message(self, after: StorePosition, changes: RegistryChanges) -> RegistryRelayed:
         return RegistryRelayed(
             after=after,
--- a/packages/router/laburnumpier_router/forward/version_history.py
+++ b/packages/router/laburnumpier_router/forward/version_history.py
@@ -29,6 +29,8 @@
 """Mean interval at which the record is compared with the registry; costs no store call."""
 MAX_WRITERS = 3
 """Number of routers that write the record; each writes only if those before it have not."""
+MAX_UNASKED_READERS = 20
+"""Number of routers that read the record at once; the others read it when it is first needed."""
 WRITER_DELAY_SECONDS = 2.0
 """Time that each writer leaves to the one before it."""
 
@@ -53,6 +55,7 @@
         "_get_rank",
         "_get_retention_seconds",
         "_is_loaded",
+        "_is_needed",
         "_is_registry_current",
         "_last_seen",
         "_needed_since_seconds",
@@ -94,6 +97,7 @@
         self._get_rank = get_rank
         self._get_retention_seconds = get_retention_seconds
         self._is_loaded = False
+        self._is_needed = False
         self._last_seen: dict[ServiceVersion, float] = {}
         self._recorded: frozenset[ServiceVersion] = frozenset()
         self._position = StorePosition(era=UNKNOWN_ERA, revision=0)
@@ -111,6 +115,7 @@
         Returns:
             The version; None if several have served, or if that cannot be known.
         """
+        self._is_needed = True
         if not self._is_loaded or not self._is_registry_current():
             return None
         versions = self._list_recent(service, seconds)
@@ -158,6 +163,8 @@
         if not self._is_registry_current():
             self.invalidate()
             return
+        if not self._is_loaded and not self._is_needed and self._get_rank() >= MAX_UNASKED_READERS:
+            return
         if not self._is_loaded:
             found = await self._store.read([RECORD_KEY])
             self._apply(found.get(RECORD_KEY), found.get_position(RECORD_KEY))
--- a/packages/standins/laburnumpier_standins/memory_fleet.py
+++ b/packages/standins/laburnumpier_standins/memory_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import json
+from collections.abc import Callable
 from typing import Any
 
 from laburnumpier_core.errors import RequestError
@@ -10,7 +11,7 @@
 from laburnumpier_core.metrics import Metrics
 from laburnumpier_core.result_codes import Ran, ResultCode
 from laburnumpier_core.settings import Settings, parse_settings
-from laburnumpier_router.application import Ports, RouterApplication
+from laburnumpier_router.application import ForwardingPorts, Ports, RouterApplication
 from laburnumpier_router.backend.choice import ChoicePolicy
 from laburnumpier_router.backend.engine_port import ServiceCall, ServiceResponse
 from laburnumpier_router.fleet.member import Member
@@ -104,12 +105,33 @@
     return parse_settings("\n".join(lines).replace("/dev/null", __file__))
 
 
+def _make_store(control: StoreControl, name: str) -> MemoryKeyValueService:
+    return MemoryKeyValueService(control=control, client=name)
+
+
 class MemoryFleet:
     """Routers, platform and backend servers simulated in one process."""
 
-    def __init__(self, *, seed: int = 0, settings: dict[str, str] | None = None):
-        """Creates a fleet without routers."""
+    def __init__(
+        self,
+        *,
+        seed: int = 0,
+        settings: dict[str, str] | None = None,
+        make_store: Callable[[StoreControl, str], MemoryKeyValueService] | None = None,
+        make_forwarding: Callable[[MemoryKeyValueService], ForwardingPorts] | None = None,
+    ):
+        """Creates a fleet without routers.
+
+        Args:
+            seed: Seed of all random choices.
+            settings: Settings that differ from the defaults, by `section.key`.
+            make_store: Creates the store's client of a router by its name.
+            make_forwarding: Creates the ports of forwarded requests of a router, from its client
+                of the store; None if the routers forward no requests.
+        """
         self.seed = seed
+        self._make_store = make_store or _make_store
+        self._make_forwarding = make_forwarding
         self.settings = make_settings(settings)
         self.store = StoreControl(seed=seed)
         self.hub = NetworkHub(seed=seed)
@@ -132,12 +154,14 @@
             peers_address=address,
         )
         connection = MemoryBackendConnection(backends=self.backends)
+        store = self._make_store(self.store, name)
         ports = Ports(
-            store=MemoryKeyValueService(control=self.store, client=name),
+            store=store,
             network=MemoryPeerNetwork(hub=self.hub, address=address),
             engines=connection,
             services=self.backends,
-            vm_list=self.vm_list,
+            vm_list=self.vm_list if self._make_forwarding is None else None,
+            forwarding=self._make_forwarding(store) if self._make_forwarding else None,
         )
         seeds = [router.address for router in self.routers.values() if router.alive]
         application = RouterApplication(
--- a/packages/standins/laburnumpier_standins/memory_store.py
+++ b/packages/standins/laburnumpier_standins/memory_store.py
@@ -143,6 +143,10 @@
         except TimeoutError:
             return None
 
+    async def begin_watch(self, prefix: str) -> None:
+        """Begins the watch of a prefix, which the caller goes on with in the service's state."""
+        await self._begin_call()
+
     async def close(self) -> None:
         """Does nothing; the connection holds no resources."""
 
