Merge gossip about live members without a look at all members

Cause: each entry of each heartbeat filtered and sorted all known members, 38 times a second at 195 routers. So the time of a router grew with the fleet, and that of the fleet with its square.

Change: an entry that only confirms a live member moves its time; all members are looked at when one is new, changes its state or comes back, and once each heartbeat interval for those that fell silent. The watchers of the own data centre are worked out once for each view.

The new scenario failed before with 2,090 looks, 430 are allowed.

--- a/features/fleet/membership.feature
+++ b/features/fleet/membership.feature
@@ -83,3 +83,12 @@
       | routers | centres |
       | 30      | 1       |
       | 90      | 3       |
+
+  # Guards against a look at all members for each entry of each heartbeat, which made the processor time
+  # of a router grow with the fleet and that of the fleet with its square.
+  Scenario: An entry about a live member costs no look at all members
+    When a view of 418 members merges 4 newer entries about each, all within a second
+    Then the members were looked at all together at most 430 times
+    And the view has 418 live members
+    When 100 of them are silent for longer than the suspicion timeout while the others are not
+    Then the view has 318 live members
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -9,6 +9,8 @@
 from laburnumpier_core.errors import StoreError
 from laburnumpier_router.configuration.record import CONFIGURATION_KEY, ConfigurationRecord
 from laburnumpier_router.configuration.service import InvalidPatchError, PatchConflictError
+from laburnumpier_router.fleet.member import GossipEntry, Member, MemberState
+from laburnumpier_router.fleet.view import FleetView
 from laburnumpier_standins.store_state import Entry
 
 
@@ -344,3 +346,54 @@
 @then("server {name} was sent chats again")
 def check_new_chats(context, name):
     assert len(get_server(context, name).started) > context.started_before
+
+
+class CountingView(FleetView):
+    """A view that counts how often all members are looked at."""
+
+    looks = 0
+
+    def refresh(self, now_seconds):
+        """Counts and refreshes."""
+        self.looks += 1
+        super().refresh(now_seconds)
+
+
+def make_member(number):
+    return Member(
+        incarnation=f"vm-{number:03d}@1", vm=f"vm-{number:03d}", data_centre="dc", peers_address=""
+    )
+
+
+@when(
+    "a view of {count:d} members merges {rounds:d} newer entries about each, all within a second"
+)
+def merge_entries(context, count, rounds):
+    context.view = CountingView(self_member=make_member(999), suspicion_timeout_seconds=5.0)
+    for counter in range(rounds + 1):
+        for number in range(count):
+            merge(context.view, number, counter, 100.0 + counter / rounds)
+
+
+def merge(view, number, counter, now_seconds):
+    entry = GossipEntry(member=make_member(number), counter=counter, state=MemberState.SERVING)
+    view.merge_entry(entry, now_seconds)
+
+
+@then("the members were looked at all together at most {count:d} times")
+def check_looks(context, count):
+    assert context.view.looks <= count, context.view.looks
+
+
+@then("the view has {count:d} live members")
+def check_live_members(context, count):
+    assert len(context.view.live) == count, len(context.view.live)
+
+
+@when(
+    "{count:d} of them are silent for longer than the suspicion timeout while the others are not"
+)
+def silence_members(context, count):
+    for number in range(count, len(context.view.known)):
+        merge(context.view, number, 10, 107.0)
+    context.view.refresh(107.0)
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -197,6 +197,8 @@
         self._random = random.Random(seed)
         self._tasks: list[asyncio.Task[None]] = []
         self._is_closed = False
+        self._watchers: list[str] = []
+        self._watchers_of: list[str] | None = None
         self._purchased_tokens: dict[str, int] = {}
         self._peer_link = PeerLink(
             network=ports.network,
@@ -807,10 +809,13 @@
 
     def _list_watchers(self) -> list[str]:
         """Returns the routers of the own data centre that watch the store in a large fleet."""
-        own = self._fleet.member
         view = self._fleet.view
-        names = [n for n in view.live if view.known[n].member.data_centre == own.data_centre]
-        return sorted([*names, own.incarnation])[: self._settings.watchers]
+        if self._watchers_of is not view.live:
+            own = self._fleet.member
+            near = [n for n in view.live if view.known[n].member.data_centre == own.data_centre]
+            self._watchers = sorted([*near, own.incarnation])[: self._settings.watchers]
+            self._watchers_of = view.live
+        return self._watchers
 
     def _list_preferred_partners(self) -> list[str]:
         """Returns the watchers that have to know this router to send it what they see."""
--- a/packages/router/laburnumpier_router/fleet/view.py
+++ b/packages/router/laburnumpier_router/fleet/view.py
@@ -41,6 +41,7 @@
         "_homes",
         "_known",
         "_live",
+        "_live_names",
         "_self_member",
         "_writers",
         "suspicion_timeout_seconds",
@@ -59,6 +60,7 @@
         self._known: dict[str, KnownMember] = {}
         self._departed: set[str] = set()
         self._live: list[str] = []
+        self._live_names: set[str] = set()
         self._homes: dict[str, str] = {}
         self._writers: dict[str, list[str]] = {}
 
@@ -78,6 +80,9 @@
     def merge_entry(self, entry: GossipEntry, now_seconds: float) -> None:
         """Merges a gossip entry into the view; an entry that is not newer is ignored.
 
+        Most entries only confirm that a live member is live. They must not cost a look at all
+        members; those that have become suspect meanwhile are found by `refresh`.
+
         Args:
             entry: Received state of a member.
             now_seconds: Current monotonic time.
@@ -95,12 +100,15 @@
                 store_reached=entry.store_reached,
             )
         elif entry.counter > known.counter:
+            is_change = known.state is not entry.state or name not in self._live_names
             known.counter = entry.counter
             known.state = entry.state
             if known.store_reached != entry.store_reached:
                 known.store_reached = entry.store_reached
                 self._writers.clear()
             known.last_increase_seconds = now_seconds
+            if not is_change:
+                return
         else:
             return
         self.refresh(now_seconds)
@@ -111,6 +119,7 @@
         self._known.pop(incarnation, None)
         if incarnation in self._live:
             self._live = [name for name in self._live if name != incarnation]
+            self._live_names.discard(incarnation)
             self._clear_placement_caches()
 
     def refresh(self, now_seconds: float) -> None:
@@ -126,6 +135,7 @@
         names = [known.member.incarnation for known in live]
         if names != self._live:
             self._live = names
+            self._live_names = set(names)
             self._clear_placement_caches()
 
     def find_home(self, key: str) -> str:
