Ignore registry entries whose address is no host and port

An entry with a port that is no number, or none that exists, was taken for a server. Requests that were placed there ended with an error of the router's own instead of going to another server.

Cause: only a colon was asked for.

--- a/features/platform/registry.feature
+++ b/features/platform/registry.feature
@@ -21,6 +21,10 @@
       | {"Service":["s"],"Address":"10.0.0.1:1","State":"ready"}           |
       | {"Service":"s","State":"ready"}                                    |
       | {"Service":"s","Address":"nowhere","State":"ready"}                |
+      | {"Service":"s","Address":"10.0.0.1:port","State":"ready"}          |
+      | {"Service":"s","Address":"10.0.0.1:70000","State":"ready"}         |
+      | {"Service":"s","Address":"10.0.0.1:","State":"ready"}              |
+      | {"Service":"s","Address":":80","State":"ready"}                    |
       | no JSON                                                            |
       | [1,2]                                                              |
       | {"Service":"s","Address":"10.0.0.1:1","State":"ready","Version":7} |
