Scenarios of streams whose server's entry lapses, says that it leaves, or cannot be read

A server that does not report for a while keeps its work: the stream goes on there to its end, and the request runs once.

--- a/features/forward/software_versions.feature
+++ b/features/forward/software_versions.feature
@@ -117,6 +117,22 @@
       | v1 v1    | 0     | 0    |
       | v1 v1.2  | 1     | 4    |
 
+  # Guards against work that is started again, or given up, because its server does not report for a while.
+  Scenario Outline: A stream goes on at a server whose entry is gone or that is said to leave
+    Given 2 routers and servers of the software versions v1 v1
+    And the server i-0 streams over two seconds
+    When a caller's stream at i-0 has begun and <event>
+    Then the response status is 200
+    And the caller receives the events 1 2 3 4 5
+    And the response is complete
+    And servers ran the request 1 times
+
+    Examples:
+      | event                                     |
+      | the entry of i-0 lapses                   |
+      | the entry of i-0 says that it is leaving  |
+      | the store falls silent                    |
+
   # Guards against a stream that goes on elsewhere because no server of its version is left.
   Scenario: A stream whose version has no server any more is refused as not run
     Given 2 routers and servers of the software versions v1
--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -9,6 +9,7 @@
 
 EVENTS = {n: b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6)}
 SLOW_EVENT_SECONDS = 0.06
+LONG_EVENT_SECONDS = 0.4
 BYTE_INTERVAL_SECONDS = 0.2
 LARGE_EVENT = b"id: 1\ndata: " + b"x" * 60_000 + b"\n\n"
 RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Server-Signature: sig\r\n"
@@ -144,6 +145,12 @@
                     await self._send(writer, _encode_chunk(event))
                     await asyncio.sleep(SLOW_EVENT_SECONDS)
                 await self._send(writer, b"0\r\n\r\n")
+            case "streams over two seconds":
+                await self._send(writer, chunked_head)
+                for event in events:
+                    await self._send(writer, _encode_chunk(event))
+                    await asyncio.sleep(LONG_EVENT_SECONDS)
+                await self._send(writer, b"0\r\n\r\n")
             case "streams until told to break off":
                 await self._send(writer, chunked_head + _encode_chunk(b"".join(events[:2])))
                 await self._told_to_break_off.wait()
--- a/features/steps/version_steps.py
+++ b/features/steps/version_steps.py
@@ -23,6 +23,7 @@
 from laburnumpier_platform_standin.launch import render_router_settings
 from laburnumpier_platform_standin.store import PlatformStoreStandIn
 from laburnumpier_router.main import make_application
+from laburnumpier_standins.store_state import StoreFault
 from scripted_server import ScriptedServer
 
 HOST = "shop.example"
@@ -123,12 +124,12 @@
     }
 
 
-def register(context, number):
+def register(context, number, state="ready"):
     """Writes the registry entry of a server, at the version that the test gave it."""
     entry = {
         "Service": "s",
         "Address": context.servers[number].address,
-        "State": "ready",
+        "State": state,
         "Zone": "here",
         "Slots": 64,
         "born": context.starts[number],
@@ -315,6 +316,29 @@
     publish(context, run(context, begin()))
 
 
+@when("a caller's stream at i-0 has begun and {event}")
+def begin_and_lose_entry(context, event):
+    caller = Caller(name="c")
+    context.callers = [caller]
+    prefix = make_prompt_prefix(len(context.servers))
+
+    async def begin():
+        taking = asyncio.create_task(take(context, caller, 1, prefix=prefix))
+        async with asyncio.timeout(READY_TIMEOUT_SECONDS):
+            while b"\n\n" not in (caller.tries[0].body if caller.tries else b""):
+                await asyncio.sleep(0.005)
+        match event:
+            case "the entry of i-0 lapses":
+                context.version_store.remove("servers/i-0")
+            case "the entry of i-0 says that it is leaving":
+                register(context, 0, state="draining")
+            case "the store falls silent":
+                context.version_store.fault = StoreFault.DOWN
+        return await taking
+
+    publish(context, run(context, begin()))
+
+
 async def return_at_version(context, number, version):
     """Writes a server's entry anew, with a later start and another version, and waits for it."""
     context.entry_versions[number] = version
