Expect a watcher's first message only for two seconds after the first read of the registry

A router whose registry could not be read never began to count the time in which it expects a first message, so it would not have watched the configuration either. The new scenario failed before.

--- a/features/forward/relay.feature
+++ b/features/forward/relay.feature
@@ -88,3 +88,9 @@
     When a registered server leaves
     And the watchers' entries are older than what the others have seen, and these begin to follow anew
     Then all routers know 5 servers within 1 seconds
+
+  # Guards against a router that waits for a first message for ever, and so watches no configuration.
+  Scenario: A router whose registry cannot be read expects a first message for two seconds only
+    Given 25 routers that follow a registry of 6 servers, 2 of which watch it
+    When a router starts whose registry cannot be read and that no watcher answers
+    Then it expects a first message for 2 seconds and not for 3
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 from fleet_steps import run
+from laburnumpier_core.errors import StoreUnavailableError
 from laburnumpier_router.forward.registry_follower import RegistryFollower
 from laburnumpier_router.forward.registry_relay import RegistryListed, RegistryRelay
 from laburnumpier_router.forward.servers import ServerTable
@@ -372,6 +373,55 @@
     assert lists <= count, lists
 
 
+class UnreadableRegistry:
+    """A registry that does not answer."""
+
+    async def read_servers(self):
+        """Fails."""
+        raise StoreUnavailableError("the registry does not answer")
+
+
+async def answer_nothing(message):
+    """A watcher that does not answer."""
+
+
+@when("a router starts whose registry cannot be read and that no watcher answers")
+def start_without_registry(context):
+    context.relay = RegistryRelay(
+        registry=UnreadableRegistry(),
+        is_watcher=lambda: False,
+        everyone_watches=lambda: False,
+        send=lambda message: None,
+        get_configuration_number=lambda: 1,
+        ask_watcher=answer_nothing,
+        clock=VirtualClock(),
+    )
+    follower = RegistryFollower(
+        registry=context.relay,
+        table=ServerTable(),
+        clock=VirtualClock(),
+        random_source=random.Random(1),
+        watch_seconds=2.0,
+        lapsed_entry_seconds=1.8,
+    )
+
+    async def start():
+        context.relay_fleet.tasks.append(asyncio.create_task(follower.follow_periodically()))
+
+    run(context, start())
+
+
+@then("it expects a first message for {expected:g} seconds and not for {unexpected:g}")
+def check_expecting(context, expected, unexpected):
+    async def check():
+        await asyncio.sleep(expected - 0.1)
+        assert context.relay.is_expecting
+        await asyncio.sleep(unexpected - expected + 0.1)
+        assert not context.relay.is_expecting
+
+    run(context, check())
+
+
 def count_known_servers(context):
     return [len(table.servers) for table in context.relay_fleet.tables if table is not None]
 
--- a/packages/router/laburnumpier_router/forward/registry_relay.py
+++ b/packages/router/laburnumpier_router/forward/registry_relay.py
@@ -167,6 +167,7 @@
         Raises:
             StoreError: If the registry was asked and does not answer.
         """
+        self._record_start()
         if not self._everyone_watches() and not self._is_watcher():
             listed = await self._ask_watcher(ListRegistry())
             position = None if listed is None else listed.position
@@ -186,9 +187,7 @@
             RegistryHistoryLostError: If changes were missed.
             StoreError: If a watch of its own is not answered.
         """
-        if self._started_seconds is None:
-            self._started_seconds = self._clock.monotonic_seconds()
-            await asyncio.sleep(START_SETTLE_SECONDS)
+        await self._settle()
         if self._everyone_watches():
             return await self._registry.wait_for_changes(position, timeout_seconds)
         if self._is_watcher():
@@ -216,6 +215,16 @@
             no_changes = RegistryChanges(written=[], removed=[], position=self._position)
             self._send(self._make_message(self._position, no_changes))
 
+    def _record_start(self) -> None:
+        """Records the first use, from which on a first message is expected for a while."""
+        if self._started_seconds is None:
+            self._started_seconds = self._clock.monotonic_seconds()
+
+    async def _settle(self) -> None:
+        self._record_start()
+        end_seconds = self._started_seconds + START_SETTLE_SECONDS
+        await asyncio.sleep(max(0.0, end_seconds - self._clock.monotonic_seconds()))
+
     async def _wait_for_first_message(self) -> None:
         end_seconds = self._started_seconds + START_PATIENCE_SECONDS
         self._message_received.clear()
