--- a/packages/router/laburnumpier_router/forward/http_client.py
+++ b/packages/router/laburnumpier_router/forward/http_client.py
@@ -21,6 +21,9 @@
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 """Timeout for connecting; servers are a few milliseconds away, and a lost packet costs 200 ms."""
+ACCEPT_TIMEOUT_SECONDS = 0.2
+"""Timeout for finding out whether a server accepts connections; meanwhile an event of the server
+that is to be replaced can wait to be passed on."""
 READ_BUFFER_BYTES = 65536
 """Size of the buffer for reading a response body."""
 
@@ -128,7 +131,7 @@
     async def is_refusing(self, address: str) -> bool:
         """Returns whether a connection to an address is refused; False if that is not known."""
         try:
-            await _try_connection(address)
+            await _try_connection(address, CONNECT_TIMEOUT_SECONDS)
         except ConnectionRefusedError:
             return True
         except (OSError, TimeoutError, ValueError) as error:
@@ -138,7 +141,7 @@
     async def is_accepting(self, address: str) -> bool:
         """Returns whether a connection to an address is accepted at once."""
         try:
-            await _try_connection(address)
+            await _try_connection(address, ACCEPT_TIMEOUT_SECONDS)
         except (OSError, TimeoutError, ValueError) as error:
             _log.debug("server not reached", fields={"address": address, "error": error})
             return False
@@ -160,7 +163,7 @@
         return self._session
 
 
-async def _try_connection(address: str) -> None:
+async def _try_connection(address: str, timeout_seconds: float) -> None:
     """Opens a connection to an address and closes it again.
 
     Raises:
@@ -169,6 +172,6 @@
         ValueError: If the address has no port.
     """
     host, _, port = address.rpartition(":")
-    async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+    async with asyncio.timeout(timeout_seconds):
         _, writer = await asyncio.open_connection(host, int(port))
     writer.close()
