Pass on no success that does not name its request

In a soak a caller got an empty 200 from something that listened at the address of a server that had crashed. An answer without an attempt id was taken for the own one; only another id was refused.

Change: a 2xx has to name the request if the request has an id; servers echo it. Errors may come from something before the server and are passed on as before.

Measured: two new examples failed before.

--- a/features/forward/forwarding.feature
+++ b/features/forward/forwarding.feature
@@ -43,6 +43,8 @@
       | breaks off in a chunk             | non-idempotent | 2        | 502    | 1    |
       | answers another request           | idempotent     | 2        | 200    | 2    |
       | answers another request           | non-idempotent | 2        | 502    | 1    |
+      | answers without naming a request  | idempotent     | 2        | 200    | 2    |
+      | answers without naming a request  | non-idempotent | 2        | 502    | 1    |
       | sends no HTTP                     | idempotent     | 2        | 200    | 2    |
       | sends no HTTP                     | non-idempotent | 2        | 502    | 1    |
       | is silent                         | idempotent     | 2        | 200    | 2    |
--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -131,6 +131,8 @@
                 await self._send(
                     writer, RESPONSE_HEAD % b"other" + b"Content-Length: 5\r\n\r\nother"
                 )
+            case "answers without naming a request":
+                await self._send(writer, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
             case "sends no HTTP":
                 await self._send(writer, b"\x00\x01 what is this\r\n\r\n")
             case "is silent":
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -769,7 +769,10 @@
         Raises:
             _ServerAttemptError: If it did not run, or the response is to another request.
         """
-        is_stray = head.attempt_id not in ("", progress.request.head.attempt_id)
+        # An error may come from something before the server, which does not know the request.
+        may_be_unnamed = exchange.status >= 300 or not progress.request.head.attempt_id
+        is_unnamed = not head.attempt_id and may_be_unnamed
+        is_stray = not is_unnamed and head.attempt_id != progress.request.head.attempt_id
         if not is_stray:
             self._rate_limits.record_answer(progress.sent_to, head)
         if head.not_executed:
