--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -9,7 +9,7 @@
 
 import msgspec
 from laburnumpier_core.clock import Clock
-from laburnumpier_core.errors import PeerError, StoreError
+from laburnumpier_core.errors import StoreError
 from laburnumpier_core.log import get_part_logger
 from laburnumpier_core.metrics import Metrics
 from laburnumpier_core.settings import Settings
@@ -39,6 +39,7 @@
 from .fleet.peer_network import PeerNetwork
 from .fleet.registry import MemberRegistry
 from .fleet.service import FleetService
+from .fleet.watchers import StoreWatchers
 from .forward import crash_messages, origin_messages, permit_messages
 from .forward.crash_guard import CrashGuard
 from .forward.exchange import ServerClient
@@ -78,9 +79,6 @@
 
 MAX_HOMES_PER_SHARD = 2
 """Maximum number of processes that consider themselves the home of one shard at the same time."""
-CONFIRMER_KEY = "configuration"
-"""Key whose home asks the store for all routers of a large fleet before they refuse requests."""
-WATCHER_LIST_TIMEOUT_SECONDS = 0.5
 TASK_RESTART_SECONDS = 0.25
 """Pause before a periodic task that failed is started again."""
 REGISTRY_MARGIN_SECONDS = 1.0
@@ -197,8 +195,6 @@
         self._random = random.Random(seed)
         self._tasks: list[asyncio.Task[None]] = []
         self._is_closed = False
-        self._watchers: list[str] = []
-        self._watchers_of: list[str] | None = None
         self._purchased_tokens: dict[str, int] = {}
         self._peer_link = PeerLink(
             network=ports.network,
@@ -223,6 +219,13 @@
             on_heartbeat=self._handle_heartbeat,
             store_poll_seconds=settings.store_poll_seconds,
         )
+        self._watchers = StoreWatchers(
+            fleet=self._fleet,
+            forwards=ports.forwarding is not None,
+            per_data_centre=settings.watchers,
+            relay_from_routers=settings.relay_from_routers,
+            random_source=self._random,
+        )
         self._configuration = ConfigurationService(
             store=ports.store,
             fleet=self._fleet,
@@ -233,10 +236,10 @@
             on_change=self._apply_configuration,
             record_format=ports.record_format,
             watch_seconds=settings.watch_seconds,
-            is_fallback_watcher=self._is_fallback_watcher,
-            find_confirmer=self._find_confirmer,
+            is_fallback_watcher=self._watchers.is_stand_in,
+            find_confirmer=self._watchers.find_confirmer,
         )
-        self._fleet.list_preferred_partners = self._list_preferred_partners
+        self._fleet.list_preferred_partners = self._watchers.list_preferred_partners
         self._build_budget()
         self._build_backend(policy or ExpectedWait())
         self._origin_archive = OriginArchive(
@@ -244,7 +247,7 @@
             store=ports.store,
             clock=clock,
             metrics=metrics,
-            is_small_fleet=self.is_small_fleet,
+            is_small_fleet=self._watchers.is_small_fleet,
         )
         self._stream_origins = StreamOrigins(
             fleet=self._fleet, clock=clock, metrics=metrics, archive=self._origin_archive
@@ -585,11 +588,11 @@
             return
         self._registry_relay = RegistryRelay(
             registry=ports.registry,
-            is_watcher=self.watches_store,
-            everyone_watches=self.is_small_fleet,
+            is_watcher=self._watchers.is_watcher,
+            everyone_watches=self._watchers.is_small_fleet,
             send=self._broadcaster.send,
             get_configuration_number=lambda: self._configuration.number,
-            ask_watcher=self._ask_watcher,
+            ask_watcher=self._list_at_watcher,
             clock=self._clock,
         )
         self._server_table = ServerTable()
@@ -803,47 +806,13 @@
             name: entry.budget_tokens for name, entry in configuration.workspaces.items()
         }
 
-    def is_small_fleet(self) -> bool:
-        """Whether the fleet is small enough that every forwarding router watches the store."""
-        return 1 + len(self._fleet.view.live) < self._settings.relay_from_routers
-
-    def _list_watchers(self) -> list[str]:
-        """Returns the routers of the own data centre that watch the store in a large fleet."""
-        view = self._fleet.view
-        if self._watchers_of is not view.live:
-            own = self._fleet.member
-            near = [n for n in view.live if view.known[n].member.data_centre == own.data_centre]
-            self._watchers = sorted([*near, own.incarnation])[: self._settings.watchers]
-            self._watchers_of = view.live
-        return self._watchers
-
-    def _list_preferred_partners(self) -> list[str]:
-        """Returns the watchers that have to know this router to send it what they see."""
-        return [] if self.is_small_fleet() else self._list_watchers()
-
-    async def _ask_watcher(self, message: ListRegistry) -> RegistryListed | None:
-        """Sends a message to a watcher of the own data centre; returns None if it is silent."""
-        watchers = [name for name in self._list_watchers() if name != self._fleet.self_name]
-        if not watchers:
-            return None
-        try:
-            reply = await self._fleet.call(
-                self._random.choice(watchers), message, WATCHER_LIST_TIMEOUT_SECONDS
-            )
-        except PeerError as error:
-            _log.info("watcher did not list the registry", fields={"error": error})
-            return None
+    async def _list_at_watcher(self, message: ListRegistry) -> RegistryListed | None:
+        reply = await self._watchers.ask(message)
         return reply if isinstance(reply, RegistryListed) else None
 
     def watches_store(self) -> bool:
-        """Whether this process is one of the routers of its data centre that watch the store.
-
-        In a small fleet every forwarding router watches, because the total rate of store calls
-        stays low.
-        """
-        if self._forward_frontend is not None and self.is_small_fleet():
-            return True
-        return self._fleet.self_name in self._list_watchers()
+        """Whether this process is one of the routers that watch the store."""
+        return self._watchers.is_watcher()
 
     def is_registry_current(self) -> bool:
         """Whether the registry has confirmed the table of servers lately."""
@@ -859,13 +828,6 @@
         routes = self._configuration.configuration.routes.values()
         return max((get_keep_seconds(route) for route in routes), default=math.inf)
 
-    def _find_confirmer(self) -> str | None:
-        """Returns the router that confirms configurations for all; None if this one does."""
-        if self._forward_frontend is None or self.is_small_fleet():
-            return None
-        home = self._fleet.find_home(CONFIRMER_KEY)
-        return None if home == self._fleet.self_name else home
-
     def watches_configuration(self) -> bool:
         """Whether this process watches the configuration.
 
@@ -877,13 +839,6 @@
             return False
         return self.watches_store() or (relay is not None and not relay.is_receiving)
 
-    def _is_fallback_watcher(self) -> bool:
-        """Whether this process watches only because no watcher of a large fleet is heard."""
-        routers = self._fleet.count_vms()
-        if self._forward_frontend is None or routers < self._settings.relay_from_routers:
-            return False
-        return len(self._fleet.view.live) < routers / 2 or not self.watches_store()
-
     def _is_first_configuration_due(self) -> bool:
         """Whether this router has to read its first configuration itself."""
         return self._configuration.number == 0 and self.watches_store()
