Tell the end of a wait from a time limit of the operation's own

A wait that was over raised TimeoutError, like an operation that has its own time limit. Such an error would have been taken for a wait that goes on, and waited for again without a pause: no other request would have had a turn. No operation of today raises one; found by reading.

--- a/packages/router/laburnumpier_router/forward/patience.py
+++ b/packages/router/laburnumpier_router/forward/patience.py
@@ -11,6 +11,10 @@
 from typing import Any
 
 
+class StillWaitingError(Exception):
+    """The time is over and the operation goes on; unlike a time limit of the operation's own."""
+
+
 class PatientWait:
     """An operation that is in progress; leaving the context cancels it unless it has ended."""
 
@@ -40,11 +44,11 @@
             timeout_seconds: Longest time to wait now; None to wait until it ends.
 
         Raises:
-            TimeoutError: If it is still in progress.
+            StillWaitingError: If it is still in progress.
         """
         done, _ = await asyncio.wait({self._task}, timeout=timeout_seconds)
         if not done:
-            raise TimeoutError
+            raise StillWaitingError
         return self._task.result()
 
 
@@ -77,7 +81,7 @@
         """Returns the next chunk, or None at the end.
 
         Raises:
-            TimeoutError: If there is none in time; the next call waits for the same one.
+            StillWaitingError: If there is none in time; the next call waits for the same one.
         """
         if self._wait is None:
             self._wait = PatientWait(self._read_next())
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -31,7 +31,7 @@
 from .crash_guard import CrashGuard
 from .event_stream import EventSplitter
 from .exchange import ForwardRequest, ResponseSink, ServerCall, ServerClient, ServerExchange
-from .patience import PatientReader, PatientWait, read_patiently
+from .patience import PatientReader, PatientWait, StillWaitingError, read_patiently
 from .placement import PlacementRequest, choose_server, prefer_certain_versions
 from .request_limiter import RequestLimiter
 from .request_progress import ErrorResponse, RequestProgress
@@ -621,7 +621,7 @@
         timeout_seconds = self._get_silence_timeout(progress, sink_started=False)
         async with PatientWait(opening) as wait:
             while True:
-                with contextlib.suppress(TimeoutError):
+                with contextlib.suppress(StillWaitingError):
                     return await wait.get_result(timeout_seconds)
                 if await self._can_go_on_elsewhere(progress) and not wait.is_done:
                     raise _ServerSilentError
@@ -854,7 +854,7 @@
             timeout_seconds = self._get_event_timeout(progress, sink, silent_since_seconds)
             try:
                 chunk = await reader.read(timeout_seconds)
-            except TimeoutError as error:
+            except StillWaitingError as error:
                 if await self._can_go_on_elsewhere(progress) and not reader.has_chunk:
                     raise _ServerSilentError from error
                 silent_since_seconds = self._clock.monotonic_seconds()
