Split the forwarding service; decode what servers say of their state

Cause: forward/service.py (933 lines) held selection, sending and relaying, and a load header with a fourth figure was taken for junk, so the whole report was dropped.

--- a/features/steps/crash_world.py
+++ b/features/steps/crash_world.py
@@ -33,7 +33,7 @@
 from laburnumpier_router.forward.retry_budget import RetryBudget
 from laburnumpier_router.forward.server_rate_limits import ServerRateLimits
 from laburnumpier_router.forward.servers import ServerTable
-from laburnumpier_router.forward.service import ForwardService
+from laburnumpier_router.forward.service import build_forward_service
 from laburnumpier_router.forward.stream_versions import StreamVersions
 from laburnumpier_router.forward.time_limits import TimeLimits
 from laburnumpier_router.ports.server_registry import RegisteredServer
@@ -353,7 +353,7 @@
             metrics=metrics,
             random_source=random.Random(2),
         )
-        self.service = ForwardService(
+        self.service = build_forward_service(
             configuration=world.configuration,
             budget=world.budget,
             table=table,
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -31,7 +31,7 @@
 from laburnumpier_router.forward.retry_budget import RetryBudget
 from laburnumpier_router.forward.server_rate_limits import ServerRateLimits
 from laburnumpier_router.forward.servers import ServerTable
-from laburnumpier_router.forward.service import ForwardService
+from laburnumpier_router.forward.service import build_forward_service
 from laburnumpier_router.forward.stream_versions import StreamVersions
 from laburnumpier_router.forward.time_limits import TimeLimits
 from laburnumpier_router.ports.server_registry import RegisteredServer
@@ -177,7 +177,7 @@
     context.retry_budget = RetryBudget(ratio=0.2, extra=20, window_seconds=10)
     limits = ServerRateLimits(clock=clock, metrics=metrics)
     context.frontend = ForwardFrontend(
-        service=ForwardService(
+        service=build_forward_service(
             configuration=context.configuration,
             budget=context.budget,
             table=table,
--- a/packages/core/laburnumpier_core/settings.py
+++ b/packages/core/laburnumpier_core/settings.py
@@ -94,6 +94,10 @@
     retry_window_seconds: float
     give_engine_orders: bool
     load_interval_seconds: float
+    cold_overshoot: float
+    cold_slack_requests: float
+    placement: str
+    link_mbps: float
     metrics_address: Address | None
     statsd_host: str
     statsd_port: int
@@ -299,6 +303,16 @@
     _number_field("backend", "probe_freshness_seconds", "3", float, 0.1, 600),
     _text_field("backend", "give_engine_orders", _parse_bool, "yes or no", "no"),
     _number_field("backend", "load_interval_seconds", "30", float, 0.1, 86400),
+    _number_field("backend", "cold_overshoot", "1", float, 1, 100),
+    _number_field("backend", "cold_slack_requests", "0", float, 0, 100000),
+    _text_field(
+        "backend",
+        "placement",
+        _make_choice_parser("affinity", "estimate"),
+        "affinity or estimate",
+        "affinity",
+    ),
+    _number_field("router", "link_mbps", "0", float, 0, 10**6),
     _text_field(
         "metrics", "metrics_address", _parse_optional_address, _ADDRESS_HELP + ", or empty", ""
     ),
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -56,7 +56,7 @@
 from .forward.retry_budget import RetryBudget
 from .forward.server_rate_limits import ServerRateLimits
 from .forward.servers import ServerTable
-from .forward.service import ForwardService
+from .forward.service import build_forward_service
 from .forward.stream_origins import StreamOrigins
 from .forward.stream_versions import StreamVersions, get_keep_seconds
 from .forward.time_limits import TimeLimits
@@ -637,7 +637,7 @@
         self._fleet.list_blocked_parts = self._crash_guard.list_blocked_parts
         time_limits = TimeLimits()
         self._forward_frontend = ForwardFrontend(
-            service=ForwardService(
+            service=build_forward_service(
                 configuration=self._configuration,
                 budget=self._budget,
                 table=self._server_table,
--- a/packages/router/laburnumpier_router/configuration/document.py
+++ b/packages/router/laburnumpier_router/configuration/document.py
@@ -70,12 +70,17 @@
         price_tokens: Price of a call in tokens.
         idempotent_methods: HTTP methods whose requests may be retried.
         engine: Set if the servers are model engines that requests are forwarded to.
+        cold_requests_per_second: Requests a second from all routers together that a server bears
+            while it is cold; 0 for services whose servers are never cold.
+        cold_start_seconds: Time for which a server is cold after its start.
     """
 
     servers: list[str] = []
     price_tokens: int = 1
     idempotent_methods: tuple[str, ...] = ("GET", "HEAD")
     engine: EngineProfile | None = None
+    cold_requests_per_second: float = 0.0
+    cold_start_seconds: float = 0.0
 
 
 class RouteKind(enum.StrEnum):
--- a/packages/router/laburnumpier_router/forward/servers.py
+++ b/packages/router/laburnumpier_router/forward/servers.py
@@ -116,7 +116,7 @@
     leaving or gone. Such an entry is ignored, unless the server has started again.
     """
 
-    __slots__ = ("_departures", "_listeners", "_retained_departures", "_servers")
+    __slots__ = ("_departures", "_exclusions", "_listeners", "_retained_departures", "_servers")
 
     def __init__(self):
         """Creates an empty table."""
@@ -124,6 +124,7 @@
         self._departures: collections.OrderedDict[str, int] = collections.OrderedDict()
         self._retained_departures: dict[str, int] = {}
         self._listeners: list[Callable[[RegisteredServer], None]] = []
+        self._exclusions: list[Callable[[RegisteredServer], bool]] = []
 
     @property
     def servers(self) -> dict[str, ServerLoad]:
@@ -134,6 +135,18 @@
         """Adds a function that is called with each entry that is added, replaced or removed."""
         self._listeners.append(listener)
 
+    def add_exclusion(self, is_excluded: Callable[[RegisteredServer], bool]) -> None:
+        """Adds a rule that excludes servers from new requests, of all kinds, while it holds.
+
+        Args:
+            is_excluded: Returns whether a server must not get a new request now.
+        """
+        self._exclusions.append(is_excluded)
+
+    def is_usable(self, entry: RegisteredServer) -> bool:
+        """Whether a server accepts new requests and no rule excludes it."""
+        return not entry.leaving and not any(excludes(entry) for excludes in self._exclusions)
+
     def upsert(self, entry: RegisteredServer) -> None:
         """Adds or updates a registry entry; a new address resets load and failures."""
         if entry.leaving:
@@ -177,8 +190,8 @@
             server
             for server in self._servers.values()
             if server.entry.service == service
-            and not server.entry.leaving
             and software_version in (None, server.entry.software_version)
+            and self.is_usable(server.entry)
         ]
 
     def forget_departure(self, server_id: str) -> None:
--- a/packages/router/laburnumpier_router/ports/dialect.py
+++ b/packages/router/laburnumpier_router/ports/dialect.py
@@ -86,6 +86,15 @@
             names no limit, or none that can be read.
         has_invalid_rate_limit: Whether it names a limit that cannot be read.
         is_misdirected: Whether the response may come from another server at the same address.
+        slots: Number of requests that the server runs concurrently; None if not stated.
+        work_percent: How long work takes at the server now, 100 as usual; None if not stated.
+        is_leaving: Whether the server states that it accepts no new requests.
+        hold_off_seconds: Time for which a server that rejected the request accepts none from this
+            router; None if not stated.
+        max_rejects_per_second: Requests a second that the server can reject before it crashes;
+            None if it does not state that it is brittle.
+        cold_seconds: How much longer the server bears few requests; None if not stated.
+        invalid_notices: Names of the headers about the server's state that cannot be read.
     """
 
     attempt_id: str
@@ -95,6 +104,13 @@
     rate_limit: float | None = None
     has_invalid_rate_limit: bool = False
     is_misdirected: bool = False
+    slots: int | None = None
+    work_percent: int | None = None
+    is_leaving: bool = False
+    hold_off_seconds: float | None = None
+    max_rejects_per_second: int | None = None
+    cold_seconds: float | None = None
+    invalid_notices: tuple[str, ...] = ()
 
 
 class Dialect(Protocol):
--- a/packages/router/laburnumpier_router/ports/server_registry.py
+++ b/packages/router/laburnumpier_router/ports/server_registry.py
@@ -31,6 +31,8 @@
             start again under the id that it had.
         software_version: Version of the server's software; empty if it states none. Streams may
             go on only at servers of the version that began them.
+        cold_ms: How much longer the server bears few requests after its start, as of the moment
+            at which it wrote the entry.
     """
 
     server_id: str
@@ -41,6 +43,7 @@
     leaving: bool = False
     started_ms: int = 0
     software_version: str = ""
+    cold_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/packages/router/laburnumpier_router/selection/selector.py
@@ -0,0 +1,139 @@
+"""Selects the server of a forwarded request and gets the permit that a limited one requires."""
+
+import random
+
+from laburnumpier_core.clock import Clock
+
+from ..configuration.service import ConfigurationService
+from ..forward.placement import PlacementRequest, choose_server, prefer_certain_versions
+from ..forward.request_limiter import RequestLimiter
+from ..forward.request_progress import RequestProgress
+from ..forward.servers import ServerLoad, ServerTable
+from ..ports.server_registry import RegisteredServer
+
+MAX_PERMIT_WAIT_SHARE = 0.5
+"""Longest wait of the most urgent requests for a permit, as a share of the target latency."""
+MAX_PERMITS_ASKED = 4
+"""Servers with a limit that are asked about for one request before it is refused."""
+URGENCY_LEVELS = 10
+
+
+class ServerSelector:
+    """Selects servers among those that accept new requests."""
+
+    __slots__ = ("_clock", "_configuration", "_data_centre", "_limiter", "_random", "_table")
+
+    def __init__(
+        self,
+        *,
+        configuration: ConfigurationService,
+        table: ServerTable,
+        limiter: RequestLimiter,
+        clock: Clock,
+        random_source: random.Random,
+        data_centre: str,
+    ):
+        """Creates the selector.
+
+        Args:
+            configuration: Provides the urgency of workspaces.
+            table: Registered servers.
+            limiter: Gives permits for requests to servers with a limit.
+            clock: Source of time.
+            random_source: Selects among equally loaded servers.
+            data_centre: Data centre of this router.
+        """
+        self._configuration = configuration
+        self._table = table
+        self._limiter = limiter
+        self._clock = clock
+        self._random = random_source
+        self._data_centre = data_centre
+
+    async def find_server(self, progress: RequestProgress) -> ServerLoad | None:
+        """Returns a server that the request may be sent to now; None if there is none.
+
+        A server with a limit is chosen like any other one as long as there are permits for it.
+        The request waits for a permit only if all servers that are left have a limit.
+        """
+        denied: set[str] = set()
+        while True:
+            usable = self.list_untried(progress)
+            unlimited = [s for s in usable if not self._limiter.is_limited(s.entry)]
+            if len(unlimited) == len(usable) or len(denied) >= MAX_PERMITS_ASKED:
+                return self.choose_server(progress, unlimited)
+            max_wait_seconds = 0.0 if unlimited else self._get_max_permit_wait(progress)
+            candidates = [
+                server
+                for server in usable
+                if server.entry.server_id not in denied
+                and self._limiter.may_have_permit(server.entry, max_wait_seconds)
+            ]
+            server = self.choose_server(progress, candidates)
+            if server is None or not self._limiter.is_limited(server.entry):
+                return server
+            has_permit = await self._limiter.acquire(server.entry, max_wait_seconds)
+            # The server may have begun to leave meanwhile.
+            if has_permit and server in self.list_untried(progress):
+                return server
+            denied.add(server.entry.server_id)
+
+    def _get_max_permit_wait(self, progress: RequestProgress) -> float:
+        """Returns the longest wait for a permit in seconds; urgent requests wait longer.
+
+        Less urgent ones are denied while permits are reserved for the moments up to which more
+        urgent ones wait, so these come first.
+        """
+        share = 1.0 - self.get_urgency(progress) / URGENCY_LEVELS
+        remaining_seconds = progress.deadline_seconds - self._clock.monotonic_seconds()
+        target_seconds = MAX_PERMIT_WAIT_SHARE * progress.route.target_latency_seconds
+        return max(0.0, min(share * target_seconds, MAX_PERMIT_WAIT_SHARE * remaining_seconds))
+
+    def list_untried(self, progress: RequestProgress) -> list[ServerLoad]:
+        """Returns the servers that accept the request and that it was not sent to."""
+        usable = self._table.list_usable(progress.service, progress.software_version)
+        return [s for s in usable if s.entry.server_id not in progress.tried_server_ids]
+
+    def list_limited(self, progress: RequestProgress) -> list[RegisteredServer]:
+        """Returns the servers with a limit that the request was not sent to."""
+        untried = [server.entry for server in self.list_untried(progress)]
+        return [entry for entry in untried if self._limiter.is_limited(entry)]
+
+    def choose_server(
+        self, progress: RequestProgress, usable: list[ServerLoad]
+    ) -> ServerLoad | None:
+        """Returns the server that suits the request best; None if there is none.
+
+        Args:
+            progress: The request.
+            usable: Servers that may get it.
+        """
+        # A trial goes to the least loaded server, where a crash affects the fewest requests.
+        request = PlacementRequest(
+            prompt_parts=() if progress.is_trial else progress.request.head.prompt_parts,
+            data_centre=self._data_centre,
+            exclude=frozenset(progress.tried_server_ids),
+        )
+        now = self._clock.monotonic_seconds()
+        if progress.software_version is not None:
+            usable = prefer_certain_versions(usable, request, now)
+        return choose_server(usable, request, now, self._random)
+
+    def has_other_server(self, progress: RequestProgress) -> bool:
+        """Whether the request could go on at a server other than the current one."""
+        usable = [
+            server
+            for server in self._table.list_usable(progress.service, progress.software_version)
+            if server.entry is progress.sent_to
+            or self._limiter.may_have_permit(server.entry, max_wait_seconds=0.0)
+        ]
+        if progress.software_version is None:
+            return len(usable) > 1
+        return any(server.entry.server_id not in progress.tried_server_ids for server in usable)
+
+    def get_urgency(self, progress: RequestProgress) -> int:
+        """Returns the urgency of the request's workspace or else of its route; 0 comes first."""
+        workspace = self._configuration.configuration.workspaces.get(progress.workspace)
+        if workspace is not None and workspace.urgency is not None:
+            return workspace.urgency
+        return progress.route.urgency
--- /dev/null
+++ b/packages/router/laburnumpier_router/sending/sender.py
@@ -0,0 +1,425 @@
+"""Sends a forwarded request to one server and relays its response to the caller."""
+
+import contextlib
+
+from laburnumpier_core.clock import Clock
+from laburnumpier_core.errors import (
+    ServerConnectionLostError,
+    ServerResponseLimitError,
+    ServerUnreachableError,
+)
+from laburnumpier_core.result_codes import Ran
+
+from ..configuration.document import Route, RouteKind
+from ..forward.crash_guard import CrashGuard
+from ..forward.exchange import ResponseSink, ServerCall, ServerClient, ServerExchange
+from ..forward.patience import PatientReader, PatientWait, StillWaitingError, read_patiently
+from ..forward.request_limiter import RequestLimiter
+from ..forward.request_progress import ErrorResponse, RequestProgress
+from ..forward.response_limits import StreamLimitError
+from ..forward.retry_budget import RetryBudget
+from ..forward.server_rate_limits import ServerRateLimits
+from ..forward.servers import ServerLoad
+from ..forward.stream_versions import StreamVersions
+from ..forward.watched_run import PartBlockedError, WatchedRun
+from ..ports.dialect import Dialect, ForwardedRequestInfo, ResponseHead
+from ..selection.selector import ServerSelector
+from .attempt_error import ServerAttemptError, ServerSilentError
+
+FIRST_EVENT_TIMEOUT_FACTOR = 2.5
+"""Timeout for the first event of a resumable stream, as a multiple of the target latency."""
+MIN_STREAM_TIMEOUT_SECONDS = 1.5
+"""Lower bound of resumable streams' timeouts; processing a long prompt can take this long."""
+GAP_TIMEOUT_FACTOR = 4.0
+"""Timeout between events of a resumable stream, as a multiple of the target gap."""
+RESPONSE_TIMEOUT_FACTOR = 2.0
+"""Timeout for the response to an idempotent call, as a multiple of the target latency."""
+OPEN_END = "open_end"
+"""Reason of a server attempt whose stream ended with its connection after whole events."""
+PART_BLOCKED = "part_blocked"
+"""Reason of a server attempt that ended because servers crash on a part of the prompt."""
+EVENT_STREAM = "text/event-stream"
+
+
+class RequestSender:
+    """Sends requests to servers and relays their responses."""
+
+    __slots__ = (
+        "_client",
+        "_clock",
+        "_crash_guard",
+        "_dialect",
+        "_limiter",
+        "_rate_limits",
+        "_retry_budget",
+        "_selector",
+        "_stream_versions",
+    )
+
+    def __init__(
+        self,
+        *,
+        client: ServerClient,
+        selector: ServerSelector,
+        crash_guard: CrashGuard,
+        stream_versions: StreamVersions,
+        dialect: Dialect,
+        retry_budget: RetryBudget,
+        rate_limits: ServerRateLimits,
+        limiter: RequestLimiter,
+        clock: Clock,
+    ):
+        """Creates the sender.
+
+        Args:
+            client: Sends requests to servers.
+            selector: Finds servers that could take over from a silent one.
+            crash_guard: Watches for requests that crash servers.
+            stream_versions: Records at which version each stream began.
+            dialect: Translates headers between callers, this router and servers.
+            retry_budget: Limits the retries to each service.
+            rate_limits: Limits that servers name in their answers.
+            limiter: Gives permits for requests to servers with a limit.
+            clock: Source of time.
+        """
+        self._client = client
+        self._selector = selector
+        self._crash_guard = crash_guard
+        self._stream_versions = stream_versions
+        self._dialect = dialect
+        self._retry_budget = retry_budget
+        self._rate_limits = rate_limits
+        self._limiter = limiter
+        self._clock = clock
+
+    async def send(
+        self, progress: RequestProgress, server: ServerLoad, sink: ResponseSink
+    ) -> None:
+        """Sends the request to a server and relays its response.
+
+        Raises:
+            ServerAttemptError: If no response was delivered.
+        """
+        progress.tried_server_ids.add(server.entry.server_id)
+        progress.sent_to = server.entry
+        progress.attempt_log.append(server.entry.server_id)
+        prompt_tokens = progress.request.head.prompt_tokens
+        server.record_start(prompt_tokens)
+        exchange = None
+        may_have_run_before = progress.may_have_run
+        run = progress.run = WatchedRun(
+            service=progress.service,
+            parts=progress.shared_parts,
+            server=server.entry,
+            attempt_id=progress.request.head.attempt_id,
+            fingerprint=progress.fingerprint,
+        )
+        try:
+            progress.may_have_run = True
+            async with contextlib.AsyncExitStack() as stack:
+                if not progress.is_trial:
+                    await stack.enter_async_context(self._crash_guard.watch(run))
+                exchange = await self._open(progress, server, stack)
+                progress.send_count += 1
+                server.record_prompt_processed(prompt_tokens)
+                prompt_tokens = 0
+                await self._relay_response(progress, server, exchange, sink)
+        except ServerUnreachableError as error:
+            now = self._clock.monotonic_seconds()
+            server.record_unreachable(now)
+            server.record_connection_lost(now)
+            progress.may_have_run = may_have_run_before
+            raise ServerAttemptError("unreached", Ran.NO) from error
+        except ServerConnectionLostError as error:
+            progress.send_count += exchange is None
+            server.record_failure()
+            server.record_connection_lost(self._clock.monotonic_seconds())
+            progress.splitter.discard_partial_event()
+            crash_check = None
+            if not run.has_begun and not isinstance(error, ServerResponseLimitError):
+                progress.lost_count += 1
+                crash_check = self._crash_guard.report_lost(run)
+            raise ServerAttemptError(error.reason, Ran.UNKNOWN, crash_check=crash_check) from error
+        except PartBlockedError as error:
+            progress.send_count += exchange is None
+            progress.splitter.discard_partial_event()
+            raise ServerAttemptError(PART_BLOCKED, Ran.UNKNOWN) from error
+        except ServerSilentError as error:
+            progress.send_count += exchange is None
+            server.record_unreachable(self._clock.monotonic_seconds())
+            progress.splitter.discard_partial_event()
+            raise ServerAttemptError("silent", Ran.UNKNOWN) from error
+        except ServerAttemptError as failure:
+            if failure.ran is Ran.NO:
+                progress.may_have_run = may_have_run_before
+            if failure.reason == OPEN_END:
+                server.record_connection_lost(self._clock.monotonic_seconds())
+            raise
+        finally:
+            server.record_prompt_processed(prompt_tokens)
+            server.record_finish()
+
+    async def _open(
+        self, progress: RequestProgress, server: ServerLoad, stack: contextlib.AsyncExitStack
+    ) -> ServerExchange:
+        """Sends the request and waits for the response head.
+
+        Raises:
+            ServerSilentError: If there is none in time and another server can take over.
+        """
+        opening = stack.enter_async_context(self._client.open(self._build_call(progress, server)))
+        timeout_seconds = self._get_silence_timeout(progress, sink_started=False)
+        async with PatientWait(opening) as wait:
+            while True:
+                with contextlib.suppress(StillWaitingError):
+                    return await wait.get_result(timeout_seconds)
+                if await self._can_go_on_elsewhere(progress) and not wait.is_done:
+                    raise ServerSilentError
+
+    async def _can_go_on_elsewhere(self, progress: RequestProgress) -> bool:
+        """Whether another server could take over from a silent one, which would be given up.
+
+        A server that is only slow still completes its answer if nobody else does.
+        """
+        if progress.is_end_asked:
+            return True
+        now = self._clock.monotonic_seconds()
+        if not self._retry_budget.has_retry(progress.service, now):
+            return False
+        server = self._selector.choose_server(
+            progress,
+            [
+                other
+                for other in self._selector.list_untried(progress)
+                if other.backoff_until_seconds <= now
+                and self._limiter.may_have_permit(other.entry, max_wait_seconds=0.0)
+            ],
+        )
+        return server is not None and await self._client.is_accepting(server.entry.address)
+
+    def _get_silence_timeout(
+        self, progress: RequestProgress, *, sink_started: bool
+    ) -> float | None:
+        """Returns the seconds of silence after which another server is tried; None for never."""
+        route = progress.route
+        if progress.is_end_asked:
+            return self._get_gap_timeout(route)
+        is_last_send = progress.send_count + 1 >= route.max_attempts and not sink_started
+        if not progress.is_retryable or is_last_send:
+            return None
+        if not self._selector.has_other_server(progress):
+            return None
+        if route.kind is RouteKind.IDEMPOTENT:
+            return RESPONSE_TIMEOUT_FACTOR * route.target_latency_seconds
+        if sink_started:
+            return self._get_gap_timeout(route)
+        return max(
+            MIN_STREAM_TIMEOUT_SECONDS, FIRST_EVENT_TIMEOUT_FACTOR * route.target_latency_seconds
+        )
+
+    def _get_gap_timeout(self, route: Route) -> float:
+        return max(MIN_STREAM_TIMEOUT_SECONDS, GAP_TIMEOUT_FACTOR * route.target_gap_seconds)
+
+    def _build_call(self, progress: RequestProgress, server: ServerLoad) -> ServerCall:
+        request = progress.request
+        remaining_seconds = progress.deadline_seconds - self._clock.monotonic_seconds()
+        is_engine_request = request.head.max_cost_tokens > 0
+        info = ForwardedRequestInfo(
+            server_id=server.entry.server_id,
+            workspace=progress.workspace,
+            remaining_seconds=remaining_seconds,
+            urgency=self._selector.get_urgency(progress) if is_engine_request else None,
+            resume_after=progress.splitter.last_event_id,
+        )
+        return ServerCall(
+            method=request.method,
+            address=server.entry.address,
+            target=request.target,
+            headers=self._dialect.make_server_headers(request.headers, info),
+            body=request.body,
+        )
+
+    async def _relay_response(
+        self,
+        progress: RequestProgress,
+        server: ServerLoad,
+        exchange: ServerExchange,
+        sink: ResponseSink,
+    ) -> None:
+        """Relays the response of a server to the caller.
+
+        Raises:
+            ServerAttemptError: If the response is not a final one.
+            ServerConnectionLostError: If it ends early.
+        """
+        progress.server_end = exchange.end_marker.value
+        head = self._dialect.read_response(exchange.status, exchange.headers)
+        if head.running is not None:
+            server.record_report(head.running, head.waiting, self._clock.monotonic_seconds())
+        self._check_response(progress, server, exchange, head)
+        media_type = exchange.headers.get("Content-Type", "").partition(";")[0].strip()
+        if exchange.status < 300 and media_type == EVENT_STREAM:
+            await self._relay_stream(progress, exchange, sink)
+            self._crash_guard.record_begun(progress.run)
+            server.record_success()
+            return
+        if sink.started:
+            # The stream was to be resumed, but this response is not a stream.
+            server.record_failure()
+            raise ServerAttemptError(f"status_{exchange.status}", Ran.UNKNOWN)
+        body = await exchange.read()
+        headers = self._dialect.make_caller_headers(exchange.headers)
+        if exchange.status >= 500:
+            server.record_failure()
+            reason = f"status_{exchange.status}"
+            if progress.is_retryable:
+                progress.error_response = ErrorResponse(
+                    status=exchange.status,
+                    headers=headers,
+                    body=body,
+                    has_explicit_end=exchange.end_marker.is_explicit,
+                )
+                raise ServerAttemptError(reason, Ran.YES)
+            progress.attempt_log[-1] += f":{reason}"
+        else:
+            self._crash_guard.record_begun(progress.run)
+            server.record_success()
+        progress.response_status = exchange.status
+        await sink.send_complete(
+            exchange.status, headers, body, has_explicit_end=exchange.end_marker.is_explicit
+        )
+
+    def _check_response(
+        self,
+        progress: RequestProgress,
+        server: ServerLoad,
+        exchange: ServerExchange,
+        head: ResponseHead,
+    ) -> None:
+        """Checks that the request ran and that the response belongs to it.
+
+        Raises:
+            ServerAttemptError: If it did not run, or the response is to another request.
+        """
+        # An error may come from something before the server, which does not know the request.
+        may_be_unnamed = exchange.status >= 300 or not progress.request.head.attempt_id
+        is_unnamed = not head.attempt_id and may_be_unnamed
+        is_stray = not is_unnamed and head.attempt_id != progress.request.head.attempt_id
+        if not is_stray:
+            self._rate_limits.record_answer(progress.sent_to, head)
+        if head.not_executed:
+            if exchange.status != 421:
+                server.record_report(server.entry.slots, 1, self._clock.monotonic_seconds())
+            else:
+                server.record_unreachable(self._clock.monotonic_seconds())
+            raise ServerAttemptError(f"refused_{exchange.status}", Ran.NO)
+        if is_stray:
+            server.record_failure()
+            raise ServerAttemptError("stray_answer", Ran.UNKNOWN)
+
+    async def _relay_stream(
+        self, progress: RequestProgress, exchange: ServerExchange, sink: ResponseSink
+    ) -> None:
+        """Relays complete events as they arrive.
+
+        Raises:
+            ServerConnectionLostError: If the stream ends early.
+            ServerSilentError: If a stream that can be resumed elsewhere is silent for too long.
+            ServerAttemptError: If it ended with its connection and can be resumed elsewhere.
+        """
+        splitter = progress.splitter
+        # A server that was asked what follows and answers has not said yet that nothing does.
+        is_same_end, progress.has_open_end = progress.has_open_end, False
+        async with read_patiently(exchange.iterate_chunks()) as reader:
+            while (events := await self._read_next_events(progress, reader, sink)) is not None:
+                is_same_end = False
+                self._crash_guard.record_piece(progress.run)
+                self._record_version(progress)
+                await self._start_stream(progress, exchange, sink)
+                await sink.send_chunk(events)
+        if splitter.has_partial_event:
+            raise ServerConnectionLostError("the stream ended within an event")
+        await self._start_stream(progress, exchange, sink)
+        if exchange.end_marker.is_explicit:
+            await sink.finish_stream()
+            return
+        progress.has_open_end = True
+        if is_same_end or not progress.is_resumable:
+            await self.end_started_response(progress, sink)
+            return
+        progress.is_end_asked = True
+        raise ServerAttemptError(OPEN_END, Ran.UNKNOWN)
+
+    def _record_version(self, progress: RequestProgress) -> None:
+        """Binds a stream to the version that sends its first event, at all routers."""
+        if progress.is_version_recorded:
+            return
+        progress.is_version_recorded = True
+        progress.software_version = progress.sent_to.software_version
+        self._stream_versions.record(progress.request.head, progress.route, progress.sent_to)
+
+    async def _start_stream(
+        self, progress: RequestProgress, exchange: ServerExchange, sink: ResponseSink
+    ) -> None:
+        """Starts the caller's response with the head of the first server that has one."""
+        if sink.started:
+            return
+        progress.response_status = exchange.status
+        headers = self._dialect.make_caller_headers(exchange.headers)
+        await sink.start_stream(
+            exchange.status, headers, has_explicit_end=exchange.end_marker.is_explicit
+        )
+
+    async def _read_next_events(
+        self, progress: RequestProgress, reader: PatientReader, sink: ResponseSink
+    ) -> bytes | None:
+        """Returns the next complete events of a stream, or None at its end.
+
+        Bytes that complete no event do not count as a sign of life.
+
+        Raises:
+            ServerConnectionLostError: If the stream ends early or passes a limit.
+            ServerSilentError: If there are none in time and another server can take over.
+        """
+        silent_since_seconds = self._clock.monotonic_seconds()
+        while True:
+            timeout_seconds = self._get_event_timeout(progress, sink, silent_since_seconds)
+            try:
+                chunk = await reader.read(timeout_seconds)
+            except StillWaitingError as error:
+                if await self._can_go_on_elsewhere(progress) and not reader.has_chunk:
+                    raise ServerSilentError from error
+                silent_since_seconds = self._clock.monotonic_seconds()
+                continue
+            if chunk is None:
+                return None
+            try:
+                events = progress.splitter.feed(chunk)
+            except StreamLimitError as error:
+                progress.is_spoiled = sink.started and error.spoils_stream
+                raise ServerResponseLimitError(error.reason, str(error)) from error
+            if events:
+                return events
+
+    def _get_event_timeout(
+        self, progress: RequestProgress, sink: ResponseSink, silent_since_seconds: float
+    ) -> float | None:
+        """Returns the seconds left of the silence timeout of a stream; None if it has none."""
+        if not progress.is_end_asked and progress.send_count >= progress.route.max_attempts:
+            return None
+        timeout_seconds = self._get_silence_timeout(progress, sink_started=sink.started)
+        if timeout_seconds is None:
+            return None
+        silent_seconds = self._clock.monotonic_seconds() - silent_since_seconds
+        return max(0.0, timeout_seconds - silent_seconds)
+
+    async def end_started_response(self, progress: RequestProgress, sink: ResponseSink) -> None:
+        """Ends a response of which more may follow that no server delivered.
+
+        If the server ended its stream with its connection, and the caller's response has no other
+        end either, the caller learns as much as the server said. Every other response is aborted.
+        """
+        if progress.has_open_end and not sink.has_explicit_end:
+            await sink.finish_stream()
+        else:
+            sink.abort()
