Turn new connections away from a crowded router before its link is full

Change: ingress/ measures the used share of the link and the delay of the event loop; above half of the link the router reports not ready for 4 to 20 s and closes callers' connections after their responses, unless a quarter of its data centre's routers do so already.

--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -62,6 +62,7 @@
 from .forward.time_limits import TimeLimits
 from .forward.version_history import VersionHistory
 from .graceful_stop import GracefulStop, StopTimes, plan_stop
+from .ingress.service import IngressService
 from .notices.server_notices import ServerNotices
 from .operators.frontend import OperatorFrontend
 from .operators.reports import OperatorReports
@@ -272,6 +273,8 @@
         )
         if self._forward_frontend is not None:
             self._reports.add_dump("server_notices", self._notices.dump_state)
+        if self._ingress is not None:
+            self._reports.add_dump("ingress", self._ingress.dump_state)
         self._caller_frontend = CallerFrontend(
             configuration=self._configuration,
             chats=self._chats,
@@ -387,6 +390,8 @@
             self._keep_running(self._registry_follower.follow_periodically)
             self._keep_running(self._version_history.update_periodically)
             self._keep_running(self._budget.refill_periodically)
+        if self._ingress is not None:
+            self._keep_running(self._ingress.update_periodically)
         self._keep_running(self._log_store_calls_periodically)
         if self._settings.give_engine_orders:
             self._keep_running(self._controller.send_orders_periodically)
@@ -586,6 +591,7 @@
         self._forward_frontend: ForwardFrontend | None = None
         self._registry_relay: RegistryRelay | None = None
         self._crash_guard: CrashGuard | None = None
+        self._ingress: IngressService | None = None
         self._broadcaster = Broadcaster(fleet=self._fleet, metrics=self._metrics)
         if ports is None:
             return
@@ -641,6 +647,7 @@
             metrics=self._metrics,
         )
         self._fleet.list_blocked_parts = self._crash_guard.list_blocked_parts
+        self._build_ingress()
         time_limits = TimeLimits()
         self._forward_frontend = ForwardFrontend(
             service=build_forward_service(
@@ -672,8 +679,20 @@
             metrics=self._metrics,
             is_ready=self.is_ready,
             max_body_bytes=settings.max_body_bytes,
+            ingress=self._ingress,
         )
 
+    def _build_ingress(self) -> None:
+        if not self._settings.link_mbps:
+            return
+        self._ingress = IngressService(
+            fleet=self._fleet,
+            link_mbps=self._settings.link_mbps,
+            clock=self._clock,
+            metrics=self._metrics,
+        )
+        self._fleet.list_shedding_notices = self._ingress.list_told
+
     def _build_controller(self) -> None:
         member = self._fleet.member
         self._controller = EngineController(
@@ -795,6 +814,8 @@
             self._crash_guard.adopt_blocks(sender, message.blocked_parts)
             self._rate_limits.adopt(message.named_limits)
             self._notices.adopt(message.leaving_notices)
+        if self._ingress is not None:
+            self._ingress.adopt(message.shedding_notices)
         # Only homes of shards normally write, but members may temporarily disagree on the homes.
         max_writers = MAX_HOMES_PER_SHARD * self._settings.account_shards
         self._write_pacer.set_member_count(min(1 + len(self._fleet.view.live), max_writers))
--- a/packages/router/laburnumpier_router/fleet/member.py
+++ b/packages/router/laburnumpier_router/fleet/member.py
@@ -120,6 +120,18 @@
     age_ms: Annotated[int, msgspec.Meta(ge=0)]
 
 
+class SheddingNotice(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A router reports not ready because of its load.
+
+    Attributes:
+        router: Incarnation of the router.
+        age_ms: Time since it said so, in milliseconds.
+    """
+
+    router: Annotated[str, msgspec.Meta(max_length=200)]
+    age_ms: Annotated[int, msgspec.Meta(ge=0)]
+
+
 class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Request to a partner in each heartbeat interval, and the partner's reply.
 
@@ -131,6 +143,7 @@
         blocked_parts: Parts of prompts that the sender refuses.
         named_limits: Limits of backend servers that the sender knows.
         leaving_notices: Backend servers that have said in an answer that they leave.
+        shedding_notices: Routers that report not ready because of their load.
     """
 
     entries: list[GossipEntry]
@@ -140,3 +153,4 @@
     blocked_parts: list[BlockedPart] = []
     named_limits: list[NamedLimit] = []
     leaving_notices: list[LeavingNotice] = []
+    shedding_notices: list[SheddingNotice] = []
--- a/packages/router/laburnumpier_router/fleet/service.py
+++ b/packages/router/laburnumpier_router/fleet/service.py
@@ -25,6 +25,7 @@
     MemberRecord,
     MemberState,
     NamedLimit,
+    SheddingNotice,
 )
 from .peer_link import PeerLink
 from .registry import MemberRegistry
@@ -74,6 +75,7 @@
         "list_leaving_servers",
         "list_named_limits",
         "list_preferred_partners",
+        "list_shedding_notices",
         "reaches_store",
     )
 
@@ -131,6 +133,7 @@
         self.list_blocked_parts: Callable[[], list[BlockedPart]] = list
         self.list_named_limits: Callable[[], list[NamedLimit]] = list
         self.list_leaving_notices: Callable[[], list[LeavingNotice]] = list
+        self.list_shedding_notices: Callable[[], list[SheddingNotice]] = list
         self.reaches_store: Callable[[], bool] = lambda: True
         self.list_preferred_partners: Callable[[], list[str]] = list
         link.register_handler(Heartbeat, self._handle_heartbeat)
@@ -385,4 +388,5 @@
             blocked_parts=self.list_blocked_parts(),
             named_limits=self.list_named_limits(),
             leaving_notices=self.list_leaving_notices(),
+            shedding_notices=self.list_shedding_notices(),
         )
--- a/packages/router/laburnumpier_router/forward/frontend.py
+++ b/packages/router/laburnumpier_router/forward/frontend.py
@@ -18,6 +18,7 @@
     abort_response,
     make_error_body,
 )
+from ..ingress.service import IngressService
 from ..ports.dialect import Dialect
 from .exchange import ForwardRequest
 from .service import ForwardService
@@ -45,21 +46,29 @@
         "_aborted",
         "_finished",
         "_has_explicit_end",
-        "_is_stopping",
+        "_ingress",
+        "_is_closing",
         "_request",
         "_response",
     )
 
-    def __init__(self, *, request: web.BaseRequest, is_stopping: Callable[[], bool]):
+    def __init__(
+        self,
+        *,
+        request: web.BaseRequest,
+        is_closing: Callable[[], bool],
+        ingress: IngressService | None = None,
+    ):
         """Creates a sink for the response to a request.
 
         Args:
             request: Request of the caller.
-            is_stopping: Returns whether the router stops. The connection is then closed after
-                the response.
+            is_closing: Returns whether the connection is to be closed after the response.
+            ingress: Measures the traffic of the router; None if nothing does.
         """
         self._request = request
-        self._is_stopping = is_stopping
+        self._is_closing = is_closing
+        self._ingress = ingress
         self._response: web.StreamResponse | None = None
         self._has_explicit_end = False
         self._finished = False
@@ -102,6 +111,7 @@
             await self._send_head(response)
             await response.write(body)
         self._has_explicit_end = has_explicit_end
+        self._record_sent(len(body))
         await response.write_eof()
         self._finished = True
 
@@ -122,6 +132,7 @@
 
     async def send_chunk(self, data: bytes) -> None:
         """Sends a chunk of the body."""
+        self._record_sent(len(data))
         await self._response.write(data)
 
     async def finish_stream(self) -> None:
@@ -134,8 +145,12 @@
         self._aborted = True
         abort_response(self._request, self._response)
 
+    def _record_sent(self, count: int) -> None:
+        if self._ingress is not None:
+            self._ingress.record_response(count)
+
     async def _send_head(self, response: web.StreamResponse) -> None:
-        if self._is_stopping():
+        if self._is_closing():
             response.force_close()
         self._response = response
         await response.prepare(self._request)
@@ -147,6 +162,7 @@
     __slots__ = (
         "_clock",
         "_dialect",
+        "_ingress",
         "_is_ready",
         "_last_request_seconds",
         "_max_body_bytes",
@@ -167,6 +183,7 @@
         metrics: Metrics,
         is_ready,
         max_body_bytes: int,
+        ingress: IngressService | None = None,
     ):
         """Creates the frontend.
 
@@ -178,7 +195,9 @@
             metrics: Counters.
             is_ready: Returns whether the process can serve requests.
             max_body_bytes: Largest request body that is accepted.
+            ingress: Decides whether new connections should come; None if they always should.
         """
+        self._ingress = ingress
         self._service = service
         self._dialect = dialect
         self._time_limits = time_limits
@@ -257,9 +276,13 @@
         )
 
     async def _handle_readiness(self, request: web.BaseRequest) -> web.Response:
-        ready = self._is_ready() and not self.is_stopping
+        ready = self._is_ready() and not self._turns_callers_away()
         return web.Response(status=200 if ready else 503)
 
+    def _turns_callers_away(self) -> bool:
+        """Whether callers should open their next connections to other routers."""
+        return self.is_stopping or (self._ingress is not None and self._ingress.is_shedding)
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self._open_request_count += 1
         try:
@@ -271,17 +294,22 @@
         """Serves a request; every error before its response becomes a response of its own."""
         received = self._clock.monotonic_seconds()
         self._last_request_seconds = received
-        sink = HttpResponseSink(request=request, is_stopping=lambda: self.is_stopping)
+        sink = HttpResponseSink(
+            request=request, is_closing=self._turns_callers_away, ingress=self._ingress
+        )
         attempt_id = ""
         try:
             head = self._dialect.read_request(request.headers)
             attempt_id = head.attempt_id
+            body = await self._read_body(request)
+            if self._ingress is not None:
+                self._ingress.record_request(len(body))
             forwarded = ForwardRequest(
                 method=request.method,
                 target=request.raw_path,
                 host=request.headers.get("Host", ""),
                 headers=request.headers,
-                body=await self._read_body(request),
+                body=body,
                 head=head,
                 received_seconds=received,
             )
@@ -334,6 +362,6 @@
             content_type="application/json",
             body=msgspec.json.encode(make_error_body(error, attempt_id)),
         )
-        if closing or self.is_stopping:
+        if closing or self._turns_callers_away():
             response.force_close()
         return response
