Evacuations: decode, watch with the configuration, relay, exclude

Cause: requests went on to servers of evacuated data centres, as no router read the operator's keys. Change: one watch covers the prefix of the operator; the list travels in watchers' messages and heartbeats; a rule of the server table leaves the servers out.

--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -32,6 +32,7 @@
 from .configuration.peer_sources import ConfigurationFetched, FetchConfiguration
 from .configuration.record import RecordFormat
 from .configuration.service import ConfigurationService
+from .evacuation.evacuated import EvacuatedDataCentres
 from .fleet.broadcast import Broadcaster
 from .fleet.departures import DepartureMonitor
 from .fleet.member import Heartbeat, Member
@@ -67,6 +68,7 @@
 from .orders.controller import EngineController
 from .orders.lease import ControllerLease
 from .ports.dialect import Dialect
+from .ports.evacuations import EvacuationSource
 from .ports.key_value_service import KeyValueService
 from .ports.server_registry import ServerRegistry
 from .ports.store_calls import log_store_calls_periodically
@@ -128,11 +130,13 @@
         dialect: Converts the platform's headers.
         registry: Registry in which servers register themselves.
         client: Sends requests to servers.
+        evacuations: Tells which data centres are evacuated; None if the platform names none.
     """
 
     dialect: Dialect
     registry: ServerRegistry
     client: ServerClient
+    evacuations: EvacuationSource | None = None
 
 
 class Ports(msgspec.Struct, kw_only=True):
@@ -253,6 +257,7 @@
             fleet=self._fleet, clock=clock, metrics=metrics, archive=self._origin_archive
         )
         self._build_requests()
+        self._build_evacuation()
         self._build_forwarding()
         self._build_controller()
         self._reports = OperatorReports(
@@ -266,6 +271,7 @@
             backend_directory=self._backend_directory,
             dispatcher=self._dispatcher,
             stream_origins=self._stream_origins,
+            evacuated=self._evacuated,
             fleet=self._fleet,
             metrics=metrics,
         )
@@ -360,8 +366,8 @@
         return self._metrics
 
     def is_ready(self) -> bool:
-        """Whether the process can serve requests: it has a configuration."""
-        return self._configuration.number > 0
+        """Whether the process can serve: it has a configuration and knows the evacuations."""
+        return self._configuration.number > 0 and self._evacuated.is_known
 
     async def start(self) -> None:
         """Opens the peer link, registers in the fleet and starts the background tasks."""
@@ -578,6 +584,24 @@
             retention_seconds=retention,
         )
 
+    def _build_evacuation(self) -> None:
+        source = self._ports.forwarding.evacuations if self._ports.forwarding else None
+        self._evacuated = EvacuatedDataCentres(
+            clock=self._clock,
+            metrics=self._metrics,
+            is_required=source is not None,
+            reaches_store=lambda: self._fleet.is_registered and self._fleet.reaches_store(),
+            on_change=self._announce_to_others,
+        )
+        self._fleet.get_evacuations = self._evacuated.make_told
+        if source is not None:
+            source.set_evacuation_listener(self._evacuated.hear_store)
+
+    def _announce_to_others(self) -> None:
+        """Tells the routers that do not watch of a change at once, if this one is a watcher."""
+        if self._registry_relay is not None:
+            self._registry_relay.announce_configuration()
+
     def _build_forwarding(self) -> None:
         ports, settings = self._ports.forwarding, self._settings
         self._forward_frontend: ForwardFrontend | None = None
@@ -594,8 +618,10 @@
             get_configuration_number=lambda: self._configuration.number,
             ask_watcher=self._list_at_watcher,
             clock=self._clock,
+            get_evacuations=self._evacuated.make_told,
         )
         self._server_table = ServerTable()
+        self._server_table.add_exclusion(self._evacuated.excludes)
         self._retry_budget = RetryBudget(
             ratio=settings.retry_ratio,
             extra=settings.retry_extra,
@@ -762,6 +788,7 @@
     async def _handle_registry_relayed(
         self, sender: str, message: RegistryRelayed
     ) -> budget_messages.Acknowledged:
+        self._evacuated.hear_router(sender, message.evacuations)
         if self._registry_relay is not None:
             self._registry_relay.receive(message)
         self._configuration.refresh_if_newer(sender, message.configuration_number)
@@ -782,6 +809,7 @@
 
     def _handle_heartbeat(self, sender: str, message: Heartbeat) -> None:
         self._ports.store.era.observe(message.store_era)
+        self._evacuated.hear_router(sender, message.evacuations)
         self._configuration.fetch_if_newer(sender, message.configuration_number)
         self._backend_directory.record_gossiped_leaving(message.leaving_servers)
         if self._crash_guard is not None:
@@ -800,8 +828,7 @@
             purchased = entry.budget_tokens if entry else 0
             if purchased < self._purchased_tokens.get(workspace, 0):
                 self._budget.return_free_tokens(workspace)
-        if self._registry_relay is not None:
-            self._registry_relay.announce_configuration()
+        self._announce_to_others()
         self._purchased_tokens = {
             name: entry.budget_tokens for name, entry in configuration.workspaces.items()
         }
--- a/packages/router/laburnumpier_router/fleet/member.py
+++ b/packages/router/laburnumpier_router/fleet/member.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from ..evacuation.messages import EvacuationsTold
+
 
 class MemberState(enum.StrEnum):
     """State that a router reports about itself."""
@@ -117,6 +119,7 @@
         store_era: Highest era of the store known to the sender.
         blocked_parts: Parts of prompts that the sender refuses.
         named_limits: Limits of backend servers that the sender knows.
+        evacuations: Evacuated data centres, as the sender knows them; None while it does not.
     """
 
     entries: list[GossipEntry]
@@ -125,3 +128,4 @@
     store_era: int = 0
     blocked_parts: list[BlockedPart] = []
     named_limits: list[NamedLimit] = []
+    evacuations: EvacuationsTold | None = None
--- a/packages/router/laburnumpier_router/fleet/service.py
+++ b/packages/router/laburnumpier_router/fleet/service.py
@@ -16,6 +16,7 @@
 from laburnumpier_core.log import get_part_logger
 from laburnumpier_core.metrics import Metrics
 
+from ..evacuation.messages import EvacuationsTold
 from .member import (
     BlockedPart,
     GossipEntry,
@@ -67,6 +68,7 @@
         "_store_poll_seconds",
         "_view",
         "get_configuration_number",
+        "get_evacuations",
         "get_store_era",
         "list_blocked_parts",
         "list_leaving_servers",
@@ -128,6 +130,7 @@
         self.list_leaving_servers: Callable[[], list[str]] = list
         self.list_blocked_parts: Callable[[], list[BlockedPart]] = list
         self.list_named_limits: Callable[[], list[NamedLimit]] = list
+        self.get_evacuations: Callable[[], EvacuationsTold | None] = lambda: None
         self.reaches_store: Callable[[], bool] = lambda: True
         self.list_preferred_partners: Callable[[], list[str]] = list
         link.register_handler(Heartbeat, self._handle_heartbeat)
@@ -381,4 +384,5 @@
             leaving_servers=self.list_leaving_servers(),
             blocked_parts=self.list_blocked_parts(),
             named_limits=self.list_named_limits(),
+            evacuations=self.get_evacuations(),
         )
--- a/packages/router/laburnumpier_router/forward/registry_relay.py
+++ b/packages/router/laburnumpier_router/forward/registry_relay.py
@@ -21,6 +21,7 @@
 from laburnumpier_core.clock import Clock
 from laburnumpier_core.log import get_part_logger
 
+from ..evacuation.messages import EvacuationsTold
 from ..ports.server_registry import (
     RegisteredServer,
     RegistryChanges,
@@ -58,6 +59,7 @@
         written: Entries written since `after`, as of `position`.
         removed: Ids of servers whose entries were removed since `after`.
         configuration_number: Number of the watcher's active configuration.
+        evacuations: Evacuated data centres, as the watcher knows them; None while it does not.
     """
 
     after: StorePosition
@@ -65,6 +67,7 @@
     written: list[RegisteredServer] = []
     removed: list[str] = []
     configuration_number: int = 0
+    evacuations: EvacuationsTold | None = None
 
 
 class ListRegistry(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -92,6 +95,7 @@
         "_clock",
         "_everyone_watches",
         "_get_configuration_number",
+        "_get_evacuations",
         "_is_watcher",
         "_message_received",
         "_messages",
@@ -113,6 +117,7 @@
         get_configuration_number: Callable[[], int],
         ask_watcher: Callable[[ListRegistry], Awaitable[RegistryListed | None]],
         clock: Clock,
+        get_evacuations: Callable[[], EvacuationsTold | None] = lambda: None,
     ):
         """Creates a relay that has received no messages.
 
@@ -125,6 +130,7 @@
             get_configuration_number: Returns the number of the active configuration.
             ask_watcher: Sends a message to a watcher; returns None if none answers.
             clock: Source of time.
+            get_evacuations: Returns the evacuated data centres to tell.
         """
         self._registry = registry
         self._is_watcher = is_watcher
@@ -133,6 +139,7 @@
         self._get_configuration_number = get_configuration_number
         self._ask_watcher = ask_watcher
         self._clock = clock
+        self._get_evacuations = get_evacuations
         self._messages: collections.deque[RegistryRelayed] = collections.deque(
             maxlen=MAX_QUEUED_MESSAGES
         )
@@ -210,7 +217,7 @@
         self._message_received.set()
 
     def announce_configuration(self) -> None:
-        """Sends the active configuration number immediately, if this process is a watcher."""
+        """Sends the active configuration number and the evacuations, if this process watches."""
         if self._is_watcher() and not self._everyone_watches():
             no_changes = RegistryChanges(written=[], removed=[], position=self._position)
             self._send(self._make_message(self._position, no_changes))
@@ -276,6 +283,7 @@
             written=changes.written,
             removed=changes.removed,
             configuration_number=self._get_configuration_number(),
+            evacuations=self._get_evacuations(),
         )
 
     async def _wait_for_message(
--- a/packages/router/laburnumpier_router/operators/reports.py
+++ b/packages/router/laburnumpier_router/operators/reports.py
@@ -17,6 +17,7 @@
 from ..budget.slot import Bill, Slot, format_slot_key, format_slot_prefix
 from ..budget.submitter import ChangeSubmitter
 from ..configuration.service import ConfigurationService
+from ..evacuation.evacuated import EvacuatedDataCentres
 from ..fleet.service import FleetService
 from ..forward.stream_origins import StreamOrigins
 from ..ports.key_value_service import KeyValueService
@@ -37,6 +38,7 @@
         "_chats",
         "_configuration",
         "_dispatcher",
+        "_evacuated",
         "_fleet",
         "_metrics",
         "_request_directory",
@@ -58,6 +60,7 @@
         backend_directory: BackendDirectory,
         dispatcher: Dispatcher,
         stream_origins: StreamOrigins,
+        evacuated: EvacuatedDataCentres,
         fleet: FleetService,
         metrics: Metrics,
     ):
@@ -72,6 +75,7 @@
         self._backend_directory = backend_directory
         self._dispatcher = dispatcher
         self._stream_origins = stream_origins
+        self._evacuated = evacuated
         self._fleet = fleet
         self._metrics = metrics
 
@@ -241,6 +245,7 @@
             "requests_at_home": self._request_directory.entry_count,
             "stream_origins": self._stream_origins.kept_count,
             "stream_origins_untold": self._stream_origins.untold_count,
+            "evacuations": self._evacuated.describe(),
             "counters": self._metrics.counters,
             "gauges": self._metrics.gauges,
         }
