Cold servers: permits from two fixed VMs of each server

Cause: a cold server crashes above ColdPerS requests a second, and homes by liveness or equal shares can sum up to several times that: one of each side of a cut, one request of each of 85 routers. Change: package cold/. Two VMs of each server, by the names of the known VMs alone, each give out half of its rate; a router without a permit sends nothing there. None is given in the first 2 s of a process.

--- a/features/steps/crash_world.py
+++ b/features/steps/crash_world.py
@@ -6,6 +6,7 @@
 import itertools
 import random
 
+import msgspec
 from laburnumpier_core.errors import (
     PeerUnreachableError,
     RequestError,
@@ -16,6 +17,9 @@
 from laburnumpier_core.metrics import Metrics
 from laburnumpier_core.result_codes import ResultCode
 from laburnumpier_platform.headers import PlatformDialect
+from laburnumpier_router.cold.cold_servers import ColdServers
+from laburnumpier_router.cold.messages import AskColdPermit
+from laburnumpier_router.cold.permits import ColdPermits
 from laburnumpier_router.configuration.document import (
     Configuration,
     EngineProfile,
@@ -25,6 +29,7 @@
     WeightedService,
     Workspace,
 )
+from laburnumpier_router.fleet.member import Member
 from laburnumpier_router.forward.crash_guard import CrashGuard
 from laburnumpier_router.forward.crash_messages import AskTrial, CrashSeen, TellParts
 from laburnumpier_router.forward.exchange import ForwardRequest
@@ -228,6 +233,19 @@
         cut_off = self._world.cut_off
         return 1 if self.self_name in cut_off else len(self._world.routers) - len(cut_off)
 
+    is_registered = True
+
+    @property
+    def member(self):
+        """This router, each of which is alone on its VM."""
+        return Member(
+            incarnation=self.self_name, vm=self.self_name, data_centre="", peers_address=""
+        )
+
+    def map_vms(self):
+        """Returns the routers by VM."""
+        return {name: name for name in self._world.routers}
+
     async def call(self, peer, message, timeout_seconds):
         """Calls the handler of another router, unless one of the two is cut off."""
         await asyncio.sleep(PEER_SECONDS)
@@ -243,6 +261,8 @@
             AskTrial: guard.handle_ask_trial,
             AskPermit: self._world.routers[peer].limiter.handle_ask_permit,
         }
+        if isinstance(message, AskColdPermit):
+            return await self._world.routers[peer].cold.handle_ask(self.self_name, message)
         return await handlers[type(message)](self.self_name, message)
 
 
@@ -341,6 +361,8 @@
                     server_id=server.server_id, service="s", address=server.address, slots=32
                 )
             )
+        self.cold = None
+        self.table = table
         self.fleet = WorldFleet(world, name)
         self.guard = CrashGuard(
             fleet=self.fleet, table=table, client=client, clock=clock, metrics=metrics
@@ -373,6 +395,26 @@
             data_centre="here",
         )
 
+    def use_cold_permits(self, configuration, bound):
+        """Requires permits for requests to cold servers."""
+        clock, metrics = VirtualClock(), Metrics()
+        self.cold = ColdPermits(
+            fleet=self.fleet,
+            servers=ColdServers(clock=clock, metrics=metrics),
+            configuration=configuration,
+            bound=bound,
+            clock=clock,
+            metrics=metrics,
+            random_source=random.Random(self.fleet.self_name),
+        )
+        self.table.add_listener(self.cold.servers.note_entry)
+        self.limiter._cold = self.cold
+
+    def say_cold(self, server, cold_ms):
+        """Puts a server into the registry that says it is cold."""
+        known = self.table.servers[server.server_id].entry
+        self.table.upsert(msgspec.structs.replace(known, cold_ms=cold_ms))
+
 
 class CrashWorld:
     """Routers before servers, with callers whose prompts share their parts.
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -27,6 +27,10 @@
 from .budget.submitter import ChangeSubmitter
 from .budget.write_pacer import WritePacer
 from .callers.frontend import CallerFrontend
+from .cold import messages as cold_messages
+from .cold.cold_servers import ColdServers
+from .cold.permits import ColdPermits
+from .cold.quota import ColdBound
 from .configuration.confirmation import ConfigurationConfirmed, ConfirmConfiguration
 from .configuration.document import Configuration
 from .configuration.peer_sources import ConfigurationFetched, FetchConfiguration
@@ -113,6 +117,7 @@
     *origin_messages.MESSAGE_TYPES,
     *crash_messages.MESSAGE_TYPES,
     *permit_messages.MESSAGE_TYPES,
+    *cold_messages.MESSAGE_TYPES,
     request_messages.OpenRequest,
     request_messages.RequestOpened,
     request_messages.PlaceRequest,
@@ -272,6 +277,7 @@
             dispatcher=self._dispatcher,
             stream_origins=self._stream_origins,
             evacuated=self._evacuated,
+            cold_servers=self._cold_servers,
             fleet=self._fleet,
             metrics=metrics,
         )
@@ -607,6 +613,7 @@
         self._forward_frontend: ForwardFrontend | None = None
         self._registry_relay: RegistryRelay | None = None
         self._crash_guard: CrashGuard | None = None
+        self._cold_servers = ColdServers(clock=self._clock, metrics=self._metrics)
         self._broadcaster = Broadcaster(fleet=self._fleet, metrics=self._metrics)
         if ports is None:
             return
@@ -629,12 +636,14 @@
         )
         self._rate_limits = ServerRateLimits(clock=self._clock, metrics=self._metrics)
         self._fleet.list_named_limits = self._rate_limits.list_told
+        self._build_cold_permits()
         self._request_limiter = RequestLimiter(
             fleet=self._fleet,
             limits=self._rate_limits,
             clock=self._clock,
             metrics=self._metrics,
             random_source=self._random,
+            cold=self._cold_permits,
         )
         self._registry_follower = RegistryFollower(
             registry=self._registry_relay,
@@ -693,6 +702,22 @@
             max_body_bytes=settings.max_body_bytes,
         )
 
+    def _build_cold_permits(self) -> None:
+        self._cold_permits = ColdPermits(
+            fleet=self._fleet,
+            servers=self._cold_servers,
+            configuration=self._configuration,
+            bound=ColdBound(
+                overshoot=self._settings.cold_overshoot,
+                slack_requests=self._settings.cold_slack_requests,
+            ),
+            clock=self._clock,
+            metrics=self._metrics,
+            random_source=self._random,
+        )
+        self._server_table.add_listener(self._cold_servers.note_entry)
+        self._fleet.list_cold_servers = self._cold_servers.list_told
+
     def _build_controller(self) -> None:
         member = self._fleet.member
         self._controller = EngineController(
@@ -740,6 +765,7 @@
             register(crash_messages.AskTrial, self._crash_guard.handle_ask_trial)
             register(ListRegistry, self._registry_follower.handle_list)
             register(permit_messages.AskPermit, self._request_limiter.handle_ask_permit)
+            register(cold_messages.AskColdPermit, self._cold_permits.handle_ask)
 
     async def _handle_submit_changes(
         self, sender: str, message: budget_messages.SubmitChanges
@@ -815,6 +841,7 @@
         if self._crash_guard is not None:
             self._crash_guard.adopt_blocks(sender, message.blocked_parts)
             self._rate_limits.adopt(message.named_limits)
+            self._cold_servers.adopt(sender, message.cold_servers)
         # Only homes of shards normally write, but members may temporarily disagree on the homes.
         max_writers = MAX_HOMES_PER_SHARD * self._settings.account_shards
         self._write_pacer.set_member_count(min(1 + len(self._fleet.view.live), max_writers))
--- a/packages/router/laburnumpier_router/fleet/member.py
+++ b/packages/router/laburnumpier_router/fleet/member.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from ..cold.messages import ColdServer
 from ..evacuation.messages import EvacuationsTold
 
 
@@ -120,6 +121,7 @@
         blocked_parts: Parts of prompts that the sender refuses.
         named_limits: Limits of backend servers that the sender knows.
         evacuations: Evacuated data centres, as the sender knows them; None while it does not.
+        cold_servers: Servers that said in an answer to the sender or others that they are cold.
     """
 
     entries: list[GossipEntry]
@@ -129,3 +131,4 @@
     blocked_parts: list[BlockedPart] = []
     named_limits: list[NamedLimit] = []
     evacuations: EvacuationsTold | None = None
+    cold_servers: list[ColdServer] = []
--- a/packages/router/laburnumpier_router/fleet/service.py
+++ b/packages/router/laburnumpier_router/fleet/service.py
@@ -16,6 +16,7 @@
 from laburnumpier_core.log import get_part_logger
 from laburnumpier_core.metrics import Metrics
 
+from ..cold.messages import ColdServer
 from ..evacuation.messages import EvacuationsTold
 from .member import (
     BlockedPart,
@@ -71,6 +72,7 @@
         "get_evacuations",
         "get_store_era",
         "list_blocked_parts",
+        "list_cold_servers",
         "list_leaving_servers",
         "list_named_limits",
         "list_preferred_partners",
@@ -130,6 +132,7 @@
         self.list_leaving_servers: Callable[[], list[str]] = list
         self.list_blocked_parts: Callable[[], list[BlockedPart]] = list
         self.list_named_limits: Callable[[], list[NamedLimit]] = list
+        self.list_cold_servers: Callable[[], list[ColdServer]] = list
         self.get_evacuations: Callable[[], EvacuationsTold | None] = lambda: None
         self.reaches_store: Callable[[], bool] = lambda: True
         self.list_preferred_partners: Callable[[], list[str]] = list
@@ -189,6 +192,15 @@
         """Returns the number of VMs with a live router; never more than `count_vms`."""
         return len(self._list_vms(self._view.live))
 
+    def map_vms(self) -> dict[str, str]:
+        """Returns the router of each VM that is not proven to have ended, this one included.
+
+        Of several processes on a VM it is the one that was heard of last.
+        """
+        heard = sorted(self._view.known.values(), key=lambda known: known.last_increase_seconds)
+        routers = {known.member.vm: known.member.incarnation for known in heard}
+        return {**routers, self._member.vm: self.self_name}
+
     def list_recent_routers(self, seconds: float) -> list[str]:
         """Returns the other incarnations heard of within some seconds that are not stopping."""
         since_seconds = self._clock.monotonic_seconds() - seconds
@@ -385,4 +397,5 @@
             blocked_parts=self.list_blocked_parts(),
             named_limits=self.list_named_limits(),
             evacuations=self.get_evacuations(),
+            cold_servers=self.list_cold_servers(),
         )
--- a/packages/router/laburnumpier_router/forward/request_limiter.py
+++ b/packages/router/laburnumpier_router/forward/request_limiter.py
@@ -18,7 +18,9 @@
 from laburnumpier_core.errors import PeerError
 from laburnumpier_core.metrics import Metrics
 
+from ..cold.permits import ColdPermits
 from ..fleet.service import FleetService
+from ..ports.dialect import ResponseHead
 from ..ports.server_registry import RegisteredServer
 from .permit_messages import AskPermit, PermitAnswered
 from .permit_schedule import PermitSchedule
@@ -52,6 +54,7 @@
 
     __slots__ = (
         "_clock",
+        "_cold",
         "_denials",
         "_fleet",
         "_limits",
@@ -71,6 +74,7 @@
         clock: Clock,
         metrics: Metrics,
         random_source: random.Random,
+        cold: ColdPermits | None = None,
     ):
         """Creates a limiter that has given no permits.
 
@@ -80,12 +84,15 @@
             clock: Source of time.
             metrics: Counters.
             random_source: Spreads the first requests of the routers' equal shares.
+            cold: Permits of cold servers, which a request needs beside those of a limit; None if
+                no server is ever cold.
         """
         self._fleet = fleet
         self._limits = limits
         self._clock = clock
         self._metrics = metrics
         self._random = random_source
+        self._cold = cold
         self._schedules: dict[str, PermitSchedule] = {}
         self._shares: dict[str, PermitSchedule] = {}
         self._denials: dict[str, Denial] = {}
@@ -94,10 +101,12 @@
 
     def is_limited(self, server: RegisteredServer) -> bool:
         """Returns whether requests to a server need a permit."""
-        return self._limits.find(server) is not None
+        return self._limits.find(server) is not None or self._is_cold(server)
 
     def may_have_permit(self, server: RegisteredServer, max_wait_seconds: float) -> bool:
         """Returns whether a server has no limit, or a permit for it may be had now."""
+        if self._cold is not None and not self._cold.may_have_permit(server):
+            return False
         denial = self._denials.get(server.server_id)
         if denial is None or not self.is_limited(server):
             return True
@@ -110,7 +119,9 @@
         Returns:
             False at once if there is no permit within the longest wait.
         """
-        if not self.is_limited(server):
+        if self._is_cold(server) and not await self._cold.acquire(server, max_wait_seconds):
+            return False
+        if self._limits.find(server) is None:
             return True
         answer = await self._ask_home(server, max_wait_seconds)
         if answer.wait_ms is None:
@@ -143,6 +154,11 @@
         self._return_seconds[service] = return_seconds
         return return_seconds - now
 
+    def record_answer(self, server: RegisteredServer, head: ResponseHead) -> None:
+        """Records whether an answer of a server says that it is cold."""
+        if self._cold is not None and not head.is_misdirected:
+            self._cold.servers.record_answer(server, head.cold_seconds)
+
     async def handle_ask_permit(self, sender: str, message: AskPermit) -> PermitAnswered:
         """Answers whether another router may send a request to a server."""
         self._limits.adopt([message.limit])
@@ -203,7 +219,12 @@
         hold_off_seconds = min(schedule.find_wait(now, 0.0), SILENT_HOME_SECONDS)
         return PermitAnswered(wait_ms=None, hold_off_ms=math.ceil(hold_off_seconds * 1000))
 
+    def _is_cold(self, server: RegisteredServer) -> bool:
+        return self._cold is not None and self._cold.is_needed(server)
+
     def _find_rate(self, server: RegisteredServer) -> float:
+        if self._limits.find(server) is None and self._is_cold(server):
+            return self._cold.find_rate(server.service)
         per_second = self._limits.find(server)
         return 0.0 if per_second is None else max(per_second, MIN_RATE_PER_SECOND)
 
--- a/packages/router/laburnumpier_router/operators/reports.py
+++ b/packages/router/laburnumpier_router/operators/reports.py
@@ -16,6 +16,7 @@
 from ..budget.service import BudgetService
 from ..budget.slot import Bill, Slot, format_slot_key, format_slot_prefix
 from ..budget.submitter import ChangeSubmitter
+from ..cold.cold_servers import ColdServers
 from ..configuration.service import ConfigurationService
 from ..evacuation.evacuated import EvacuatedDataCentres
 from ..fleet.service import FleetService
@@ -36,6 +37,7 @@
         "_budget",
         "_calls",
         "_chats",
+        "_cold_servers",
         "_configuration",
         "_dispatcher",
         "_evacuated",
@@ -61,6 +63,7 @@
         dispatcher: Dispatcher,
         stream_origins: StreamOrigins,
         evacuated: EvacuatedDataCentres,
+        cold_servers: ColdServers,
         fleet: FleetService,
         metrics: Metrics,
     ):
@@ -76,6 +79,7 @@
         self._dispatcher = dispatcher
         self._stream_origins = stream_origins
         self._evacuated = evacuated
+        self._cold_servers = cold_servers
         self._fleet = fleet
         self._metrics = metrics
 
@@ -246,6 +250,7 @@
             "stream_origins": self._stream_origins.kept_count,
             "stream_origins_untold": self._stream_origins.untold_count,
             "evacuations": self._evacuated.describe(),
+            "cold_servers": self._cold_servers.describe(),
             "counters": self._metrics.counters,
             "gauges": self._metrics.gauges,
         }
--- a/packages/router/laburnumpier_router/sending/sender.py
+++ b/packages/router/laburnumpier_router/sending/sender.py
@@ -307,6 +307,7 @@
         is_stray = not is_unnamed and head.attempt_id != progress.request.head.attempt_id
         if not is_stray:
             self._rate_limits.record_answer(progress.sent_to, head)
+            self._limiter.record_answer(progress.sent_to, head)
         if head.not_executed:
             if exchange.status != 421:
                 server.record_report(server.entry.slots, 1, self._clock.monotonic_seconds())
