--- a/features/evacuation/operator_keys.feature
+++ b/features/evacuation/operator_keys.feature
@@ -33,3 +33,10 @@
     When the configuration 8 is written beside an evacuation
     Then within 1 s dc-0 is evacuated
     And configuration 8 is followed
+
+  # Guards against a long watch that waits on for a connection that has become silent in a cut.
+  Scenario: A long watch is given up when the store answers again after a failure
+    When watches of 10 s have become silent
+    And {} is written for dc-0
+    And another call fails and the next one is answered
+    Then within 1 s dc-0 is evacuated
--- a/features/steps/operator_key_steps.py
+++ b/features/steps/operator_key_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 from contract_steps import run
 from laburnumpier_core.clock import SystemClock
+from laburnumpier_core.errors import StoreUnavailableError
 from laburnumpier_core.metrics import Metrics
 from laburnumpier_platform.records import CONFIGURATION_KEY, PlatformRecordFormat
 from laburnumpier_router.configuration.service import ConfigurationService
@@ -83,6 +84,28 @@
         context.control.compact_history()
 
 
+@when("watches of 10 s have become silent")
+def silence_watches(context):
+    context.control.silences_watches = True
+    context.service._watch_seconds = 10.0
+    run(context, asyncio.sleep(0.5))
+    context.control.silences_watches = False
+
+
+@when("another call fails and the next one is answered")
+def fail_and_answer(context):
+    async def call():
+        context.control.is_silent = True
+        context.store._timeout_seconds = 0.2
+        try:
+            await context.store.read_servers()
+        except StoreUnavailableError:
+            context.control.is_silent = False
+        await context.store.read_servers()
+
+    run(context, call())
+
+
 @then("within {seconds:g} s {names} is evacuated")
 def check_evacuated(context, seconds, names):
     expected = set() if names == "nothing" else set(names.split(","))
