--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -27,11 +27,16 @@
 from .budget.submitter import ChangeSubmitter
 from .budget.write_pacer import WritePacer
 from .callers.frontend import CallerFrontend
+from .cold import messages as cold_messages
+from .cold.cold_servers import ColdServers
+from .cold.permits import ColdPermits
+from .cold.quota import ColdBound
 from .configuration.confirmation import ConfigurationConfirmed, ConfirmConfiguration
 from .configuration.document import Configuration
 from .configuration.peer_sources import ConfigurationFetched, FetchConfiguration
 from .configuration.record import RecordFormat
 from .configuration.service import ConfigurationService
+from .evacuation.evacuated import EvacuatedDataCentres
 from .fleet.broadcast import Broadcaster
 from .fleet.departures import DepartureMonitor
 from .fleet.member import Heartbeat, Member
@@ -69,6 +74,7 @@
 from .orders.controller import EngineController
 from .orders.lease import ControllerLease
 from .ports.dialect import Dialect
+from .ports.evacuations import EvacuationSource
 from .ports.key_value_service import KeyValueService
 from .ports.server_registry import ServerRegistry
 from .ports.store_calls import log_store_calls_periodically
@@ -113,6 +119,7 @@
     *origin_messages.MESSAGE_TYPES,
     *crash_messages.MESSAGE_TYPES,
     *permit_messages.MESSAGE_TYPES,
+    *cold_messages.MESSAGE_TYPES,
     request_messages.OpenRequest,
     request_messages.RequestOpened,
     request_messages.PlaceRequest,
@@ -130,11 +137,13 @@
         dialect: Converts the platform's headers.
         registry: Registry in which servers register themselves.
         client: Sends requests to servers.
+        evacuations: Tells which data centres are evacuated; None if the platform names none.
     """
 
     dialect: Dialect
     registry: ServerRegistry
     client: ServerClient
+    evacuations: EvacuationSource | None = None
 
 
 class Ports(msgspec.Struct, kw_only=True):
@@ -255,6 +264,7 @@
             fleet=self._fleet, clock=clock, metrics=metrics, archive=self._origin_archive
         )
         self._build_requests()
+        self._build_evacuation()
         self._build_forwarding()
         self._build_controller()
         self._reports = OperatorReports(
@@ -271,6 +281,8 @@
             fleet=self._fleet,
             metrics=metrics,
         )
+        self._reports.add_dump("evacuations", self._evacuated.describe)
+        self._reports.add_dump("cold_servers", self._cold_servers.describe)
         if self._forward_frontend is not None:
             self._reports.add_dump("server_notices", self._notices.dump_state)
         if self._ingress is not None:
@@ -366,8 +378,8 @@
         return self._metrics
 
     def is_ready(self) -> bool:
-        """Whether the process can serve requests: it has a configuration."""
-        return self._configuration.number > 0
+        """Whether the process can serve: it has a configuration and knows the evacuations."""
+        return self._configuration.number > 0 and self._evacuated.is_known
 
     async def start(self) -> None:
         """Opens the peer link, registers in the fleet and starts the background tasks."""
@@ -586,11 +598,30 @@
             retention_seconds=retention,
         )
 
+    def _build_evacuation(self) -> None:
+        source = self._ports.forwarding.evacuations if self._ports.forwarding else None
+        self._evacuated = EvacuatedDataCentres(
+            clock=self._clock,
+            metrics=self._metrics,
+            is_required=source is not None,
+            reaches_store=lambda: self._fleet.is_registered and self._fleet.reaches_store(),
+            on_change=self._announce_to_others,
+        )
+        self._fleet.get_evacuations = self._evacuated.make_told
+        if source is not None:
+            source.set_evacuation_listener(self._evacuated.hear_store)
+
+    def _announce_to_others(self) -> None:
+        """Tells the routers that do not watch of a change at once, if this one is a watcher."""
+        if self._registry_relay is not None:
+            self._registry_relay.announce_configuration()
+
     def _build_forwarding(self) -> None:
         ports, settings = self._ports.forwarding, self._settings
         self._forward_frontend: ForwardFrontend | None = None
         self._registry_relay: RegistryRelay | None = None
         self._crash_guard: CrashGuard | None = None
+        self._cold_servers = ColdServers(clock=self._clock, metrics=self._metrics)
         self._ingress: IngressService | None = None
         self._broadcaster = Broadcaster(fleet=self._fleet, metrics=self._metrics)
         if ports is None:
@@ -603,8 +634,10 @@
             get_configuration_number=lambda: self._configuration.number,
             ask_watcher=self._list_at_watcher,
             clock=self._clock,
+            get_evacuations=self._evacuated.make_told,
         )
         self._server_table = ServerTable()
+        self._server_table.add_exclusion(self._evacuated.excludes)
         self._retry_budget = RetryBudget(
             ratio=settings.retry_ratio,
             extra=settings.retry_extra,
@@ -612,6 +645,7 @@
         )
         self._rate_limits = ServerRateLimits(clock=self._clock, metrics=self._metrics)
         self._fleet.list_named_limits = self._rate_limits.list_told
+        self._build_cold_permits()
         self._notices = ServerNotices(clock=self._clock, metrics=self._metrics)
         self._server_table.add_exclusion(self._notices.is_excluded)
         self._fleet.list_leaving_notices = self._notices.list_told
@@ -621,6 +655,7 @@
             clock=self._clock,
             metrics=self._metrics,
             random_source=self._random,
+            cold=self._cold_permits,
         )
         self._registry_follower = RegistryFollower(
             registry=self._registry_relay,
@@ -682,6 +717,22 @@
             ingress=self._ingress,
         )
 
+    def _build_cold_permits(self) -> None:
+        self._cold_permits = ColdPermits(
+            fleet=self._fleet,
+            servers=self._cold_servers,
+            configuration=self._configuration,
+            bound=ColdBound(
+                overshoot=self._settings.cold_overshoot,
+                slack_requests=self._settings.cold_slack_requests,
+            ),
+            clock=self._clock,
+            metrics=self._metrics,
+            random_source=self._random,
+        )
+        self._server_table.add_listener(self._cold_servers.note_entry)
+        self._fleet.list_cold_servers = self._cold_servers.list_told
+
     def _build_ingress(self) -> None:
         if not self._settings.link_mbps:
             return
@@ -740,6 +791,7 @@
             register(crash_messages.AskTrial, self._crash_guard.handle_ask_trial)
             register(ListRegistry, self._registry_follower.handle_list)
             register(permit_messages.AskPermit, self._request_limiter.handle_ask_permit)
+            register(cold_messages.AskColdPermit, self._cold_permits.handle_ask)
 
     async def _handle_submit_changes(
         self, sender: str, message: budget_messages.SubmitChanges
@@ -788,6 +840,7 @@
     async def _handle_registry_relayed(
         self, sender: str, message: RegistryRelayed
     ) -> budget_messages.Acknowledged:
+        self._evacuated.hear_router(sender, message.evacuations)
         if self._registry_relay is not None:
             self._registry_relay.receive(message)
         self._configuration.refresh_if_newer(sender, message.configuration_number)
@@ -808,11 +861,13 @@
 
     def _handle_heartbeat(self, sender: str, message: Heartbeat) -> None:
         self._ports.store.era.observe(message.store_era)
+        self._evacuated.hear_router(sender, message.evacuations)
         self._configuration.fetch_if_newer(sender, message.configuration_number)
         self._backend_directory.record_gossiped_leaving(message.leaving_servers)
         if self._crash_guard is not None:
             self._crash_guard.adopt_blocks(sender, message.blocked_parts)
             self._rate_limits.adopt(message.named_limits)
+            self._cold_servers.adopt(sender, message.cold_servers)
             self._notices.adopt(message.leaving_notices)
         if self._ingress is not None:
             self._ingress.adopt(message.shedding_notices)
@@ -829,8 +884,7 @@
             purchased = entry.budget_tokens if entry else 0
             if purchased < self._purchased_tokens.get(workspace, 0):
                 self._budget.return_free_tokens(workspace)
-        if self._registry_relay is not None:
-            self._registry_relay.announce_configuration()
+        self._announce_to_others()
         self._purchased_tokens = {
             name: entry.budget_tokens for name, entry in configuration.workspaces.items()
         }
--- a/packages/router/laburnumpier_router/fleet/member.py
+++ b/packages/router/laburnumpier_router/fleet/member.py
@@ -10,6 +10,9 @@
 
 import msgspec
 
+from ..cold.messages import ColdServer
+from ..evacuation.messages import EvacuationsTold
+
 
 class MemberState(enum.StrEnum):
     """State that a router reports about itself."""
@@ -144,6 +147,8 @@
         named_limits: Limits of backend servers that the sender knows.
         leaving_notices: Backend servers that have said in an answer that they leave.
         shedding_notices: Routers that report not ready because of their load.
+        evacuations: Evacuated data centres, as the sender knows them; None while it does not.
+        cold_servers: Servers that said in an answer to the sender or others that they are cold.
     """
 
     entries: list[GossipEntry]
@@ -154,3 +159,5 @@
     named_limits: list[NamedLimit] = []
     leaving_notices: list[LeavingNotice] = []
     shedding_notices: list[SheddingNotice] = []
+    evacuations: EvacuationsTold | None = None
+    cold_servers: list[ColdServer] = []
--- a/packages/router/laburnumpier_router/fleet/service.py
+++ b/packages/router/laburnumpier_router/fleet/service.py
@@ -16,6 +16,8 @@
 from laburnumpier_core.log import get_part_logger
 from laburnumpier_core.metrics import Metrics
 
+from ..cold.messages import ColdServer
+from ..evacuation.messages import EvacuationsTold
 from .member import (
     BlockedPart,
     GossipEntry,
@@ -69,8 +71,10 @@
         "_store_poll_seconds",
         "_view",
         "get_configuration_number",
+        "get_evacuations",
         "get_store_era",
         "list_blocked_parts",
+        "list_cold_servers",
         "list_leaving_notices",
         "list_leaving_servers",
         "list_named_limits",
@@ -134,6 +138,8 @@
         self.list_named_limits: Callable[[], list[NamedLimit]] = list
         self.list_leaving_notices: Callable[[], list[LeavingNotice]] = list
         self.list_shedding_notices: Callable[[], list[SheddingNotice]] = list
+        self.list_cold_servers: Callable[[], list[ColdServer]] = list
+        self.get_evacuations: Callable[[], EvacuationsTold | None] = lambda: None
         self.reaches_store: Callable[[], bool] = lambda: True
         self.list_preferred_partners: Callable[[], list[str]] = list
         link.register_handler(Heartbeat, self._handle_heartbeat)
@@ -192,6 +198,15 @@
         """Returns the number of VMs with a live router; never more than `count_vms`."""
         return len(self._list_vms(self._view.live))
 
+    def map_vms(self) -> dict[str, str]:
+        """Returns the router of each VM that is not proven to have ended, this one included.
+
+        Of several processes on a VM it is the one that was heard of last.
+        """
+        heard = sorted(self._view.known.values(), key=lambda known: known.last_increase_seconds)
+        routers = {known.member.vm: known.member.incarnation for known in heard}
+        return {**routers, self._member.vm: self.self_name}
+
     def list_recent_routers(self, seconds: float) -> list[str]:
         """Returns the other incarnations heard of within some seconds that are not stopping."""
         since_seconds = self._clock.monotonic_seconds() - seconds
@@ -389,4 +404,6 @@
             named_limits=self.list_named_limits(),
             leaving_notices=self.list_leaving_notices(),
             shedding_notices=self.list_shedding_notices(),
+            evacuations=self.get_evacuations(),
+            cold_servers=self.list_cold_servers(),
         )
--- a/packages/router/laburnumpier_router/sending/sender.py
+++ b/packages/router/laburnumpier_router/sending/sender.py
@@ -313,6 +313,7 @@
         if not is_stray:
             self._rate_limits.record_answer(progress.sent_to, head)
             self._notices.record_answer(progress.sent_to, head)
+            self._limiter.record_answer(progress.sent_to, head)
         if head.not_executed:
             if exchange.status != 421:
                 server.record_report(server.entry.slots, 1, self._clock.monotonic_seconds())
