--- a/packages/router/laburnumpier_router/budget/grant_pool.py
+++ b/packages/router/laburnumpier_router/budget/grant_pool.py
@@ -153,6 +153,16 @@
         """Removes one waiting request of this amount."""
         self._waiting_amounts.remove(tokens)
 
+    @property
+    def has_change(self) -> bool:
+        """Whether free tokens may have been added since a request began to wait."""
+        return self._changed.is_set()
+
+    async def wait_until_added(self) -> None:
+        """Waits until free tokens may have been added."""
+        self._changed.clear()
+        await self._changed.wait()
+
     async def wait_for_change(self, timeout_seconds: float) -> None:
         """Waits until free tokens may have been added, or until the timeout."""
         self._changed.clear()
--- a/packages/router/laburnumpier_router/budget/holding.py
+++ b/packages/router/laburnumpier_router/budget/holding.py
@@ -77,11 +77,16 @@
     )
     if drawable is None:
         return target
-    fullness = drawable / max(1.0, purchased * FULL_HOLDING_DRAWABLE_SHARE)
-    fleet_tokens = drawable * parameters.held_share * min(1.0, fullness) ** REDUCTION_EXPONENT
+    fleet_tokens = drawable * parameters.held_share * compute_fullness(drawable, purchased)
     return min(target, int(fleet_tokens * _compute_part(parameters, demand)))
 
 
+def compute_fullness(drawable: int, purchased: int) -> float:
+    """Returns the factor, 0 to 1, by which held shares are reduced as a budget drains."""
+    fullness = drawable / max(1.0, purchased * FULL_HOLDING_DRAWABLE_SHARE)
+    return min(1.0, fullness) ** REDUCTION_EXPONENT
+
+
 def _compute_part(parameters: HoldingParameters, demand: MeasuredDemand) -> float:
     """Returns the part of the holding of all routers that this router should have."""
     even_part = 1 / parameters.holders
--- a/packages/router/laburnumpier_router/budget/lending.py
+++ b/packages/router/laburnumpier_router/budget/lending.py
@@ -155,7 +155,14 @@
         return len(offers_by_peer) == len(peers), remaining
 
     async def borrow_from_lender(
-        self, lender: str, workspace: str, state: BudgetState, tokens: int, shortage: int
+        self,
+        lender: str,
+        workspace: str,
+        state: BudgetState,
+        tokens: int,
+        shortage: int,
+        *,
+        tokens_per_second: float,
     ) -> TransferOffered | None:
         """Borrows from the router that draws for the whole fleet.
 
@@ -165,11 +172,20 @@
             state: The budget that they are credited to.
             tokens: Number of tokens to ask for.
             shortage: Tokens that waiting requests lack at this router.
+            tokens_per_second: What requests asked for at this router in the last second.
 
         Returns:
             The lender's reply; None if it did not reply.
         """
-        offer = await self._request_transfer(lender, workspace, tokens, shortage, draw=True)
+        message = self._build_request(
+            workspace,
+            tokens,
+            shortage,
+            draw=True,
+            free=state.pool.free,
+            tokens_per_second=tokens_per_second,
+        )
+        offer = await self._send_request(lender, message)
         fields = {"workspace": workspace, "lender": lender, "wanted": tokens, "needed": shortage}
         if offer is None:
             _log.warning("lender is silent", fields=fields)
@@ -261,27 +277,52 @@
             return
         self._metrics.count("budget.transfers_lost")
 
+    async def recall_idle_tokens(self, workspace: str, borrowers: list[str], tokens: int) -> None:
+        """Asks borrowers for tokens lent by this router, which they give back if none waits.
+
+        Only the router that drew a grant may lend its tokens, so the reply itself lends none.
+        """
+        await asyncio.gather(
+            *(self._request_transfer(name, workspace, tokens, tokens) for name in borrowers)
+        )
+
     async def _request_transfer(
-        self, peer: str, workspace: str, tokens: int, shortage: int, *, draw: bool = False
+        self, peer: str, workspace: str, tokens: int, shortage: int
     ) -> TransferOffered | None:
+        return await self._send_request(peer, self._build_request(workspace, tokens, shortage))
+
+    def _build_request(
+        self,
+        workspace: str,
+        tokens: int,
+        shortage: int,
+        *,
+        draw: bool = False,
+        free: int = 0,
+        tokens_per_second: float = 0.0,
+    ) -> RequestTransfer:
         self._transfer_sequence += 1
-        message = RequestTransfer(
+        return RequestTransfer(
             workspace=workspace,
             transfer_id=f"{self._fleet.self_name}/{self._transfer_sequence}",
             borrower=self._fleet.self_name,
             tokens=tokens,
             shortage=shortage,
             draw=draw,
+            free=free,
+            tokens_per_second=tokens_per_second,
         )
+
+    async def _send_request(self, peer: str, message: RequestTransfer) -> TransferOffered | None:
         # After a lost reply the request is repeated once under the same id, so that tokens which
         # the lender has debited are not stranded.
-        for _ in range(2 if tokens else 1):
+        for _ in range(2 if message.tokens else 1):
             try:
                 reply = await self._fleet.call(peer, message, PEER_TIMEOUT_SECONDS)
             except PeerError:
                 continue
             return reply if isinstance(reply, TransferOffered) else None
-        if tokens:
+        if message.tokens:
             self._metrics.count("budget.transfers_lost")
         return None
 
--- a/packages/router/laburnumpier_router/budget/peers.py
+++ b/packages/router/laburnumpier_router/budget/peers.py
@@ -70,6 +70,9 @@
         shortage: Tokens that waiting requests lack at the borrower.
         draw: Whether the peer is asked as the router that draws for the fleet. It then draws even
             if its own view of the fleet names another lender, as views can differ for a while.
+        free: Free tokens of the borrower; with `tokens_per_second` they limit what it is lent
+            beyond its shortage.
+        tokens_per_second: What the borrower's requests asked for in the last second.
     """
 
     workspace: str
@@ -78,6 +81,8 @@
     tokens: int
     shortage: int
     draw: bool = False
+    free: int = 0
+    tokens_per_second: float = 0.0
 
 
 class AccountSeen(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/router/laburnumpier_router/budget/service.py
+++ b/packages/router/laburnumpier_router/budget/service.py
@@ -25,9 +25,16 @@
 from .account_reports import AccountReports
 from .allocation import DemandGrants, EqualSplit, WritePerRequest
 from .bill_outbox import BillOutbox
+from .borrowing import LoanBook
 from .demand import DemandMeter, SettledMeter
 from .grant_pool import GrantPool, Reservation
-from .holding import HoldingParameters, MeasuredDemand, compute_target_tokens
+from .held_ahead import (
+    HELD_AHEAD_SHARE,
+    Balance,
+    compute_ahead_tokens,
+    compute_even_tokens,
+)
+from .holding import EVENLY_HELD_SHARE, HoldingParameters, MeasuredDemand, compute_target_tokens
 from .lending import TokenLending
 from .peers import (
     AccountSeen,
@@ -63,19 +70,31 @@
 LENDER_FLOOR_SHARE = 0.15
 """Minimum share of the purchased total that a lender holds, for demand that it has not measured
 yet. It covers an outage of 8 s in the first minute of a budget that lasts one minute."""
-LENDER_HELD_SHARE = 0.4
-"""Maximum share of the drawable tokens that a lender holds. It is below the setting, since nearly
-all that the fleet holds is drawable at the lender and is stranded if it alone is killed."""
+LENDER_HELD_SHARE = 0.2
+"""Maximum share of the drawable tokens that a lender holds. Borrowers hold as much, so that all
+together hold 0.4. It is below the setting, since the lender's part is stranded if it alone is
+killed, and is of no use to others while the routers are cut off from each other."""
+LENDER_DRAW_SECONDS = 2.0
+"""Time for which a lender's tokens should last however little is drawable. The home of a shard
+writes every 0.6 s in a fleet of 32 routers or more, a draw may wait for the one before it, and its
+copies take a call between routers. With 1 s the lender had too little at the end of each draw."""
+AHEAD_LOAN_DIVISOR = 4
+"""A loan beyond the shortage of waiting requests is at most the lender's other free tokens divided
+by this, so that one loan never leaves nothing for the requests of other routers."""
+LENDER_DRAINING_SHARE = 0.2
+"""Maximum share of the drawable tokens that a lender holds for `LENDER_DRAW_SECONDS`, while its
+target is lower. With a tenth of a budget drawable it is 2% of it, which a kill of the lender
+strands; 97 in 100 have to stay usable."""
 BORROWER_HORIZON_SECONDS = 1.0
 """Time for which a borrower's tokens should last at its measured demand. It is short, as tokens
 held unused cannot be lent to others, and the lender answers in milliseconds, also during a store
 outage."""
-EXTRA_LOAN_DIVISOR = 32
-"""A loan beyond the shortage of waiting requests is at most the lender's free tokens divided by
-this."""
-MAX_BORROW_ROUNDS = 3
-"""Maximum number of loans in one acquisition; more than one is needed if requests arrive while the
-lender answers."""
+RECALL_INTERVAL_SECONDS = 0.25
+"""Minimum time between recalls of a budget's idle tokens; tokens recalled before are back then."""
+MAX_RECALLED_BORROWERS = 8
+"""Borrowers that are asked for idle tokens at once, those that hold the most first."""
+BORROWER_REFILL_INTERVAL_SECONDS = 0.1
+"""Minimum time between loans that no request waits for; a loan takes 20 to 55 ms."""
 RELEASE_INTERVAL_SECONDS = 1.0
 """Interval at which a stopping router returns tokens that its requests have freed."""
 SPENDING_REPORT_INTERVAL_SECONDS = 4.0
@@ -112,6 +131,7 @@
         "_fleet",
         "_is_stopping",
         "_lending",
+        "_loans",
         "_metrics",
         "_random",
         "_reports",
@@ -162,6 +182,7 @@
             statements=self._statements, self_name=fleet.self_name, metrics=metrics
         )
         self._lending = TokenLending(states=self._states, fleet=fleet, metrics=metrics)
+        self._loans = LoanBook(lending=self._lending, clock=clock, metrics=metrics)
         self._background = BackgroundTasks(part="budget", metrics=metrics)
         self._bills = BillOutbox(
             submitter=submitter,
@@ -208,15 +229,24 @@
         """
         state = self._get_state(workspace)
         state.record_request_amount(amount)
+        state.requests.record(amount, self._clock.monotonic_seconds())
         per_request = isinstance(self._settings.allocation, WritePerRequest)
         reservation = None if per_request else state.pool.reserve(amount)
         if reservation is None:
             reservation = await self._acquire_and_reserve(
                 workspace, state, amount, deadline_seconds
             )
+        self._start_loans_for_waiting(workspace, state)
         self._start_refill_if_low(workspace, state)
         return reservation
 
+    def _start_loans_for_waiting(self, workspace: str, state: BudgetState) -> None:
+        """Borrows what waiting requests lack since a smaller request took free tokens."""
+        lender = self._find_lender(workspace) if state.pool.waiting_tokens else None
+        if lender is not None:
+            target = self._compute_target_tokens(workspace, state)
+            self._loans.start_for_waiting(lender, workspace, state, target)
+
     def has_free_tokens(self, workspace: str, amount: int) -> bool:
         """Returns whether an amount can be reserved without asking the store or a peer."""
         return self._get_state(workspace).pool.free >= amount
@@ -281,12 +311,65 @@
         workspace = message.workspace
         if message.tokens and message.draw:
             state = self._get_state(workspace)
-            message = _limit_loan_request(message, state.pool.free)
+            message = self._limit_loan_request(message, state)
             # Tokens requested by borrowers are demand that the next draw has to cover.
-            state.demand.record(message.tokens, self._clock.monotonic_seconds())
+            now = self._clock.monotonic_seconds()
+            state.demand.record(message.tokens, now)
+            state.requests.record(message.tokens, now)
             await self._draw_for_borrower(workspace, state, message.shortage)
             self._start_refill_if_low(workspace, state)
-        return self._lending.lend(message)
+            self._start_recall_if_short(workspace, state, message)
+        offer = self._lending.lend(message)
+        lent_tokens = sum(part.tokens for part in offer.parts)
+        self._get_state(workspace).held_ahead.record_loan(
+            message.borrower, lent_tokens - message.shortage
+        )
+        return offer
+
+    def _limit_loan_request(self, message: RequestTransfer, state: BudgetState) -> RequestTransfer:
+        """Limits a loan to the borrower's shortage and what it may hold ahead of requests."""
+        now = self._clock.monotonic_seconds()
+        ahead = state.held_ahead
+        ahead.keep_only({*self._fleet.list_peers(), message.borrower})
+        ahead.record_report(message.borrower, message.free, message.tokens_per_second, now)
+        balance = self._get_balance(message.workspace, state)
+        room = ahead.compute_room(message.borrower, balance, now)
+        self._metrics.set_gauge("budget.held_ahead", self._count_held_ahead())
+        spare = max(0, state.pool.free - message.shortage)
+        limit = message.shortage + min(room, spare // AHEAD_LOAN_DIVISOR)
+        return msgspec.structs.replace(message, tokens=min(message.tokens, limit))
+
+    def _count_held_ahead(self) -> int:
+        return sum(state.held_ahead.total_tokens for state in self._states.values())
+
+    def _get_balance(self, workspace: str, state: BudgetState) -> Balance:
+        """Returns what limits the tokens that borrowers of a budget hold."""
+        account = state.account
+        drawable = account.available + state.pool.free if account else None
+        return Balance(
+            purchased=self._find_budget(workspace).purchased,
+            drawable=drawable,
+            held_share=min(self._settings.held_share / 2, HELD_AHEAD_SHARE),
+            routers=1 + len(self._fleet.list_peers()),
+        )
+
+    def _start_recall_if_short(
+        self, workspace: str, state: BudgetState, message: RequestTransfer
+    ) -> None:
+        """Asks the borrowers that hold the most for idle tokens if a shortage is not covered."""
+        lacking = message.shortage - state.pool.free
+        now = self._clock.monotonic_seconds()
+        is_too_early = now - state.last_recall_seconds < RECALL_INTERVAL_SECONDS
+        holders = state.held_ahead.list_holders(message.borrower, MAX_RECALLED_BORROWERS)
+        if lacking <= 0 or is_too_early or not holders:
+            return
+        state.last_recall_seconds = now
+        for name in holders:
+            state.held_ahead.clear_holder(name)
+        self._metrics.count("budget.recalls")
+        fields = {"workspace": workspace, "lacking": lacking, "borrowers": len(holders)}
+        _log.info("asked borrowers for idle tokens", fields=fields)
+        self._background.start(self._lending.recall_idle_tokens(workspace, holders, lacking))
 
     async def _draw_for_borrower(self, workspace: str, state: BudgetState, shortage: int) -> None:
         """Draws what a borrower's waiting requests lack, along with other borrowers' shortages."""
@@ -476,6 +559,7 @@
     async def close(self) -> None:
         """Stops background work."""
         await self._background.cancel_all()
+        await self._loans.close()
         await self._lending.close()
 
     def _get_state(self, workspace: str) -> BudgetState:
@@ -495,16 +579,52 @@
             return 0
         budget = self._configuration.find_configured_budget(workspace)
         now = self._clock.monotonic_seconds()
+        if self._find_lender(workspace) is not None:
+            return self._compute_borrower_target(workspace, state, now)
         demand = MeasuredDemand(
-            own=state.demand.get_tokens_per_second(now),
+            own=max(
+                state.demand.get_tokens_per_second(now), state.requests.get_tokens_per_second(now)
+            )
+            if self._is_lender_of(workspace)
+            else state.demand.get_tokens_per_second(now),
             fleet=state.fleet_demand.get_tokens_per_second(now),
         )
-        return compute_target_tokens(
+        target = compute_target_tokens(
             parameters=self._get_holding_parameters(workspace),
             demand=demand,
             purchased=budget.purchased if budget else 0,
             drawable=state.account.available + state.pool.free if state.account else None,
         )
+        if not self._is_lender_of(workspace):
+            return target
+        balance = self._get_balance(workspace, state)
+        not_lent = EVENLY_HELD_SHARE * compute_ahead_tokens(balance)
+        not_lent = max(0, int(not_lent) - state.held_ahead.total_tokens)
+        minimum = self._compute_lender_minimum(state, demand.own)
+        return max(target + not_lent, minimum)
+
+    def _compute_lender_minimum(self, state: BudgetState, tokens_per_second: float) -> int:
+        """Returns what a lender needs until its next draw, however little is drawable."""
+        if not state.account or state.nearly_exhausted:
+            return 0
+        drawable = state.account.available + state.pool.free
+        return int(min(tokens_per_second * LENDER_DRAW_SECONDS, drawable * LENDER_DRAINING_SHARE))
+
+    def _compute_borrower_target(
+        self, workspace: str, state: BudgetState, now_seconds: float
+    ) -> int:
+        """Returns what a borrower should hold; the lender limits what it lends of it.
+
+        Demand moves within a second, so the target is what the last second's requests asked for,
+        and at least the largest recent request and the even part, for demand not measured yet.
+        """
+        balance = self._get_balance(workspace, state)
+        rate = state.requests.get_tokens_per_second(now_seconds)
+        wanted = max(
+            compute_even_tokens(balance),
+            int(rate * BORROWER_HORIZON_SECONDS) + state.requests.get_largest_tokens(now_seconds),
+        )
+        return min(wanted, compute_ahead_tokens(balance))
 
     def _get_holding_parameters(self, workspace: str) -> HoldingParameters:
         """Returns the parameters for a lender, a borrower or a router that draws for itself."""
@@ -513,14 +633,7 @@
         held_share, holders = settings.held_share, 1 + len(self._fleet.list_peers())
         if self._is_lender_of(workspace):
             floor_share, holders = LENDER_FLOOR_SHARE, 1
-            held_share = min(held_share, LENDER_HELD_SHARE)
-        elif self._fleet_uses_lenders():
-            horizon_seconds, floor_share, held_share, holders = (
-                BORROWER_HORIZON_SECONDS,
-                0.0,
-                1.0,
-                1,
-            )
+            held_share = min(held_share / 2, LENDER_HELD_SHARE)
         return HoldingParameters(
             minimum_tokens=settings.grant_minimum_tokens,
             horizon_seconds=horizon_seconds,
@@ -600,6 +713,12 @@
             is_exhausted = last_result.unspent is not None and last_result.unspent < amount
             if is_exhausted:
                 return last_result
+        lender = self._find_lender(workspace)
+        if lender is not None:
+            result = await self._borrow(lender, workspace, state)
+            if result is not None:
+                state.last_acquisition = result
+                return result
         if state.acquisition_task is None or state.acquisition_task.done():
             state.acquisition_task = self._background.start(
                 self._run_acquisition(workspace, state)
@@ -607,6 +726,37 @@
         state.last_acquisition = await asyncio.shield(state.acquisition_task)
         return state.last_acquisition
 
+    async def _borrow(
+        self, lender: str, workspace: str, state: BudgetState
+    ) -> AcquisitionResult | None:
+        """Borrows until the first loan ends or tokens are freed here.
+
+        Returns:
+            What can be obtained according to the lender; None if it did not reply.
+        """
+        started = self._clock.monotonic_seconds()
+        target = self._compute_target_tokens(workspace, state)
+        self._loans.start_for_waiting(lender, workspace, state, target)
+        has_loans = bool(state.loans)
+        offer = await self._loans.wait_for_change(state) if has_loans else None
+        budget = self._find_budget(workspace)
+        if offer is not None:
+            return self._build_result_from_offer(offer, budget, state, started)
+        if not has_loans or state.pool.has_change:
+            return AcquisitionResult(
+                at_seconds=started,
+                configuration_number=budget.configuration_number,
+                peers_answered=False,
+                obtainable=state.pool.free + state.requested_tokens,
+                unspent=None,
+            )
+        return None
+
+    def _find_budget(self, workspace: str) -> ConfiguredBudget:
+        """Returns the configured budget; one of no tokens if the workspace has none."""
+        budget = self._configuration.find_configured_budget(workspace)
+        return budget or ConfiguredBudget(purchased=0, configuration_number=0)
+
     def _is_current(self, result: AcquisitionResult, workspace: str) -> bool:
         """Whether a result is recent and from the configuration in force."""
         budget = self._configuration.find_configured_budget(workspace)
@@ -615,24 +765,18 @@
         return number == result.configuration_number and age_seconds < RESULT_REUSE_SECONDS
 
     async def _run_acquisition(self, workspace: str, state: BudgetState) -> AcquisitionResult:
-        """Borrows from the lender, or draws from the store and borrows from peers."""
-        budget = self._configuration.find_configured_budget(workspace)
-        if budget is None:
-            budget = ConfiguredBudget(purchased=0, configuration_number=0)
+        """Draws from the store; a router of a small fleet borrows from peers as well."""
+        budget = self._find_budget(workspace)
         started = self._clock.monotonic_seconds()
         pool = state.pool
-        lender = self._find_lender(workspace)
-        if lender is not None:
-            offer = await self._borrow_until_covered(lender, workspace, state)
-            if offer is not None:
-                return self._build_result_from_offer(offer, budget, state, started)
         opened = await self._draw_with_timeout(
             workspace, state, budget, self._get_draw_wait_seconds()
         )
         available = opened.available if opened else 0
         shortage = state.pool.shortage
         peers_answered, held_by_peers = True, 0
-        if shortage and lender is None and isinstance(self._settings.allocation, DemandGrants):
+        is_small_fleet = self._find_lender(workspace) is None
+        if shortage and is_small_fleet and isinstance(self._settings.allocation, DemandGrants):
             peers_answered, held_by_peers = await self._lending.borrow_from_peers(
                 workspace, state, shortage
             )
@@ -721,36 +865,6 @@
             return None
         return self._fleet.find_home(f"budget/{workspace}")
 
-    async def _borrow_until_covered(
-        self, lender: str, workspace: str, state: BudgetState
-    ) -> TransferOffered | None:
-        """Borrows again while requests that arrived during a loan lack tokens.
-
-        Returns:
-            The lender's last reply; None if it did not reply.
-        """
-        offer = None
-        for _ in range(MAX_BORROW_ROUNDS):
-            waiting_before = state.pool.waiting_tokens
-            offer = await self._borrow_from(lender, workspace, state)
-            has_shortage = state.pool.waiting_tokens > state.pool.free
-            has_grown = state.pool.waiting_tokens > waiting_before
-            if offer is None or not has_shortage or not has_grown:
-                break
-        return offer
-
-    async def _borrow_from(
-        self, lender: str, workspace: str, state: BudgetState
-    ) -> TransferOffered | None:
-        """Borrows what waiting requests lack, or more to reach the target holding."""
-        shortage = state.pool.shortage
-        wanted = max(shortage, self._compute_target_tokens(workspace, state) - state.pool.free)
-        state.last_refill_seconds = self._clock.monotonic_seconds()
-        offer = await self._lending.borrow_from_lender(lender, workspace, state, wanted, shortage)
-        if offer is not None and offer.account is not None:
-            state.account_seconds = self._clock.monotonic_seconds()
-        return offer
-
     async def _draw(
         self, workspace: str, state: BudgetState, budget: ConfiguredBudget, needed: int
     ) -> GrantOpened | None:
@@ -863,6 +977,8 @@
         interval_seconds = self._settings.refill_seconds
         if self._is_lender_of(workspace):
             interval_seconds = min(interval_seconds, LENDER_REFILL_INTERVAL_SECONDS)
+        elif self._fleet_uses_lenders() and state.requests.get_tokens_per_second(now):
+            interval_seconds = min(interval_seconds, BORROWER_REFILL_INTERVAL_SECONDS)
         is_too_early = now - state.last_refill_seconds < interval_seconds
         if not uses_demand_grants or is_too_early:
             return
@@ -878,7 +994,8 @@
         state.last_refill_seconds = now
         lender = self._find_lender(workspace)
         if lender is not None:
-            self._background.start(self._borrow_from(lender, workspace, state))
+            target = self._compute_target_tokens(workspace, state)
+            self._loans.start_for_target(lender, workspace, state, target)
         else:
             self._start_draw(workspace, state, budget)
 
@@ -899,9 +1016,3 @@
             pool.confirm(bill.charges)
         else:
             pool.refund(bill.charges)
-
-
-def _limit_loan_request(message: RequestTransfer, free: int) -> RequestTransfer:
-    """Limits a loan request to the borrower's shortage, or to a small part of the free tokens."""
-    limit = max(message.shortage, free // EXTRA_LOAN_DIVISOR)
-    return msgspec.structs.replace(message, tokens=min(message.tokens, limit))
--- a/packages/router/laburnumpier_router/budget/state.py
+++ b/packages/router/laburnumpier_router/budget/state.py
@@ -7,7 +7,9 @@
 from .allocation import Allocation
 from .demand import DemandMeter, SettledMeter
 from .grant_pool import GrantPool
-from .peers import AccountSeen
+from .held_ahead import HeldAhead
+from .peers import AccountSeen, TransferOffered
+from .request_meter import RequestMeter
 
 AVERAGE_REQUEST_WEIGHT = 0.1
 """Weight of the newest request in the moving average, low enough that one very large request does
@@ -56,6 +58,11 @@
         account_seconds: Monotonic time at which they were received.
         last_report_seconds: Monotonic time at which spending was last reported to lenders.
         borrower_shortage: Tokens missing at borrowers that are waiting for a draw here.
+        requests: What requests of callers and borrowers asked for in the last seconds.
+        held_ahead: What borrowers hold, if this router lends.
+        loans: Loans under way, newest last; several may run at once.
+        requested_tokens: Shortage of waiting requests that loans under way were asked to cover.
+        last_recall_seconds: Monotonic time at which borrowers were last asked for idle tokens.
         stated_era: Era of the store whose account contains all grants drawn here.
     """
 
@@ -74,6 +81,11 @@
     account_seconds: float = float("-inf")
     last_report_seconds: float = float("-inf")
     borrower_shortage: int = 0
+    requests: RequestMeter = dataclasses.field(default_factory=RequestMeter)
+    held_ahead: HeldAhead = dataclasses.field(default_factory=HeldAhead)
+    loans: list[asyncio.Task[TransferOffered | None]] = dataclasses.field(default_factory=list)
+    requested_tokens: int = 0
+    last_recall_seconds: float = float("-inf")
     stated_era: int = 0
 
     def confirm_statement(self, statement: RestateGrants) -> None:
--- a/packages/standins/laburnumpier_standins/memory_network.py
+++ b/packages/standins/laburnumpier_standins/memory_network.py
@@ -15,6 +15,7 @@
     Attributes:
         handlers: Request handler by address.
         partitions: Pairs of addresses that can't reach each other.
+        delay_range_seconds: Shortest and longest one-way delay of a message.
         isolated: Addresses that can't reach any address, including ones that are added later.
         reply_loss_probability: Probability that a reply is lost after its request was processed.
         call_count: Number of calls so far.
@@ -22,6 +23,7 @@
 
     __slots__ = (
         "call_count",
+        "delay_range_seconds",
         "handlers",
         "isolated",
         "partitions",
@@ -36,12 +38,18 @@
         self.isolated: set[str] = set()
         self.reply_loss_probability = 0.0
         self.call_count = 0
+        self.delay_range_seconds = (ONE_WAY_DELAY_SECONDS, ONE_WAY_DELAY_SECONDS)
         self.random = random.Random(seed)
 
     def partition(self, side: list[str], other_side: list[str]) -> None:
         """Blocks calls between every address of one side and every address of the other."""
         self.partitions.update(frozenset((a, b)) for a in side for b in other_side)
 
+    def choose_delay_seconds(self) -> float:
+        """Returns the one-way delay of the next message."""
+        shortest, longest = self.delay_range_seconds
+        return shortest if shortest == longest else self.random.uniform(shortest, longest)
+
     def heal(self) -> None:
         """Removes all partitions and isolations."""
         self.partitions.clear()
@@ -71,12 +79,12 @@
         self._hub.call_count += 1
         try:
             async with asyncio.timeout(timeout_seconds):
-                await asyncio.sleep(ONE_WAY_DELAY_SECONDS)
+                await asyncio.sleep(self._hub.choose_delay_seconds())
                 handler = self._hub.handlers.get(address)
                 if handler is None or self._is_partitioned(address):
                     await asyncio.sleep(timeout_seconds)
                 reply = await handler(request)
-                await asyncio.sleep(ONE_WAY_DELAY_SECONDS)
+                await asyncio.sleep(self._hub.choose_delay_seconds())
                 lost = self._hub.random.random() < self._hub.reply_loss_probability
                 if lost or self._is_partitioned(address):
                     await asyncio.sleep(timeout_seconds)
