--- a/features/steps/token_placement_steps.py
+++ b/features/steps/token_placement_steps.py
@@ -119,3 +119,9 @@
 def check_not_overspent(context):
     assert context.spent_tokens <= context.tokens, context.spent_tokens
     assert read_account(context).committed <= context.tokens
+
+
+@then("fewer than {count:d} store calls were made")
+def check_store_calls(context, count):
+    calls = context.fleet.store.state.call_count - context.calls_before
+    assert calls < count, calls
--- a/packages/router/laburnumpier_router/budget/borrowing.py
+++ b/packages/router/laburnumpier_router/budget/borrowing.py
@@ -12,8 +12,9 @@
 from laburnumpier_core.clock import Clock
 from laburnumpier_core.metrics import Metrics
 
+from .lender_choice import LenderChoice
 from .lending import TokenLending
-from .peers import TransferOffered
+from .peers import BudgetFleet, TransferOffered
 from .state import BudgetState
 
 MAX_LOANS = 8
@@ -24,21 +25,30 @@
 class LoanBook:
     """Starts loans of all budgets of this process and waits for them."""
 
-    __slots__ = ("_background", "_clock", "_lending", "_metrics")
+    __slots__ = ("_background", "_choices", "_clock", "_fleet", "_lending", "_metrics")
 
-    def __init__(self, *, lending: TokenLending, clock: Clock, metrics: Metrics):
+    def __init__(
+        self, *, lending: TokenLending, fleet: BudgetFleet, clock: Clock, metrics: Metrics
+    ):
         """Creates a book without loans.
 
         Args:
             lending: Exchanges the messages of a loan.
+            fleet: Names the router that a budget is assigned to.
             clock: Source of monotonic time.
             metrics: Counters.
         """
         self._lending = lending
+        self._fleet = fleet
+        self._choices: dict[str, LenderChoice] = {}
         self._clock = clock
         self._metrics = metrics
         self._background = BackgroundTasks(part="budget", metrics=metrics)
 
+    def choose_lender(self, workspace: str) -> str:
+        """Returns the router that draws a workspace's tokens; it may be this process."""
+        return self._get_choice(workspace).choose(self._clock.monotonic_seconds())
+
     async def close(self) -> None:
         """Cancels loans under way; their tokens are stranded until recovery."""
         await self._background.cancel_all()
@@ -85,6 +95,11 @@
         ended = [task for task in done if task is not change and not task.cancelled()]
         return ended[0].result() if ended else None
 
+    def _get_choice(self, workspace: str) -> LenderChoice:
+        if workspace not in self._choices:
+            self._choices[workspace] = LenderChoice(fleet=self._fleet, workspace=workspace)
+        return self._choices[workspace]
+
     def _start(
         self, lender: str, workspace: str, state: BudgetState, shortage: int, ahead_tokens: int
     ) -> None:
@@ -116,6 +131,9 @@
                 self._clock.monotonic_seconds()
             ),
         )
-        if offer is not None and offer.account is not None:
+        if offer is None:
+            self._get_choice(workspace).record_silence(lender)
+            return None
+        if offer.account is not None:
             state.account_seconds = self._clock.monotonic_seconds()
         return offer
--- a/packages/router/laburnumpier_router/budget/grant_pool.py
+++ b/packages/router/laburnumpier_router/budget/grant_pool.py
@@ -112,6 +112,11 @@
         """Tokens that can be reserved immediately."""
         return sum(grant.free for grant in self._grants.values())
 
+    @property
+    def lendable(self) -> int:
+        """Free tokens of own grants, which alone may be lent."""
+        return sum(grant.free for grant in self._grants.values() if grant.own)
+
     @property
     def reserved(self) -> int:
         """Tokens reserved for requests in progress."""
--- a/packages/router/laburnumpier_router/budget/service.py
+++ b/packages/router/laburnumpier_router/budget/service.py
@@ -182,7 +182,7 @@
             statements=self._statements, self_name=fleet.self_name, metrics=metrics
         )
         self._lending = TokenLending(states=self._states, fleet=fleet, metrics=metrics)
-        self._loans = LoanBook(lending=self._lending, clock=clock, metrics=metrics)
+        self._loans = LoanBook(lending=self._lending, fleet=fleet, clock=clock, metrics=metrics)
         self._background = BackgroundTasks(part="budget", metrics=metrics)
         self._bills = BillOutbox(
             submitter=submitter,
@@ -374,7 +374,7 @@
     async def _draw_for_borrower(self, workspace: str, state: BudgetState, shortage: int) -> None:
         """Draws what a borrower's waiting requests lack, along with other borrowers' shortages."""
         budget = self._configuration.find_configured_budget(workspace)
-        if budget is None or state.pool.free >= shortage or self._was_recently_empty(state):
+        if budget is None or state.pool.lendable >= shortage or self._was_recently_empty(state):
             return
         timeout_seconds = 0.0 if self._submitter.failed_recently else BORROWER_DRAW_TIMEOUT_SECONDS
         state.borrower_shortage += shortage
@@ -844,16 +844,18 @@
 
     def _get_total_shortage(self, state: BudgetState) -> int:
         """Returns the tokens that requests lack at this router and at borrowers."""
-        required = max(state.pool.waiting_tokens, state.borrower_shortage)
-        return max(0, required - state.pool.free)
+        pool = state.pool
+        # Borrowed tokens pay for requests here but cannot be lent.
+        lacking = max(pool.waiting_tokens - pool.free, state.borrower_shortage - pool.lendable)
+        return max(0, lacking)
 
     def _fleet_uses_lenders(self) -> bool:
         return 1 + len(self._fleet.list_peers()) >= self._settings.lend_from_routers
 
     def _is_lender_of(self, workspace: str) -> bool:
         """Whether this router draws a workspace's tokens for the whole fleet."""
-        home = self._fleet.find_home(f"budget/{workspace}")
-        return self._fleet_uses_lenders() and home == self._fleet.self_name
+        lender = self._loans.choose_lender(workspace)
+        return self._fleet_uses_lenders() and lender == self._fleet.self_name
 
     def _find_lender(self, workspace: str) -> str | None:
         """Returns the router to borrow from; None if this router draws for itself.
@@ -863,7 +865,7 @@
         """
         if not self._fleet_uses_lenders() or self._is_lender_of(workspace):
             return None
-        return self._fleet.find_home(f"budget/{workspace}")
+        return self._loans.choose_lender(workspace)
 
     async def _draw(
         self, workspace: str, state: BudgetState, budget: ConfiguredBudget, needed: int
