--- a/packages/router/laburnumpier_router/budget/grant_pool.py
+++ b/packages/router/laburnumpier_router/budget/grant_pool.py
@@ -112,6 +112,11 @@
         """Tokens that can be reserved immediately."""
         return sum(grant.free for grant in self._grants.values())
 
+    @property
+    def lendable(self) -> int:
+        """Free tokens of own grants, which alone may be lent."""
+        return sum(grant.free for grant in self._grants.values() if grant.own)
+
     @property
     def reserved(self) -> int:
         """Tokens reserved for requests in progress."""
@@ -153,6 +158,16 @@
         """Removes one waiting request of this amount."""
         self._waiting_amounts.remove(tokens)
 
+    @property
+    def has_change(self) -> bool:
+        """Whether free tokens may have been added since a request began to wait."""
+        return self._changed.is_set()
+
+    async def wait_until_added(self) -> None:
+        """Waits until free tokens may have been added."""
+        self._changed.clear()
+        await self._changed.wait()
+
     async def wait_for_change(self, timeout_seconds: float) -> None:
         """Waits until free tokens may have been added, or until the timeout."""
         self._changed.clear()
