Features of routers that are cut off from servers, before the code

Cause: a router that reaches no server fails all its requests, although the store, its callers and the other routers still reach it.

Change: features of the decision whether a router is cut off, and of relayed requests, in virtual time.

--- /dev/null
+++ b/features/relay/relay.feature
@@ -0,0 +1,176 @@
+Feature: Requests through another router while a router is cut off from servers
+  From 2 s after the start of a cut the callers' first attempts are served through other routers.
+
+  # Guards against routers that fail all requests while others reach the servers.
+  Scenario Outline: First attempts at routers that are cut off are served
+    Given <routers> routers that may relay before 5 servers
+    And <kind> requests to relay
+    And a cut of <cut> routers in which connections <mode>
+    When callers send requests to all routers before, in and after the cut
+    Then from 2 s on 0.95 of the requests at the cut routers are served as at the others
+    And the relayed requests take at most 30 ms longer at the median
+    And no request runs twice
+    And each refusal that says not run is true
+    And no server is reported as crashed
+    And a second after the cut all requests are sent directly again
+
+    Examples:
+      | routers | cut | mode             | kind           |
+      | 6       | 1   | hang             | non-idempotent |
+      | 6       | 2   | reset            | non-idempotent |
+      | 6       | 2   | accept and hang  | non-idempotent |
+      | 6       | 2   | accept and reset | non-idempotent |
+      | 6       | 2   | refuse new ones  | non-idempotent |
+      | 12      | 11  | hang             | non-idempotent |
+      | 12      | 11  | accept and hang  | non-idempotent |
+      | 12      | 11  | reset            | non-idempotent |
+      | 20      | 16  | accept and reset | non-idempotent |
+
+  # Guards against relaying that adds load while nobody reaches the servers.
+  Scenario: Servers that are down for all cause no relay storm
+    Given 12 routers that may relay before 5 servers
+    When all servers are down and callers send requests for 6 seconds
+    Then at most 1 requests are handed over a router and second
+    And the routers ask and probe at most 20 times a router and second
+    And all requests in the outage are refused as not run within 1.5 s
+    And no router holds anything for others
+
+  # Guards against hanging connections that use up the deadline.
+  Scenario Outline: A request of which nothing was sent goes on through another router
+    Given 6 routers that may relay before 5 servers
+    When router r0 gets a request when its connections <mode>
+    Then the request is served within 1.5 s
+    And the request has run once
+
+    Examples:
+      | mode            |
+      | hang            |
+      | reset           |
+      | refuse new ones |
+
+  # Guards against requests that are relayed although they may have run.
+  Scenario Outline: A request that may have run is not relayed
+    Given 6 routers that may relay before 5 servers
+    When router r0 gets a request when its connections <mode>
+    Then the outcome is reported as unknown within 4.1 s
+    And the request has not run
+
+    Examples:
+      | mode             |
+      | accept and hang  |
+      | accept and reset |
+
+  Scenario Outline: Lost and doubled messages between the routers
+    Given 6 routers that may relay before 5 servers
+    And router r0 knows that connections hang there
+    And the next <fault> of type <kind> <count> times
+    When router r0 gets a request
+    Then the request is served within <seconds> s
+    And the request has run once
+    And no request runs twice
+
+    Examples:
+      | fault           | kind          | count | seconds |
+      | lost message    | KeepRequest   | 1     | 0.5     |
+      | lost message    | KeepRequest   | 2     | 0.8     |
+      | lost reply      | KeepRequest   | 1     | 0.5     |
+      | doubled message | KeepRequest   | 1     | 0.5     |
+      | lost message    | StartExchange | 1     | 1.3     |
+      | lost reply      | StartExchange | 1     | 1.3     |
+      | doubled message | StartExchange | 1     | 0.5     |
+
+  # Guards against a request that runs again at another router when the first one may have run it.
+  Scenario: A router that dies after it was told to start
+    Given 6 routers that may relay before 5 servers
+    And router r0 knows that connections hang there
+    And a router that dies after a message of type StartExchange
+    And the next lost reply of type StartExchange 1 times
+    When router r0 gets a request
+    Then the outcome is reported as unknown within 4.1 s
+    And the request has run once
+
+  Scenario: A router that dies before it was told to start
+    Given 6 routers that may relay before 5 servers
+    And router r0 knows that connections hang there
+    And a router that dies after a message of type KeepRequest
+    And the next lost reply of type KeepRequest 1 times
+    When router r0 gets a request
+    Then the request is served within 0.5 s
+    And the request has run once
+
+  # Guards against servers that go on for callers who have left, and against memory that is kept.
+  Scenario: A caller that leaves
+    Given 6 routers that may relay before 5 servers
+    And router r0 knows that connections hang there
+    When router r0 gets a request whose caller leaves after 0.5 s
+    Then the server's connection is closed
+    And no router holds anything for others
+
+  Scenario: An asking router that dies
+    Given 6 routers that may relay before 5 servers
+    And router r0 knows that connections hang there
+    When router r0 gets a request and dies after 0.5 s
+    Then the server's connection is closed
+    And no router holds anything for others
+
+  Scenario: Some routers are busy
+    Given 3 routers that may relay before 5 servers
+    And router r0 knows that connections hang there
+    And some routers are busy with requests of others
+    When router r0 gets a request
+    Then the request is served within 0.5 s
+
+  # Guards against requests that wait for a router with room until their deadline.
+  Scenario: All routers are busy
+    Given 6 routers that may relay before 5 servers
+    And router r0 knows that connections hang there
+    And all routers are busy with requests of others
+    When router r0 gets a request
+    Then the request is refused as not run within 0.2 s
+    And the request has not run
+
+  # Guards against requests to servers that leave or must not get requests.
+  Scenario Outline: A server that the other router does not use
+    Given 6 routers that may relay before 5 servers
+    And router r0 knows that connections hang there
+    And server i-0 is <state> at the others
+    When router r0 gets a request
+    Then the request is refused as not run within 0.5 s
+    And the request has not run
+
+    Examples:
+      | state    |
+      | unknown  |
+      | excluded |
+
+  Scenario: Junk messages change nothing
+    Given 2 routers that may relay before 5 servers
+    When router r1 gets junk messages
+    Then nothing ran but the valid request, and router r1 still relays
+
+  Scenario: Bodies of 4 MiB in both directions
+    Given 6 routers that may relay before 5 servers
+    And router r0 knows that connections hang there
+    When router r0 gets a request with a body of 4 MiB that is sent back
+    Then the request is served within 2 s
+    And the request has run once
+    And the server got the body unchanged
+    And no router holds anything for others
+
+  Scenario Outline: Streams come event by event and with their end
+    Given 6 routers that may relay before 5 servers
+    And stream requests to relay
+    And answers with repeated and undecodable headers that end by <marker>
+    And router r0 knows that connections hang there
+    When router r0 gets a request
+    Then the answer has the headers, end marker and events of the server
+
+    Examples:
+      | marker |
+      | chunks |
+
+  Scenario: Open connections that live on are no evidence
+    Given 6 routers that may relay before 5 servers
+    And stream requests to relay
+    When a stream runs at router r0 while new connections are refused there
+    Then both streams are whole, the second one through another router
--- /dev/null
+++ b/features/steps/cut_off_steps.py
@@ -0,0 +1,496 @@
+"""Steps for routers that are cut off from all servers, in virtual time.
+
+They guard against requests that fail although other routers reach the servers, that run twice, or
+whose outcome is reported wrongly.
+"""
+
+import asyncio
+import statistics
+
+from behave import given, then, when
+from cut_off_world import EVENT_SECONDS, EVENTS, CutWorld
+from laburnumpier_core.result_codes import Ran
+from laburnumpier_router.configuration.document import RouteKind
+from laburnumpier_router.relay import held_exchange, relay_host
+from laburnumpier_router.relay.messages import (
+    AskContact,
+    KeepRequest,
+    ReadExchange,
+    RelayReason,
+    StartExchange,
+)
+from laburnumpier_router.response_end import EndMarker
+
+CUT_SECONDS = 2.0
+"""Time of the play at which a cut begins."""
+SERVED_FROM_SECONDS = 2.0
+"""Time after which first attempts must be served."""
+REQUESTS_PER_SECOND = 4
+PLAY_SECONDS = 10
+LARGE_BODY_BYTES = 4 * 1024 * 1024
+KINDS = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non-idempotent": RouteKind.NON_IDEMPOTENT,
+    "stream": RouteKind.STREAM,
+}
+
+
+def run(context, coroutine):
+    return context.virtual.run(coroutine)
+
+
+@given("{routers:d} routers that may relay before {servers:d} servers")
+def make_world(context, routers, servers):
+    context.world = CutWorld(routers, servers)
+    run(context, context.world.start())
+    context.cleanups.append((context.virtual, context.world.stop))
+
+
+@given("{kind} requests to relay")
+def set_kind(context, kind):
+    context.world.set_route(KINDS[kind])
+    if kind == "stream":
+        context.world.answer = "stream"
+        context.world.end_marker = EndMarker.CHUNKS
+
+
+@given("a cut of {count:d} routers in which connections {mode}")
+def plan_cut(context, count, mode):
+    context.cut_routers = list(context.world.routers)[:count]
+    context.mode = mode
+
+
+@given("router {name} knows that connections {mode} there")
+def know_cut(context, name, mode):
+    """Cuts a router off and lets it find out by requests."""
+    context.mode = mode
+    context.name = name
+    world = context.world
+
+    async def find_out():
+        await asyncio.gather(*(world.send(peer) for peer in world.routers))
+        world.cuts[name] = mode
+        await asyncio.sleep(1.0)
+        await world.send(name)
+        await asyncio.sleep(1.0)
+        world.attempts.clear()
+        for server in world.servers:
+            server.arrivals.clear()
+            server.bodies.clear()
+            server.left.clear()
+        world.sent.clear()
+
+    run(context, find_out())
+    assert world.routers[name].relay.monitor.is_cut_off
+
+
+def cut(context):
+    for name in context.cut_routers:
+        context.world.cuts[name] = context.mode
+
+
+@when("callers send requests to all routers before, in and after the cut")
+def play_cut(context):
+    world = context.world
+    context.began_seconds = context.virtual.get_loop().time()
+
+    async def play():
+        async def change():
+            await asyncio.sleep(CUT_SECONDS)
+            cut(context)
+            await asyncio.sleep(PLAY_SECONDS - 2 * CUT_SECONDS)
+            world.cuts.clear()
+
+        changing = asyncio.create_task(change())
+        await world.send_requests(REQUESTS_PER_SECOND, PLAY_SECONDS)
+        await changing
+
+    run(context, play())
+
+
+def list_attempts(context, from_seconds, to_seconds, is_cut):
+    began = context.began_seconds
+    return [
+        attempt
+        for attempt in context.world.attempts
+        if from_seconds <= attempt.sent_seconds - began < to_seconds
+        and (attempt.router in context.cut_routers) is is_cut
+    ]
+
+
+@then("from 2 s on {share:g} of the requests at the cut routers are served as at the others")
+def check_share(context, share):
+    from_seconds = CUT_SECONDS + SERVED_FROM_SECONDS
+    to_seconds = PLAY_SECONDS - CUT_SECONDS
+    inside = list_attempts(context, from_seconds, to_seconds, True)
+    outside = list_attempts(context, from_seconds, to_seconds, False)
+    served = sum(attempt.is_served for attempt in inside) / len(inside)
+    others = sum(attempt.is_served for attempt in outside) / len(outside)
+    assert served >= share * others, (served, others)
+
+
+@then("the relayed requests take at most {milliseconds:d} ms longer at the median")
+def check_added_time(context, milliseconds):
+    from_seconds = CUT_SECONDS + SERVED_FROM_SECONDS
+    to_seconds = PLAY_SECONDS - CUT_SECONDS
+    inside, outside = (
+        statistics.median(
+            attempt.took_seconds
+            for attempt in list_attempts(context, from_seconds, to_seconds, is_cut)
+        )
+        for is_cut in (True, False)
+    )
+    assert inside - outside <= milliseconds / 1000, (inside, outside)
+
+
+@then("no request runs twice")
+def check_single_runs(context):
+    world = context.world
+    for attempt in world.attempts:
+        assert world.count_runs(attempt.attempt_id) <= 1, attempt.attempt_id
+
+
+@then("each refusal that says not run is true")
+def check_refusals(context):
+    world = context.world
+    for attempt in world.attempts:
+        if attempt.error is not None and attempt.error.ran is Ran.NO:
+            assert not world.count_runs(attempt.attempt_id), attempt.attempt_id
+        if attempt.error is not None and attempt.error.ran is not Ran.NO:
+            assert attempt.status in (502, 504)
+
+
+@then("a second after the cut all requests are sent directly again")
+def check_end(context):
+    world = context.world
+    late = list_attempts(context, PLAY_SECONDS - CUT_SECONDS + 1.0, PLAY_SECONDS, True)
+    assert late
+    routers = {a: router for server in world.servers for _, router, a in server.arrivals}
+    for attempt in late:
+        assert attempt.is_served
+        assert routers[attempt.attempt_id] == attempt.router
+    assert not any(router.relay.monitor.is_cut_off for router in world.routers.values())
+
+
+@then("no server is reported as crashed")
+def check_no_crash(context):
+    assert context.world.count_events("forward.server_crashes") == 0
+
+
+@when("all servers are down and callers send requests for {seconds:d} seconds")
+def play_outage(context, seconds):
+    world = context.world
+
+    async def play():
+        await world.send_requests(REQUESTS_PER_SECOND, 1)
+        for server in world.servers:
+            server.is_up = False
+        context.down_count = len(world.attempts)
+        world.sent.clear()
+        await world.send_requests(REQUESTS_PER_SECOND, seconds)
+
+    run(context, play())
+    context.seconds = seconds
+
+
+@then("at most {count:d} requests are handed over a router and second")
+def check_no_storm(context, count):
+    world = context.world
+    per_router = world.sent["KeepRequest"] / len(world.routers) / context.seconds
+    assert per_router <= count, per_router
+
+
+@then("the routers ask and probe at most {count:d} times a router and second")
+def check_few_messages(context, count):
+    world = context.world
+    messages = world.sent["AskContact"] + world.count_events("relay.probes")
+    assert messages / len(world.routers) / context.seconds <= count, messages
+
+
+@then("all requests in the outage are refused as not run within {seconds:g} s")
+def check_refused(context, seconds):
+    for attempt in context.world.attempts[context.down_count :]:
+        assert attempt.error is not None
+        assert attempt.error.ran is Ran.NO, attempt.error.code
+        assert attempt.took_seconds <= seconds, attempt.took_seconds
+
+
+@when("router {name} gets a request when its connections {mode}")
+def send_at_cut(context, name, mode):
+    world = context.world
+
+    async def play():
+        await world.send_requests(REQUESTS_PER_SECOND, 1)
+        await asyncio.sleep(1.0)
+        world.cuts[name] = mode
+        context.attempt = await world.send(name)
+
+    run(context, play())
+
+
+@given("the next {fault} of type {kind} {count:d} times")
+def plan_fault(context, fault, kind, count):
+    context.world.faults[fault, kind] = count
+
+
+@given("a router that dies after a message of type {kind}")
+def plan_kill(context, kind):
+    context.world.kill_after = kind
+
+
+@when("router {name} gets a request")
+def send_one(context, name):
+    context.attempt = run(context, context.world.send(name))
+
+
+@when("router {name} gets a request with a body of 4 MiB that is sent back")
+def send_large(context, name):
+    context.world.body = bytes(range(256)) * (LARGE_BODY_BYTES // 256)
+    context.attempt = run(context, context.world.send(name, body=context.world.body))
+
+
+@then("the request is served within {seconds:g} s")
+def check_served(context, seconds):
+    attempt = context.attempt
+    assert attempt.is_served, (attempt.error, attempt.sink.status)
+    assert attempt.sink.body == context.world.body, attempt.sink.body[:100]
+    assert attempt.took_seconds <= seconds, attempt.took_seconds
+
+
+@then("the request has run once")
+def check_one_run(context):
+    assert context.world.count_runs(context.attempt.attempt_id) == 1
+
+
+@then("the request has not run")
+def check_no_run(context):
+    assert context.world.count_runs(context.attempt.attempt_id) == 0
+
+
+@then("the outcome is reported as unknown within {seconds:g} s")
+def check_unknown(context, seconds):
+    attempt = context.attempt
+    assert attempt.status in (502, 504), attempt.status
+    assert attempt.error.ran is Ran.UNKNOWN
+    assert attempt.took_seconds <= seconds, attempt.took_seconds
+
+
+@then("the request is refused as not run within {seconds:g} s")
+def check_not_run(context, seconds):
+    attempt = context.attempt
+    assert attempt.error is not None
+    assert attempt.error.ran is Ran.NO
+    assert attempt.status == 503
+    assert attempt.error.retry_after_seconds is not None
+    assert attempt.took_seconds <= seconds, attempt.took_seconds
+
+
+@then("the server got the body unchanged")
+def check_body(context):
+    bodies = [body for server in context.world.servers for body in server.bodies]
+    assert bodies == [context.world.body]
+
+
+@when("router {name} gets a request whose caller leaves after {seconds:g} s")
+def leave(context, name, seconds):
+    world = context.world
+    world.answer_seconds = 3.0
+
+    async def play():
+        sending = asyncio.create_task(world.send(name))
+        await asyncio.sleep(seconds)
+        sending.cancel()
+        await asyncio.gather(sending, return_exceptions=True)
+        context.attempt = world.attempts[-1]
+        await asyncio.sleep(0.1)
+
+    run(context, play())
+
+
+@when("router {name} gets a request and dies after {seconds:g} s")
+def die(context, name, seconds):
+    world = context.world
+    world.answer_seconds = 3.5
+
+    async def play():
+        sending = asyncio.create_task(world.send(name))
+        await asyncio.sleep(seconds)
+        world.kill(name)
+        await asyncio.sleep(relay_host.SILENCE_SECONDS + 0.6)
+        context.left = [list(server.left) for server in world.servers]
+        sending.cancel()
+        await asyncio.gather(sending, return_exceptions=True)
+        context.attempt = world.attempts[-1]
+
+    run(context, play())
+
+
+@then("the server's connection is closed")
+def check_left(context):
+    left = [attempt_id for server in context.world.servers for attempt_id in server.left]
+    assert left == [context.attempt.attempt_id], left
+
+
+@then("no router holds anything for others")
+def check_nothing_held(context):
+    run(context, asyncio.sleep(0.6))
+    for router in context.world.routers.values():
+        assert router.relay.host.exchange_count == 0
+        assert router.relay.host.held_bytes == 0
+
+
+def make_keep(context, number, **changes):
+    server = context.world.servers[0]
+    fields = {
+        "number": number,
+        "reason": RelayReason.CUT_OFF,
+        "server_id": server.server_id,
+        "address": server.address,
+        "method": b"POST",
+        "target": b"/shop/x",
+        "headers": [(b"X-Attempt-Id", b"k"), (b"X-Expected-Instance", server.server_id.encode())],
+        "body": b"",
+        "remaining_ms": 4000,
+    }
+    return KeepRequest(**{**fields, **changes})
+
+
+@given("{which} routers are busy with requests of others")
+def fill_routers(context, which):
+    names = [name for name in context.world.routers if name != "r0"]
+    if which == "some":
+        names = names[:-1]
+    body = bytes(LARGE_BODY_BYTES)
+
+    async def fill():
+        for name in names:
+            host = context.world.routers[name].relay.host
+            for number in range(200):
+                await host.handle_keep("other", make_keep(context, number, body=body))
+                await host.handle_keep("other", make_keep(context, 1000 + number))
+            assert host.held_bytes <= relay_host.MAX_HELD_BYTES
+
+    run(context, fill())
+    context.fill = fill
+
+
+@given("server i-0 is {state} at the others")
+def change_server(context, state):
+    for name, router in context.world.routers.items():
+        if name == context.name:
+            continue
+        if state == "unknown":
+            for server in context.world.servers:
+                router.table.remove(server.server_id)
+        else:
+            router.table.add_exclusion(lambda entry: True)
+
+
+@then("the answer has the headers, end marker and events of the server")
+def check_stream(context):
+    sink = context.attempt.sink
+    assert sink.finished
+    assert not sink.aborted
+    assert sink.body == b"".join(EVENTS)
+    assert sink.headers.getall("X-Two") == ["a", "b\udcff"], sink.headers
+    times = [seconds for seconds, _ in sink.pieces]
+    gaps = [later - earlier for earlier, later in zip(times, times[1:], strict=False)]
+    assert len(gaps) == len(EVENTS) - 1, gaps
+    assert all(abs(gap - EVENT_SECONDS) < 0.05 for gap in gaps), gaps
+    assert sink.has_explicit_end is context.world.end_marker.is_explicit
+
+
+@given("answers with repeated and undecodable headers that end by {marker}")
+def set_answer(context, marker):
+    context.world.headers = [("X-Two", "a"), ("X-Two", "b\udcff")]
+    context.world.end_marker = EndMarker(marker)
+
+
+@given("servers break off after their last piece")
+def break_off(context):
+    context.world.breaks_off = True
+
+
+@then("the answer is broken off after all events")
+def check_broken_off(context):
+    sink = context.attempt.sink
+    assert sink.body == b"".join(EVENTS)
+    assert sink.aborted
+    assert not sink.finished
+
+
+@when("a stream runs at router {name} while new connections are refused there")
+def stream_through_cut(context, name):
+    world = context.world
+
+    async def play():
+        streaming = asyncio.create_task(world.send(name))
+        await asyncio.sleep(0.2)
+        world.cuts[name] = "refuse new ones"
+        await asyncio.sleep(0.4)
+        later = await world.send(name)
+        context.first, context.attempt = await streaming, later
+
+    run(context, play())
+
+
+@then("both streams are whole, the second one through another router")
+def check_both(context):
+    world = context.world
+    routers = {a: router for server in world.servers for _, router, a in server.arrivals}
+    for attempt in (context.first, context.attempt):
+        assert attempt.sink.body == b"".join(EVENTS), attempt.error
+        assert attempt.sink.finished
+    assert routers[context.first.attempt_id] == context.first.router
+    assert routers[context.attempt.attempt_id] != context.attempt.router
+
+
+@when("router r1 gets junk messages")
+def send_junk(context):
+    world = context.world
+    handler = world.hub.handlers["r1"]
+    link = world.routers["r0"].link
+    messages = [
+        make_keep(context, 1, target=b"@elsewhere/x"),
+        make_keep(context, 2, method=b"PO ST"),
+        make_keep(context, 3, address="10.9.9.9:1"),
+        make_keep(context, 4, server_id="i-77"),
+        make_keep(context, 5, headers=[(b"a", b"b")] * 300),
+        make_keep(context, 6, body=bytes(LARGE_BODY_BYTES + 1)),
+        make_keep(context, -7),
+        StartExchange(number=8, wait_ms=10),
+        StartExchange(number=8, wait_ms=10**9),
+        ReadExchange(number=9, position=5, has_head=False, max_bytes=10**12, wait_ms=10),
+        AskContact(),
+    ]
+
+    async def play():
+        for message in messages:
+            await handler(link._encode_envelope(message, "r1"))
+        for junk in (b"", b"\xc1", bytes(1000), link._encode_envelope({"type": "KeepRequest"}, "")):
+            await handler(junk)
+        host = world.routers["r1"].relay.host
+        await host.handle_keep("r0", make_keep(context, 20))
+        await host.handle_start("r0", StartExchange(number=20, wait_ms=0))
+        reply = await host.handle_read(
+            "r0",
+            ReadExchange(number=20, position=99, has_head=True, max_bytes=9, wait_ms=0),
+        )
+        assert reply.state == "unknown"
+
+    run(context, play())
+
+
+@then("nothing ran but the valid request, and router r1 still relays")
+def check_junk(context):
+    world = context.world
+    run(context, asyncio.sleep(0.1))
+    assert [a for server in world.servers for _, _, a in server.arrivals] == ["k"]
+    assert world.count_events("relay.invalid_messages") == 1
+    assert world.count_events("relay.refused_invalid") == 2
+    assert world.count_events("relay.refused_server_unknown") == 2
+
+
+@then("the memory set aside for one exchange covers its buffers")
+def check_buffers(context):
+    assert relay_host.EXCHANGE_BYTES >= held_exchange.BUFFER_BYTES + held_exchange.READ_BYTES
