Relay requests through other routers while this one reaches no server

Cause: a router that is cut off from all servers failed every request.

Change: relay/ decides from new connections and from other routers' reports whether this router is cut off, and sends requests through a router that reaches servers, in two steps, so that each runs at most once. Heartbeats say whether the sender reaches servers. Setting backend.relay.

--- a/features/steps/cut_off_steps.py
+++ b/features/steps/cut_off_steps.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 import statistics
 
 from behave import given, then, when
@@ -394,7 +395,7 @@
     assert sink.body == b"".join(EVENTS)
     assert sink.headers.getall("X-Two") == ["a", "b\udcff"], sink.headers
     times = [seconds for seconds, _ in sink.pieces]
-    gaps = [later - earlier for earlier, later in zip(times, times[1:], strict=False)]
+    gaps = [later - earlier for earlier, later in itertools.pairwise(times)]
     assert len(gaps) == len(EVENTS) - 1, gaps
     assert all(abs(gap - EVENT_SECONDS) < 0.05 for gap in gaps), gaps
     assert sink.has_explicit_end is context.world.end_marker.is_explicit
@@ -467,7 +468,12 @@
     async def play():
         for message in messages:
             await handler(link._encode_envelope(message, "r1"))
-        for junk in (b"", b"\xc1", bytes(1000), link._encode_envelope({"type": "KeepRequest"}, "")):
+        for junk in (
+            b"",
+            b"\xc1",
+            bytes(1000),
+            link._encode_envelope({"type": "KeepRequest"}, ""),
+        ):
             await handler(junk)
         host = world.routers["r1"].relay.host
         await host.handle_keep("r0", make_keep(context, 20))
--- a/features/steps/cut_off_world.py
+++ b/features/steps/cut_off_world.py
@@ -8,6 +8,7 @@
 import contextlib
 import random
 
+import msgspec
 from crash_world import HOST, KEY, OneVersionHistory, WorldBudget, WorldConfiguration, WorldOrigins
 from laburnumpier_core.errors import (
     PeerUnreachableError,
@@ -199,6 +200,7 @@
         reply = await self._link.call(peer, peer, message, timeout_seconds)
         self._world.last_message = (peer, message)
         if kind == self._world.kill_after:
+            self._world.kill_after = ""
             self._world.kill(peer)
         if self._world.take_fault("lost reply", kind):
             await asyncio.sleep(timeout_seconds)
@@ -360,6 +362,7 @@
         self.last_message = None
         self.attempts = []
         self.servers = [CutServer(number) for number in range(servers)]
+        self.configuration = WorldConfiguration(RouteKind.NON_IDEMPOTENT)
         self.set_route(RouteKind.NON_IDEMPOTENT)
         self.routers = {}
         self.killed = {}
@@ -369,11 +372,11 @@
 
     def set_route(self, kind, limit_seconds=4.0):
         """Makes all requests of a kind."""
-        self.configuration = WorldConfiguration(kind)
-        route = self.configuration.configuration.routes["r"]
-        changes = {"time_limit_seconds": limit_seconds, "target_latency_seconds": 0.3}
-        for name, value in changes.items():
-            object.__setattr__(route, name, value)
+        document = WorldConfiguration(kind).configuration
+        route = msgspec.structs.replace(
+            document.routes["r"], time_limit_seconds=limit_seconds, target_latency_seconds=0.3
+        )
+        self.configuration.configuration = msgspec.structs.replace(document, routes={"r": route})
 
     async def start(self):
         """Lets all routers listen, and exchange heartbeats."""
--- a/packages/core/laburnumpier_core/settings.py
+++ b/packages/core/laburnumpier_core/settings.py
@@ -97,6 +97,7 @@
     cold_overshoot: float
     cold_slack_requests: float
     placement: str
+    relay: bool
     link_mbps: float
     metrics_address: Address | None
     statsd_host: str
@@ -312,6 +313,7 @@
         "affinity or estimate",
         "affinity",
     ),
+    _text_field("backend", "relay", _parse_bool, "yes or no", "no"),
     _number_field("router", "link_mbps", "0", float, 0, 10**6),
     _text_field(
         "metrics", "metrics_address", _parse_optional_address, _ADDRESS_HELP + ", or empty", ""
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -71,6 +71,8 @@
 from .ports.server_registry import ServerRegistry
 from .ports.store_calls import log_store_calls_periodically
 from .ports.vm_list import VmList
+from .relay import messages as relay_messages
+from .relay.feature import RelayFeature
 from .request import messages as request_messages
 from .request.call_service import CallService
 from .request.chat_runner import ChatRunner
@@ -111,6 +113,7 @@
     *origin_messages.MESSAGE_TYPES,
     *crash_messages.MESSAGE_TYPES,
     *permit_messages.MESSAGE_TYPES,
+    *relay_messages.MESSAGE_TYPES,
     request_messages.OpenRequest,
     request_messages.RequestOpened,
     request_messages.PlaceRequest,
@@ -268,6 +271,7 @@
             stream_origins=self._stream_origins,
             fleet=self._fleet,
             metrics=metrics,
+            relay=self._relay,
         )
         self._caller_frontend = CallerFrontend(
             configuration=self._configuration,
@@ -464,7 +468,9 @@
         if self._crash_guard is not None:
             await self._crash_guard.close()
         await self._peer_link.close()
-        if self._ports.forwarding is not None:
+        if self._relay is not None:
+            await self._relay.close()
+        elif self._ports.forwarding is not None:
             await self._ports.forwarding.client.close()
         await self._ports.store.close()
         if self._ports.vm_list is not None:
@@ -583,6 +589,7 @@
         self._forward_frontend: ForwardFrontend | None = None
         self._registry_relay: RegistryRelay | None = None
         self._crash_guard: CrashGuard | None = None
+        self._relay: RelayFeature | None = None
         self._broadcaster = Broadcaster(fleet=self._fleet, metrics=self._metrics)
         if ports is None:
             return
@@ -596,6 +603,7 @@
             clock=self._clock,
         )
         self._server_table = ServerTable()
+        client = self._build_relay(ports)
         self._retry_budget = RetryBudget(
             ratio=settings.retry_ratio,
             extra=settings.retry_extra,
@@ -630,7 +638,7 @@
         self._crash_guard = CrashGuard(
             fleet=self._fleet,
             table=self._server_table,
-            client=ports.client,
+            client=client,
             clock=self._clock,
             metrics=self._metrics,
         )
@@ -641,7 +649,7 @@
                 configuration=self._configuration,
                 budget=self._budget,
                 table=self._server_table,
-                client=ports.client,
+                client=client,
                 crash_guard=self._crash_guard,
                 stream_versions=StreamVersions(
                     origins=self._stream_origins,
@@ -667,6 +675,23 @@
             max_body_bytes=settings.max_body_bytes,
         )
 
+    def _build_relay(self, ports: ForwardingPorts) -> ServerClient:
+        """Returns the client of forwarded requests; one that relays if the settings ask for it."""
+        if not self._settings.relay:
+            return ports.client
+        self._relay = RelayFeature(
+            client=ports.client,
+            dialect=ports.dialect,
+            fleet=self._fleet,
+            table=self._server_table,
+            clock=self._clock,
+            metrics=self._metrics,
+            random_source=self._random,
+        )
+        self._relay.register_handlers(self._peer_link)
+        self._fleet.make_server_reach = self._relay.monitor.make_reach
+        return self._relay.client
+
     def _build_controller(self) -> None:
         member = self._fleet.member
         self._controller = EngineController(
@@ -787,6 +812,8 @@
         if self._crash_guard is not None:
             self._crash_guard.adopt_blocks(sender, message.blocked_parts)
             self._rate_limits.adopt(message.named_limits)
+        if self._relay is not None:
+            self._relay.monitor.adopt(sender, message.server_reach)
         # Only homes of shards normally write, but members may temporarily disagree on the homes.
         max_writers = MAX_HOMES_PER_SHARD * self._settings.account_shards
         self._write_pacer.set_member_count(min(1 + len(self._fleet.view.live), max_writers))
--- a/packages/router/laburnumpier_router/fleet/member.py
+++ b/packages/router/laburnumpier_router/fleet/member.py
@@ -107,6 +107,31 @@
     age_ms: Annotated[int, msgspec.Meta(ge=0)]
 
 
+MAX_TOLD_CONTACTS = 4
+"""Routers that reach servers which one report names; the receiver needs one to relay through."""
+
+
+class ServerContact(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A router that reaches servers, and the time since it last did, in milliseconds."""
+
+    router: Annotated[str, msgspec.Meta(max_length=200)]
+    age_ms: Annotated[int, msgspec.Meta(ge=0)]
+
+
+class ServerReach(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Whether a router's new connections to servers succeed.
+
+    Attributes:
+        own_age_ms: Time since the sender reached a server; None if it has not lately.
+        is_failing: Whether its new connections fail.
+        others: Routers that reach servers, named by a sender that does not.
+    """
+
+    own_age_ms: Annotated[int, msgspec.Meta(ge=0)] | None
+    is_failing: bool
+    others: Annotated[list[ServerContact], msgspec.Meta(max_length=MAX_TOLD_CONTACTS)] = []
+
+
 class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Request to a partner in each heartbeat interval, and the partner's reply.
 
@@ -117,6 +142,7 @@
         store_era: Highest era of the store known to the sender.
         blocked_parts: Parts of prompts that the sender refuses.
         named_limits: Limits of backend servers that the sender knows.
+        server_reach: Whether the sender reaches servers; None if it does not observe that.
     """
 
     entries: list[GossipEntry]
@@ -125,3 +151,4 @@
     store_era: int = 0
     blocked_parts: list[BlockedPart] = []
     named_limits: list[NamedLimit] = []
+    server_reach: ServerReach | None = None
--- a/packages/router/laburnumpier_router/fleet/service.py
+++ b/packages/router/laburnumpier_router/fleet/service.py
@@ -24,6 +24,7 @@
     MemberRecord,
     MemberState,
     NamedLimit,
+    ServerReach,
 )
 from .peer_link import PeerLink
 from .registry import MemberRegistry
@@ -72,6 +73,7 @@
         "list_leaving_servers",
         "list_named_limits",
         "list_preferred_partners",
+        "make_server_reach",
         "reaches_store",
     )
 
@@ -128,6 +130,7 @@
         self.list_leaving_servers: Callable[[], list[str]] = list
         self.list_blocked_parts: Callable[[], list[BlockedPart]] = list
         self.list_named_limits: Callable[[], list[NamedLimit]] = list
+        self.make_server_reach: Callable[[], ServerReach | None] = lambda: None
         self.reaches_store: Callable[[], bool] = lambda: True
         self.list_preferred_partners: Callable[[], list[str]] = list
         link.register_handler(Heartbeat, self._handle_heartbeat)
@@ -381,4 +384,5 @@
             leaving_servers=self.list_leaving_servers(),
             blocked_parts=self.list_blocked_parts(),
             named_limits=self.list_named_limits(),
+            server_reach=self.make_server_reach(),
         )
--- a/packages/router/laburnumpier_router/forward/exchange.py
+++ b/packages/router/laburnumpier_router/forward/exchange.py
@@ -1,6 +1,7 @@
 """Interfaces of a forwarded request: the response to the caller and the exchange with a server."""
 
 import dataclasses
+import math
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager
 from typing import Protocol
@@ -10,6 +11,9 @@
 from ..ports.dialect import RequestHead
 from ..response_end import EndMarker
 
+CONNECT_TIMEOUT_SECONDS = 0.5
+"""Timeout for connecting; servers are a few milliseconds away, and a lost packet costs 200 ms."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ForwardRequest:
@@ -31,13 +35,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ServerCall:
-    """A request as sent to a server."""
+    """A request as sent to a server.
+
+    Attributes:
+        server_id: Id of the server, as registered; empty if unknown.
+        remaining_seconds: Time until the request's deadline, when the call was made.
+        connect_timeout_seconds: Timeout for connecting.
+    """
 
     method: str
     address: str
     target: str
     headers: CIMultiDict[str]
     body: bytes
+    server_id: str = ""
+    remaining_seconds: float = math.inf
+    connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS
 
 
 class ServerExchange(Protocol):
--- a/packages/router/laburnumpier_router/forward/http_client.py
+++ b/packages/router/laburnumpier_router/forward/http_client.py
@@ -16,11 +16,9 @@
 
 from ..ports.bounded_http import BodyMemory, BodyReservation, make_lost_error, read_body
 from ..response_end import EndMarker, get_end_marker, make_server_session
-from .exchange import ServerCall
+from .exchange import CONNECT_TIMEOUT_SECONDS, ServerCall
 from .response_limits import MAX_BODY_BYTES
 
-CONNECT_TIMEOUT_SECONDS = 0.5
-"""Timeout for connecting; servers are a few milliseconds away, and a lost packet costs 200 ms."""
 ACCEPT_TIMEOUT_SECONDS = 0.2
 """Timeout for finding out whether a server accepts connections; meanwhile an event of the server
 that is to be replaced can wait to be passed on."""
@@ -116,6 +114,9 @@
                 headers=call.headers,
                 data=call.body or None,
                 allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(
+                    total=None, sock_connect=call.connect_timeout_seconds
+                ),
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise ServerUnreachableError(repr(error)) from error
@@ -157,7 +158,6 @@
             self._session = make_server_session(
                 cookie_jar=aiohttp.DummyCookieJar(),
                 skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
-                timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS),
                 read_bufsize=READ_BUFFER_BYTES,
             )
         return self._session
--- a/packages/router/laburnumpier_router/operators/reports.py
+++ b/packages/router/laburnumpier_router/operators/reports.py
@@ -20,6 +20,7 @@
 from ..fleet.service import FleetService
 from ..forward.stream_origins import StreamOrigins
 from ..ports.key_value_service import KeyValueService
+from ..relay.feature import RelayFeature
 from ..request.call_service import CallService
 from ..request.chat_service import ChatService
 from ..request.request_directory import RequestDirectory
@@ -39,6 +40,7 @@
         "_dispatcher",
         "_fleet",
         "_metrics",
+        "_relay",
         "_request_directory",
         "_store",
         "_stream_origins",
@@ -60,6 +62,7 @@
         stream_origins: StreamOrigins,
         fleet: FleetService,
         metrics: Metrics,
+        relay: RelayFeature | None = None,
     ):
         """Creates the reports from the parts of one router process."""
         self._store = store
@@ -74,6 +77,7 @@
         self._stream_origins = stream_origins
         self._fleet = fleet
         self._metrics = metrics
+        self._relay = relay
 
     async def show_budget(self, workspace: str) -> dict[str, Any] | None:
         """Returns the stored account of a workspace, or None if the workspace does not exist.
@@ -241,6 +245,7 @@
             "requests_at_home": self._request_directory.entry_count,
             "stream_origins": self._stream_origins.kept_count,
             "stream_origins_untold": self._stream_origins.untold_count,
+            "relay": self._relay.describe() if self._relay is not None else None,
             "counters": self._metrics.counters,
             "gauges": self._metrics.gauges,
         }
--- /dev/null
+++ b/packages/router/laburnumpier_router/relay/relayed_exchange.py
@@ -0,0 +1,185 @@
+"""A server's response that is received through another router."""
+
+import asyncio
+import collections
+import contextlib
+from collections.abc import AsyncIterator
+
+import aiohttp
+from laburnumpier_core.errors import ServerConnectionLostError, ServerResponseLimitError
+from multidict import CIMultiDictProxy
+
+from ..forward.response_limits import MAX_BODY_BYTES
+from ..ports.bounded_http import BodyMemory, BodyReservation, ResponseLimitError, make_lost_error
+from ..response_end import EndMarker
+from .messages import ExchangeHead, ExchangeReply, ExchangeState, decode_headers
+from .relay_session import RelayLostError, RelaySession
+
+BUFFER_BYTES = 128 * 1024
+"""Bytes that wait for the caller, above which no more is asked for."""
+KEEP_OPEN_SECONDS = 0.5
+"""Interval of messages that only keep the exchange open, while the caller takes no bytes."""
+READ_BYTES = 128 * 1024
+"""Most bytes in one reply."""
+
+
+class RelayedExchange:
+    """A response whose head was received; a task receives the body until the context is left.
+
+    The task also keeps the exchange open while the caller is slow.
+    """
+
+    __slots__ = (
+        "_buffer",
+        "_buffered_bytes",
+        "_changed",
+        "_end_marker",
+        "_error",
+        "_has_room",
+        "_headers",
+        "_is_ended",
+        "_position",
+        "_reservation",
+        "_session",
+        "_status",
+        "_task",
+    )
+
+    def __init__(
+        self,
+        *,
+        session: RelaySession,
+        head: ExchangeHead,
+        reply: ExchangeReply,
+        memory: BodyMemory,
+    ):
+        """Begins to receive the body.
+
+        Args:
+            session: Messages to the relaying router.
+            head: The response head.
+            reply: The reply that brought the head, perhaps with the first bytes.
+            memory: Memory that bodies share which are read as a whole.
+
+        Raises:
+            ServerConnectionLostError: If the head is not valid.
+        """
+        self._session = session
+        self._status = head.status
+        self._headers = CIMultiDictProxy(decode_headers(head.headers))
+        try:
+            self._end_marker = EndMarker(head.end_marker)
+        except ValueError as error:
+            raise ServerConnectionLostError("unknown end marker of a relayed response") from error
+        self._reservation = BodyReservation(memory=memory)
+        self._buffer: collections.deque[bytes] = collections.deque()
+        self._buffered_bytes = 0
+        self._position = 0
+        self._is_ended = False
+        self._error: ServerConnectionLostError | None = None
+        self._changed = asyncio.Event()
+        self._has_room = asyncio.Event()
+        self._take(reply)
+        self._task = asyncio.create_task(self._receive())
+
+    @property
+    def status(self) -> int:
+        """HTTP status."""
+        return self._status
+
+    @property
+    def headers(self) -> CIMultiDictProxy[str]:
+        """Response headers."""
+        return self._headers
+
+    @property
+    def end_marker(self) -> EndMarker:
+        """How the response says where its body ends."""
+        return self._end_marker
+
+    async def iterate_chunks(self) -> AsyncIterator[bytes]:
+        """Yields the body as it arrives.
+
+        Raises:
+            ServerConnectionLostError: If it ends early.
+        """
+        while True:
+            while self._buffer:
+                chunk = self._buffer.popleft()
+                self._buffered_bytes -= len(chunk)
+                self._has_room.set()
+                yield chunk
+            if self._error is not None:
+                raise self._error
+            if self._is_ended:
+                return
+            self._changed.clear()
+            await self._changed.wait()
+
+    async def read(self) -> bytes:
+        """Returns the complete body.
+
+        Raises:
+            ServerConnectionLostError: If it ends early or is too large.
+        """
+        body = bytearray()
+        async for chunk in self.iterate_chunks():
+            try:
+                self._reservation.grow(len(body) + len(chunk))
+                if len(body) + len(chunk) > MAX_BODY_BYTES:
+                    raise ResponseLimitError("body_too_large", MAX_BODY_BYTES)
+            except aiohttp.ClientError as error:
+                raise make_lost_error(error) from error
+            body += chunk
+        return bytes(body)
+
+    async def close(self) -> None:
+        """Stops receiving."""
+        self._reservation.release()
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _receive(self) -> None:
+        try:
+            while not self._is_ended and self._error is None:
+                has_room = await self._wait_for_room()
+                reply = await self._session.read(
+                    position=self._position,
+                    has_head=True,
+                    max_bytes=READ_BYTES if has_room else 0,
+                )
+                self._take(reply)
+        except ServerConnectionLostError as error:
+            self._error = error
+            self._changed.set()
+
+    async def _wait_for_room(self) -> bool:
+        """Waits until the buffer has room; returns whether it has any."""
+        if self._buffered_bytes < BUFFER_BYTES:
+            return True
+        self._has_room.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(KEEP_OPEN_SECONDS):
+                await self._has_room.wait()
+        return self._buffered_bytes < BUFFER_BYTES
+
+    def _take(self, reply: ExchangeReply) -> None:
+        if reply.data:
+            self._buffer.append(reply.data)
+            self._buffered_bytes += len(reply.data)
+            self._position += len(reply.data)
+        if reply.state is ExchangeState.ENDED:
+            self._is_ended = True
+        elif reply.state is not ExchangeState.OPEN:
+            self._error = make_relayed_error(reply)
+        self._changed.set()
+
+
+def make_relayed_error(reply: ExchangeReply) -> ServerConnectionLostError:
+    """Returns the error of a response that was lost between the server and the relaying router."""
+    text = "the relaying router lost the response"
+    if reply.reason in ("", ServerConnectionLostError.reason):
+        return ServerConnectionLostError(text)
+    if reply.reason.startswith("relay_"):
+        return RelayLostError(text)
+    return ServerResponseLimitError(reply.reason, text)
--- a/packages/router/laburnumpier_router/sending/sender.py
+++ b/packages/router/laburnumpier_router/sending/sender.py
@@ -237,6 +237,8 @@
             target=request.target,
             headers=self._dialect.make_server_headers(request.headers, info),
             body=request.body,
+            server_id=server.entry.server_id,
+            remaining_seconds=remaining_seconds,
         )
 
     async def _relay_response(
