--- a/features/relay/relay.feature
+++ b/features/relay/relay.feature
@@ -168,6 +168,46 @@
     Examples:
       | marker |
       | chunks |
+      | close  |
+
+  # Guards against an end that the server did not send.
+  Scenario: A stream that its servers break off
+    Given 6 routers that may relay before 5 servers
+    And stream requests to relay
+    And router r0 knows that connections hang there
+    And servers break off after their last piece
+    When router r0 gets a request
+    Then the answer is broken off after all events
+
+  # Guards against exchanges that end as silent while a caller is slow, and against buffers without
+  # a limit.
+  Scenario: A slow caller
+    Given 6 routers that may relay before 5 servers
+    And stream requests to relay
+    And router r0 knows that connections hang there
+    And events of 60000 bytes, 20 at once, and a caller that takes one in 2.5 s
+    When router r0 passes them on to the slow caller
+    Then the caller gets all events, and the buffers stay within their limits
+
+  # Guards against routers that relay, or probe all the time, for lack of patience.
+  Scenario Outline: What is no cut
+    Given 6 routers that may relay before 5 servers
+    When <fault> while callers send <rate> requests a second for 10 seconds
+    Then all are served directly, with at most <probes> probes a router and second
+
+    Examples:
+      | fault                            | rate | probes |
+      | nothing happens                  | 10   | 0      |
+      | one server is down               | 4    | 1      |
+      | all servers take 1.5 s to answer | 1    | 5      |
+      | all servers take 1.5 s to answer | 10   | 5      |
+
+  Scenario: Routers that stop serve what they relay, and keep nothing new
+    Given 3 routers that may relay before 5 servers
+    And router r0 knows that connections hang there
+    When router r0 gets a request, and all others begin to stop after 0.2 s
+    Then the request is served within 1.5 s
+    And a request after it is refused as not run
 
   Scenario: Open connections that live on are no evidence
     Given 6 routers that may relay before 5 servers
--- a/features/steps/cut_off_steps.py
+++ b/features/steps/cut_off_steps.py
@@ -420,6 +420,91 @@
     assert not sink.finished
 
 
+@given("events of {size:d} bytes, {count:d} at once, and a caller that takes one in {seconds:g} s")
+def make_slow_caller(context, size, count, seconds):
+    world = context.world
+    world.events = [
+        b"id: %d\ndata: %b\n\n" % (number, b"x" * size) for number in range(1, count + 1)
+    ]
+    world.event_seconds = 0.0
+    world.caller_seconds = seconds
+    world.set_route(RouteKind.STREAM, limit_seconds=60.0)
+
+
+@when("router {name} passes them on to the slow caller")
+def send_slowly(context, name):
+    world = context.world
+    context.most_waiting = 0
+
+    async def watch():
+        while True:
+            for router in world.routers.values():
+                for exchange in router.relay.host._exchanges.values():
+                    context.most_waiting = max(context.most_waiting, len(exchange._buffer))
+            await asyncio.sleep(0.05)
+
+    async def play():
+        watching = asyncio.create_task(watch())
+        context.attempt = await world.send(name)
+        watching.cancel()
+
+    run(context, play())
+
+
+@then("the caller gets all events, and the buffers stay within their limits")
+def check_slow(context):
+    assert context.attempt.sink.finished, context.attempt.error
+    assert context.attempt.sink.body == b"".join(context.world.events)
+    assert 0 < context.most_waiting <= relay_host.EXCHANGE_BYTES, context.most_waiting
+
+
+@when("{fault} while callers send {rate:d} requests a second for {seconds:d} seconds")
+def play_calm(context, fault, rate, seconds):
+    world = context.world
+    if fault == "one server is down":
+        world.servers[0].is_up = False
+    if fault == "all servers take 1.5 s to answer":
+        world.answer_seconds = 1.5
+    run(context, world.send_requests(rate, seconds))
+    context.seconds = seconds
+
+
+@then("all are served directly, with at most {count:d} probes a router and second")
+def check_direct(context, count):
+    world = context.world
+    assert all(attempt.is_served for attempt in world.attempts)
+    assert world.sent["KeepRequest"] == 0
+    assert world.count_events("relay.became_cut_off") == 0
+    assert world.count_events("relay.became_all_fail") == 0
+    probes = world.count_events("relay.probes") / len(world.routers) / context.seconds
+    assert probes <= count, probes
+
+
+@when("router {name} gets a request, and all others begin to stop after {seconds:g} s")
+def stop_others(context, name, seconds):
+    world = context.world
+    world.answer_seconds = 1.0
+
+    async def play():
+        first = asyncio.create_task(world.send(name))
+        await asyncio.sleep(seconds)
+        hosts = [r.relay.host for n, r in world.routers.items() if n != name]
+        for host in hosts:
+            host.begin_stop(asyncio.get_running_loop().time() + 3.0)
+        idle = asyncio.gather(*(host.wait_until_idle() for host in hosts))
+        context.second = await world.send(name)
+        context.attempt = await first
+        await idle
+
+    run(context, play())
+
+
+@then("a request after it is refused as not run")
+def check_second(context):
+    assert context.second.error is not None
+    assert context.second.error.ran is Ran.NO
+
+
 @when("a stream runs at router {name} while new connections are refused there")
 def stream_through_cut(context, name):
     world = context.world
--- a/features/steps/cut_off_world.py
+++ b/features/steps/cut_off_world.py
@@ -92,7 +92,8 @@
     async def iterate_chunks(self):
         """Yields the answer piece by piece."""
         for number, piece in enumerate(self._world.list_pieces(self._call)):
-            await self.pass_cut(EVENT_SECONDS if number and self._world.answer == "stream" else 0)
+            is_later_event = number and self._world.answer == "stream"
+            await self.pass_cut(self._world.event_seconds if is_later_event else 0)
             yield piece
         if self._world.breaks_off:
             raise ServerConnectionLostError("reset")
@@ -209,9 +210,10 @@
 
 
 class RecordingSink:
-    """Takes the response of a request."""
+    """Takes the response of a request, each piece after a time."""
 
-    def __init__(self):
+    def __init__(self, piece_seconds):
+        self._piece_seconds = piece_seconds
         self.started = self.finished = self.aborted = False
         self.has_explicit_end = True
         self.status = None
@@ -238,6 +240,7 @@
 
     async def send_chunk(self, data):
         """Takes a piece."""
+        await asyncio.sleep(self._piece_seconds)
         self.pieces.append((asyncio.get_running_loop().time(), data))
 
     async def finish_stream(self):
@@ -315,12 +318,12 @@
 class Attempt:
     """A request of a caller and what came of it; times in seconds of the event loop."""
 
-    def __init__(self, attempt_id, router, sent_seconds):
+    def __init__(self, attempt_id, router, sent_seconds, piece_seconds):
         self.attempt_id = attempt_id
         self.router = router
         self.sent_seconds = sent_seconds
         self.took_seconds = None
-        self.sink = RecordingSink()
+        self.sink = RecordingSink(piece_seconds)
         self.error = None
 
     @property
@@ -354,6 +357,9 @@
         self.headers = []
         self.end_marker = EndMarker.LENGTH
         self.body = b"done"
+        self.events = EVENTS
+        self.event_seconds = EVENT_SECONDS
+        self.caller_seconds = 0.0
         self.breaks_off = False
         self.calls = []
         self.sent = collections.Counter()
@@ -399,7 +405,7 @@
     def list_pieces(self, call):
         """Returns the pieces of an answer."""
         if self.answer == "stream":
-            return EVENTS
+            return self.events
         size = CHUNK_BYTES
         return [self.body[start : start + size] for start in range(0, len(self.body), size)]
 
@@ -428,7 +434,8 @@
     async def send(self, name, body=b"order"):
         """Sends a caller's request to a router, and returns what came of it."""
         loop = asyncio.get_running_loop()
-        attempt = Attempt(f"a{len(self.attempts)}", name, loop.time())
+        attempt_id = f"a{len(self.attempts)}"
+        attempt = Attempt(attempt_id, name, loop.time(), self.caller_seconds)
         self.attempts.append(attempt)
         headers = CIMultiDict(
             {"Host": HOST, "X-Attempt-Id": attempt.attempt_id, "Authorization": f"Token {KEY}"}
--- /dev/null
+++ b/features/steps/relayed_answer_steps.py
@@ -0,0 +1,150 @@
+"""Steps that compare relayed answers with direct ones, on real sockets and connections.
+
+They guard against answers that arrive in another form or with another end than the server sent.
+"""
+
+import contextlib
+import random
+
+from behave import given, then, when
+from contract_steps import run
+from cut_off_world import CutFleet
+from laburnumpier_core.clock import SystemClock
+from laburnumpier_core.errors import ServerConnectionLostError, ServerUnreachableError
+from laburnumpier_core.metrics import Metrics
+from laburnumpier_measure.local_fleet import find_free_port
+from laburnumpier_platform.headers import PlatformDialect
+from laburnumpier_router.fleet.peer_link import PeerLink
+from laburnumpier_router.fleet.peer_network import PynngPeerNetwork
+from laburnumpier_router.forward.exchange import ServerCall
+from laburnumpier_router.forward.http_client import HttpServerClient
+from laburnumpier_router.forward.servers import ServerTable
+from laburnumpier_router.ports.server_registry import RegisteredServer
+from laburnumpier_router.relay.feature import RelayFeature
+from laburnumpier_router.relay.messages import MESSAGE_TYPES
+from laburnumpier_standins.memory_fleet import make_settings
+from multidict import CIMultiDict
+from scripted_server import ScriptedServer
+
+
+class CutOffClient:
+    """A way to the servers on which no connection is made."""
+
+    @contextlib.asynccontextmanager
+    async def open(self, call):
+        """Fails as unreachable."""
+        raise ServerUnreachableError("cut off")
+        yield
+
+    async def close(self):
+        """Does nothing."""
+
+
+class AddressedFleet(CutFleet):
+    """Two routers that know each other's addresses."""
+
+    async def call(self, peer, message, timeout_seconds):
+        """Sends a message."""
+        return await self._link.call(self._world.addresses[peer], peer, message, timeout_seconds)
+
+
+class SocketWorld:
+    """Two routers, of which `r0` is cut off."""
+
+    def __init__(self, server):
+        self.addresses = {name: f"127.0.0.1:{find_free_port()}" for name in ("r0", "r1")}
+        self.routers = {}
+        for name, client in (("r0", CutOffClient()), ("r1", HttpServerClient())):
+            self.routers[name] = self.make_router(name, client, server)
+
+    def make_router(self, name, client, server):
+        """Returns the link and the parts of a router."""
+        metrics, table = Metrics(), ServerTable()
+        settings = make_settings({"router.peers_address": self.addresses[name]})
+        link = PeerLink(
+            network=PynngPeerNetwork(settings=settings),
+            self_name=name,
+            token="t",
+            message_types=MESSAGE_TYPES,
+            metrics=metrics,
+        )
+        table.upsert(RegisteredServer(server_id="i-0", service="s", address=server.address))
+        relay = RelayFeature(
+            client=client,
+            dialect=PlatformDialect(),
+            fleet=AddressedFleet(self, name, link),
+            table=table,
+            clock=SystemClock(),
+            metrics=metrics,
+            random_source=random.Random(1),
+        )
+        relay.register_handlers(link)
+        return link, relay
+
+    async def close(self):
+        """Closes all."""
+        for link, relay in self.routers.values():
+            await relay.close()
+            await link.close()
+
+
+@given("two routers on sockets, one of them cut off from a server that {behaviour}")
+def make_socket_world(context, behaviour):
+    context.server = ScriptedServer(behaviour)
+
+    async def start():
+        await context.server.start()
+        context.sockets = SocketWorld(context.server)
+        for link, _ in context.sockets.routers.values():
+            await link.start()
+
+    async def stop():
+        await context.sockets.close()
+        await context.server.stop()
+
+    run(context, start())
+    context.cleanups.append((context.real, stop))
+
+
+async def fetch(client, address):
+    """Returns all that is known of an answer, or the error in its place."""
+    call = ServerCall(
+        method="POST",
+        address=address,
+        target="/x?y=%201",
+        headers=CIMultiDict({"X-Attempt-Id": "a1", "Last-Event-Id": "0"}),
+        body=b"order",
+        server_id="i-0",
+        remaining_seconds=4.0,
+    )
+    body = b""
+    try:
+        async with client.open(call) as exchange:
+            head = (exchange.status, list(exchange.headers.items()), exchange.end_marker)
+            try:
+                async for chunk in exchange.iterate_chunks():
+                    body += chunk
+            except ServerConnectionLostError as error:
+                return (*head, body, error.reason)
+            return (*head, body, "")
+    except ServerConnectionLostError as error:
+        return error.reason
+
+
+@when("the same request is sent directly and through the other router")
+def fetch_both(context):
+    async def play():
+        direct = HttpServerClient()
+        context.direct = await fetch(direct, context.server.address)
+        await direct.close()
+        relay = context.sockets.routers["r0"][1]
+        context.relayed = await fetch(relay.client, context.server.address)
+
+    run(context, play())
+
+
+@then("both answers are the same, to their end")
+def compare(context):
+    assert context.relayed == context.direct, (context.relayed, context.direct)
+    sent = [(head.split(b" HTTP", 1)[0], body) for head, body in context.server.requests]
+    assert sent.count((b"POST /x?y=%201", b"order")) == 2, sent
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -429,6 +429,8 @@
         if self._forward_frontend is not None:
             times = plan_stop(requested_seconds, self._settings.stop_grace_seconds)
             self._forward_frontend.begin_stop(times.serve_until)
+        if self._relay is not None:
+            self._relay.host.begin_stop(times.serve_until)
         self._caller_frontend.stop_accepting_requests()
         stop = GracefulStop(
             times=times,
@@ -448,6 +450,8 @@
         """Waits until no request is open."""
         if self._forward_frontend is not None:
             await self._forward_frontend.wait_until_idle()
+            if self._relay is not None:
+                await self._relay.host.wait_until_idle()
             return
         await self._caller_frontend.wait_until_idle()
         await self._chats.wait_until_idle()
--- a/packages/router/laburnumpier_router/relay/contact_monitor.py
+++ b/packages/router/laburnumpier_router/relay/contact_monitor.py
@@ -55,6 +55,7 @@
     """What this router knows about its own and the others' connections to servers."""
 
     __slots__ = (
+        "_answered_seconds",
         "_check",
         "_checked_seconds",
         "_clock",
@@ -107,6 +108,7 @@
         self._probing: asyncio.Task[bool] | None = None
         self._recovery: asyncio.Task[None] | None = None
         self._checked_seconds = float("-inf")
+        self._answered_seconds = float("-inf")
 
     @property
     def contact(self) -> Contact:
@@ -129,6 +131,7 @@
 
     def record_reached(self, started_seconds: float) -> None:
         """Records that a server answered a call that was started at a monotonic time."""
+        self._answered_seconds = self._now()
         self._evidence.record_reached(started_seconds)
         if self.contact is not Contact.REACHED:
             self._update()
@@ -138,6 +141,14 @@
         self._evidence.record_failure(server_id, started_seconds, self._now())
         self._begin_check()
 
+    def record_silence(self, server_id: str, started_seconds: float) -> None:
+        """Records a call without an answer for long.
+
+        While other answers arrive, the servers are only slow, and probing them would add load.
+        """
+        if self._now() - self._answered_seconds >= SILENCE_SECONDS:
+            self.record_failure(server_id, started_seconds)
+
     async def verify(self) -> bool:
         """Returns whether this router is cut off, after a check if the last success is old."""
         self._begin_check()
--- a/packages/router/laburnumpier_router/relay/messages.py
+++ b/packages/router/laburnumpier_router/relay/messages.py
@@ -43,6 +43,7 @@
     BUSY = "busy"
     ENDED = "ended"
     INVALID = "invalid"
+    STOPPING = "stopping"
     SERVER_UNKNOWN = "server_unknown"
     SERVER_EXCLUDED = "server_excluded"
     UNREACHED = "unreached"
--- a/packages/router/laburnumpier_router/relay/peer_contacts.py
+++ b/packages/router/laburnumpier_router/relay/peer_contacts.py
@@ -10,7 +10,7 @@
 report is asked last, and is asked by a message whether it reaches servers."""
 MAX_KNOWN_ROUTERS = 1000
 """Limit of the routers whose reports are kept, twice the largest planned fleet."""
-HOLD_OFF_SECONDS = {"busy": 0.2, "unreached": 1.0, "silent": 1.0}
+HOLD_OFF_SECONDS = {"busy": 0.2, "stopping": 5.0, "unreached": 1.0, "silent": 1.0}
 """Time for which a router is not asked again, by the reason of its last refusal."""
 
 
--- a/packages/router/laburnumpier_router/relay/relay_host.py
+++ b/packages/router/laburnumpier_router/relay/relay_host.py
@@ -40,6 +40,8 @@
 SILENCE_SECONDS = 2.0
 """Time without a message of the asking router after which an exchange is ended. A router that is
 there sends several in this time."""
+IDLE_POLL_SECONDS = 0.05
+"""Interval at which a stopping router looks whether exchanges are in progress."""
 MIN_WATCH_SECONDS = 0.05
 """Least time until an exchange is looked at again; rounding may leave a wait of almost nothing."""
 MAX_ENDED_EXCHANGES = 4096
@@ -61,6 +63,7 @@
         "_held_bytes",
         "_metrics",
         "_monitor",
+        "_stop_seconds",
         "_table",
     )
 
@@ -87,6 +90,7 @@
         self._monitor = monitor
         self._clock = clock
         self._metrics = metrics
+        self._stop_seconds: float | None = None
         self._exchanges: dict[ExchangeKey, HeldExchange] = {}
         self._held_bytes: dict[ExchangeKey, int] = {}
         self._ended: collections.OrderedDict[ExchangeKey, None] = collections.OrderedDict()
@@ -150,6 +154,19 @@
         self._drop((sender, message.number))
         return ExchangeCancelled()
 
+    def begin_stop(self, end_seconds: float) -> None:
+        """Keeps no new requests from now on.
+
+        Args:
+            end_seconds: Monotonic time up to which exchanges in progress are served.
+        """
+        self._stop_seconds = end_seconds
+
+    async def wait_until_idle(self) -> None:
+        """Waits until no exchange is in progress, or a stop ends them."""
+        while self._exchanges and (self._stop_seconds is None or self._now() < self._stop_seconds):
+            await asyncio.sleep(IDLE_POLL_SECONDS)
+
     def close(self) -> None:
         """Ends all exchanges."""
         for key in list(self._exchanges):
@@ -158,6 +175,8 @@
     def _find_refusal(self, message: KeepRequest) -> Refusal | None:
         if not message.target.startswith(b"/") or not message.method.isalpha():
             return Refusal.INVALID
+        if self._stop_seconds is not None:
+            return Refusal.STOPPING
         if self._monitor.contact is not Contact.REACHED:
             return Refusal.UNREACHED
         server = self._table.servers.get(message.server_id)
--- a/packages/router/laburnumpier_router/relay/relaying_client.py
+++ b/packages/router/laburnumpier_router/relay/relaying_client.py
@@ -70,7 +70,7 @@
         started_seconds = self._clock.monotonic_seconds()
         key = call.server_id or call.address
         silence = asyncio.get_running_loop().call_later(
-            SILENCE_SECONDS, self._monitor.record_failure, key, started_seconds
+            SILENCE_SECONDS, self._monitor.record_silence, key, started_seconds
         )
         try:
             exchange = await stack.enter_async_context(self._client.open(call))
