Ask routers first that reached servers since the failures began; relaying in a complete fleet

Change: routers with a success since the first failure are asked first. Features of complete routers; heartbeats in the features go to as many partners as in a fleet.

--- a/features/steps/cut_off_world.py
+++ b/features/steps/cut_off_world.py
@@ -16,11 +16,13 @@
     ServerConnectionLostError,
     ServerUnreachableError,
 )
+from laburnumpier_core.hashing import rank_by_rendezvous
 from laburnumpier_core.metrics import Metrics
 from laburnumpier_core.result_codes import RESULT_CODE_TABLE
 from laburnumpier_platform.headers import PlatformDialect
 from laburnumpier_router.configuration.document import RouteKind
 from laburnumpier_router.fleet.peer_link import PeerLink
+from laburnumpier_router.fleet.service import LOCAL_PARTNERS, REMOTE_PARTNERS
 from laburnumpier_router.forward import crash_messages
 from laburnumpier_router.forward.crash_guard import CrashGuard
 from laburnumpier_router.forward.exchange import ForwardRequest
@@ -423,13 +425,15 @@
             self.killed[name] = self.routers.pop(name)
 
     async def _exchange_heartbeats(self):
-        """Tells each other router within the usual interval, as partners do."""
+        """Exchanges heartbeats between partners within the usual interval, in both directions."""
         while True:
             await asyncio.sleep(HEARTBEAT_SECONDS)
             for name, router in list(self.routers.items()):
-                reach = router.relay.monitor.make_reach()
-                for peer in router.fleet.list_peers():
-                    self.routers[peer].relay.monitor.adopt(name, reach)
+                peers = rank_by_rendezvous(name, router.fleet.list_peers())
+                for peer in peers[: LOCAL_PARTNERS + REMOTE_PARTNERS]:
+                    other = self.routers[peer].relay.monitor
+                    other.adopt(name, router.relay.monitor.make_reach())
+                    router.relay.monitor.adopt(peer, other.make_reach())
 
     async def send(self, name, body=b"order"):
         """Sends a caller's request to a router, and returns what came of it."""
--- a/packages/router/laburnumpier_router/relay/contact.py
+++ b/packages/router/laburnumpier_router/relay/contact.py
@@ -134,6 +134,11 @@
         """What was decided last."""
         return self._contact
 
+    @property
+    def first_failure_seconds(self) -> float:
+        """Start of the first of the failures by which contact was lost last."""
+        return self._first_failure_seconds
+
     def has_proof_of_peer(self, now_seconds: float, live: list[str]) -> bool:
         """Whether another router has reached servers since the failures here began.
 
--- a/packages/router/laburnumpier_router/relay/contact_monitor.py
+++ b/packages/router/laburnumpier_router/relay/contact_monitor.py
@@ -134,6 +134,12 @@
         """What other routers say of their connections."""
         return self._peers
 
+    def list_relaying(self) -> list[str]:
+        """Returns the routers that may be asked to relay, in the order in which to ask them."""
+        return self._peers.list_candidates(
+            self._now(), self._fleet.list_peers(), self._judge.first_failure_seconds
+        )
+
     def is_reached_by_peer(self) -> bool:
         """Whether another router is known to reach servers."""
         return self._peers.has_reaching(self._now(), self._fleet.list_peers())
--- a/packages/router/laburnumpier_router/relay/feature.py
+++ b/packages/router/laburnumpier_router/relay/feature.py
@@ -65,7 +65,7 @@
             random_source=random_source,
         )
         direct = ObservedServerClient(client=client, monitor=self.monitor, clock=clock)
-        self.sender = RelaySender(fleet=fleet, peers=peers, clock=clock, metrics=metrics)
+        self.sender = RelaySender(fleet=fleet, monitor=self.monitor, clock=clock, metrics=metrics)
         self.client = RelayingServerClient(direct=direct, relay=self.sender, monitor=self.monitor)
         self.host = RelayHost(
             client=direct, table=table, monitor=self.monitor, clock=clock, metrics=metrics
--- a/packages/router/laburnumpier_router/relay/peer_contacts.py
+++ b/packages/router/laburnumpier_router/relay/peer_contacts.py
@@ -79,15 +79,20 @@
             for name in live
         )
 
-    def list_candidates(self, now_seconds: float, live: list[str]) -> list[str]:
-        """Returns the routers to ask for a relay: those that reach servers, then unknown ones.
-
-        Within each group the order is random, so that cut-off routers spread their requests.
+    def list_candidates(
+        self, now_seconds: float, live: list[str], since_seconds: float
+    ) -> list[str]:
+        """Returns the routers to ask for a relay.
+
+        Those that have reached servers since a time come first, as many may have been cut off
+        then; others that reach servers follow, and unknown ones. Within each group the order is
+        random, so that cut-off routers spread their requests.
         """
         ready = [name for name in live if self._is_ready(name, now_seconds)]
         self._random.shuffle(ready)
         reaching = [name for name in ready if self._is_reaching(name, now_seconds)]
         unknown = [name for name in ready if self._is_unknown(name, now_seconds)]
+        reaching.sort(key=lambda name: self._contacts[name].reached_seconds < since_seconds)
         return reaching + unknown
 
     def list_told(self, now_seconds: float) -> list[ServerContact]:
--- a/packages/router/laburnumpier_router/relay/relay_sender.py
+++ b/packages/router/laburnumpier_router/relay/relay_sender.py
@@ -12,6 +12,7 @@
 from ..fleet.service import FleetService
 from ..forward.exchange import ServerCall
 from ..ports.bounded_http import BodyMemory
+from .contact_monitor import ContactMonitor
 from .messages import (
     MAX_BODY_BYTES,
     MAX_HEADERS,
@@ -24,7 +25,6 @@
     encode_headers,
     encode_text,
 )
-from .peer_contacts import PeerContacts
 from .relay_session import RelaySession
 from .relayed_exchange import READ_BYTES, RelayedExchange, make_relayed_error
 
@@ -48,25 +48,25 @@
         "_clock",
         "_fleet",
         "_metrics",
+        "_monitor",
         "_numbers",
         "_open_count",
-        "_peers",
         "_tasks",
     )
 
     def __init__(
-        self, *, fleet: FleetService, peers: PeerContacts, clock: Clock, metrics: Metrics
+        self, *, fleet: FleetService, monitor: ContactMonitor, clock: Clock, metrics: Metrics
     ):
         """Creates a sender without exchanges.
 
         Args:
             fleet: Calls to the other routers.
-            peers: Which routers reach servers.
+            monitor: Knows which routers reach servers.
             clock: Source of time.
             metrics: Counters.
         """
         self._fleet = fleet
-        self._peers = peers
+        self._monitor = monitor
         self._clock = clock
         self._metrics = metrics
         self._body_memory = BodyMemory()
@@ -81,7 +81,7 @@
 
     def has_candidate(self) -> bool:
         """Whether a router may be asked to relay now."""
-        return bool(self._peers.list_candidates(self._now(), self._fleet.list_peers()))
+        return bool(self._monitor.list_relaying())
 
     async def open(
         self, stack: contextlib.AsyncExitStack, call: ServerCall, reason: RelayReason
@@ -97,7 +97,7 @@
             ServerUnreachableError: If no router has started it.
             ServerConnectionLostError: If the outcome is unknown.
         """
-        candidates = self._peers.list_candidates(self._now(), self._fleet.list_peers())
+        candidates = self._monitor.list_relaying()
         if len(call.body) > MAX_BODY_BYTES or len(call.headers) > MAX_HEADERS:
             candidates = []
         last_refusal = "no_router"
@@ -106,7 +106,7 @@
             if isinstance(last_refusal, RelayedExchange):
                 return last_refusal
             self._metrics.count("relay.not_relayed")
-            self._peers.hold_off(peer, last_refusal, self._now())
+            self._monitor.peers.hold_off(peer, last_refusal, self._now())
         self._metrics.count("relay.unserved")
         raise ServerUnreachableError(f"not relayed: {last_refusal}")
 
@@ -134,7 +134,7 @@
                 raise ServerUnreachableError(f"not reached by {peer}: {reply.reason}")
             if reply.head is None:
                 raise make_relayed_error(reply)
-            self._peers.record_reached(peer, self._now())
+            self._monitor.peers.record_reached(peer, self._now())
             exchange = RelayedExchange(
                 session=session, head=reply.head, reply=reply, memory=self._body_memory
             )
