Hold off routers that fell silent, and report crashes when all servers are down

Cause: with all servers down a refused connection counted as unknown, so prompts that crash all servers would not have been found. An answer with more than 256 header lines was lost after 2 s, and only through another router.

Change: only a cut-off router takes refused connections for no evidence; 4,096 header lines are passed on, and more fail at once. A router that falls silent after it was told to start is not asked again for a second.

--- a/features/relay/relay.feature
+++ b/features/relay/relay.feature
@@ -126,6 +126,42 @@
     Then the request is served within 0.5 s
     And the request has run once
 
+  # Guards against routers that go on handing requests to one that has died.
+  Scenario: A router dies while it relays
+    Given 4 routers that may relay before 5 servers
+    And router r0 knows that connections hang there
+    When router r0 gets 10 requests a second for 4 s, and r1 dies after 1 s
+    Then at most 1 of them are lost
+    And requests are handed to r1 at most once a second after its death
+    And no request runs twice
+
+  # Guards against waiting replies that take all places of the transport, so that heartbeats wait.
+  Scenario: Many requests through one router
+    Given 2 routers that may relay before 5 servers
+    And router r0 knows that connections hang there
+    When router r0 gets 100 requests at once that take 1 s each
+    Then all are served within 1.3 s
+    And at most 32 replies waited at once
+    And no request runs twice
+
+  # Guards against crashes that nobody notices because all servers are down with them.
+  Scenario Outline: Refused connections are evidence of a crash unless this router is cut off
+    Given 3 routers that may relay before 5 servers
+    When <fault> and router r0 has failed requests
+    Then a refusing server is <verdict> at router r0
+
+    Examples:
+      | fault                                    | verdict   |
+      | new connections of router r0 are refused | not known |
+      | all servers are down                     | refusing  |
+
+  Scenario: An answer with very many header lines
+    Given 3 routers that may relay before 5 servers
+    And answers with 5000 header lines
+    And router r0 knows that connections hang there
+    When router r0 gets a request
+    Then the outcome is reported as unknown within 1 s
+
   # Guards against servers that go on for callers who have left, and against memory that is kept.
   Scenario: A caller that leaves
     Given 6 routers that may relay before 5 servers
--- a/features/steps/cut_off_steps.py
+++ b/features/steps/cut_off_steps.py
@@ -517,6 +517,99 @@
     assert context.second.error.ran is Ran.NO
 
 
+@when("router {name} gets {rate:d} requests a second for {seconds:d} s, and {peer} dies after 1 s")
+def send_while_one_dies(context, name, rate, seconds, peer):
+    world = context.world
+
+    async def play():
+        sending = []
+        for number in range(rate * seconds):
+            sending.append(asyncio.create_task(world.send(name)))
+            await asyncio.sleep(1 / rate)
+            if number == rate:
+                world.sent_to.clear()
+                world.kill(peer)
+        await asyncio.gather(*sending)
+
+    run(context, play())
+    context.dead, context.dead_seconds = peer, seconds - 1
+
+
+@then("at most {count:d} of them are lost")
+def check_lost(context, count):
+    lost = [attempt for attempt in context.world.attempts if not attempt.is_served]
+    assert len(lost) <= count, [attempt.error for attempt in lost]
+
+
+@then("requests are handed to {peer} at most once a second after its death")
+def check_hold_off(context, peer):
+    count = context.world.sent_to["KeepRequest", peer]
+    assert count <= context.dead_seconds, count
+
+
+@when("router {name} gets {count:d} requests at once that take 1 s each")
+def send_many(context, name, count):
+    world = context.world
+    world.answer_seconds = 1.0
+    context.most_waiting = 0
+
+    async def watch():
+        while True:
+            host = world.routers["r1"].relay.host
+            waiting = sum(exchange.waiting_count for exchange in host._exchanges.values())
+            context.most_waiting = max(context.most_waiting, waiting)
+            await asyncio.sleep(0.001)
+
+    async def play():
+        watching = asyncio.create_task(watch())
+        await asyncio.gather(*(world.send(name) for _ in range(count)))
+        watching.cancel()
+
+    run(context, play())
+
+
+@then("all are served within {seconds:g} s")
+def check_all_served(context, seconds):
+    for attempt in context.world.attempts:
+        assert attempt.is_served, attempt.error
+        assert attempt.took_seconds <= seconds, attempt.took_seconds
+
+
+@then("at most {count:d} replies waited at once")
+def check_waiting(context, count):
+    assert 0 < context.most_waiting <= count, context.most_waiting
+
+
+@when("{fault} and router r0 has failed requests")
+def fail_requests(context, fault):
+    world = context.world
+
+    async def play():
+        await asyncio.gather(*(world.send(name) for name in world.routers))
+        if fault == "all servers are down":
+            for server in world.servers:
+                server.is_up = False
+        else:
+            world.cuts["r0"] = "refuse new ones"
+        await asyncio.sleep(1.0)
+        await asyncio.gather(*(world.send(name) for name in world.routers))
+
+    run(context, play())
+
+
+@then("a refusing server is {verdict} at router r0")
+def check_refusing(context, verdict):
+    client = context.world.routers["r0"].relay.client
+    address = context.world.servers[0].address
+    is_refusing = run(context, client.is_refusing(address))
+    assert is_refusing is (verdict == "refusing")
+
+
+@given("answers with {count:d} header lines")
+def set_many_headers(context, count):
+    context.world.headers = [("X-Line", str(number)) for number in range(count)]
+
+
 @when("a stream runs at router {name} while new connections are refused there")
 def stream_through_cut(context, name):
     world = context.world
@@ -553,7 +646,7 @@
         make_keep(context, 2, method=b"PO ST"),
         make_keep(context, 3, address="10.9.9.9:1"),
         make_keep(context, 4, server_id="i-77"),
-        make_keep(context, 5, headers=[(b"a", b"b")] * 300),
+        make_keep(context, 5, headers=[(b"a", b"b")] * 4097),
         make_keep(context, 6, body=bytes(LARGE_BODY_BYTES + 1)),
         make_keep(context, -7),
         StartExchange(number=8, wait_ms=10),
--- a/features/steps/cut_off_world.py
+++ b/features/steps/cut_off_world.py
@@ -172,7 +172,10 @@
 
 
 class CutFleet:
-    """The other routers as one router sees them, with faults in the messages to them."""
+    """The other routers as one router sees them, with faults in the messages to them.
+
+    A router that was killed counts as live for the whole play.
+    """
 
     def __init__(self, world, name, link):
         self._world = world
@@ -181,7 +184,8 @@
 
     def list_peers(self):
         """Returns the other routers."""
-        return [name for name in self._world.routers if name != self.self_name]
+        names = [*self._world.routers, *self._world.killed]
+        return [name for name in names if name != self.self_name]
 
     def find_home(self, key):
         """Returns this router."""
@@ -195,13 +199,13 @@
         """Sends a message, unless it or its reply is to be lost."""
         kind = type(message).__name__
         self._world.sent[kind] += 1
+        self._world.sent_to[kind, peer] += 1
         if self._world.take_fault("lost message", kind):
             await asyncio.sleep(timeout_seconds)
             raise PeerUnreachableError(peer)
         if self._world.take_fault("doubled message", kind):
             await self._link.call(peer, peer, message, timeout_seconds)
         reply = await self._link.call(peer, peer, message, timeout_seconds)
-        self._world.last_message = (peer, message)
         if kind == self._world.kill_after:
             self._world.kill_after = ""
             self._world.kill(peer)
@@ -365,9 +369,9 @@
         self.breaks_off = False
         self.calls = []
         self.sent = collections.Counter()
+        self.sent_to = collections.Counter()
         self.faults = collections.Counter()
         self.kill_after = ""
-        self.last_message = None
         self.attempts = []
         self.servers = [CutServer(number) for number in range(servers)]
         self.configuration = WorldConfiguration(RouteKind.NON_IDEMPOTENT)
@@ -431,6 +435,8 @@
             for name, router in list(self.routers.items()):
                 peers = rank_by_rendezvous(name, router.fleet.list_peers())
                 for peer in peers[: LOCAL_PARTNERS + REMOTE_PARTNERS]:
+                    if peer not in self.routers:
+                        continue
                     other = self.routers[peer].relay.monitor
                     other.adopt(name, router.relay.monitor.make_reach())
                     router.relay.monitor.adopt(peer, other.make_reach())
--- a/features/steps/relayed_answer_steps.py
+++ b/features/steps/relayed_answer_steps.py
@@ -53,7 +53,7 @@
 
     def __init__(self, server):
         self.addresses = {name: f"127.0.0.1:{find_free_port()}" for name in ("r0", "r1")}
-        self.routers = {}
+        self.routers, self.killed = {}, {}
         for name, client in (("r0", CutOffClient()), ("r1", HttpServerClient())):
             self.routers[name] = self.make_router(name, client, server)
 
--- a/packages/router/laburnumpier_router/relay/held_exchange.py
+++ b/packages/router/laburnumpier_router/relay/held_exchange.py
@@ -2,11 +2,16 @@
 
 import asyncio
 
-from laburnumpier_core.errors import ServerConnectionLostError, ServerUnreachableError
+from laburnumpier_core.errors import (
+    ServerConnectionLostError,
+    ServerResponseLimitError,
+    ServerUnreachableError,
+)
 from laburnumpier_core.log import get_part_logger
 
 from ..forward.exchange import ServerCall, ServerClient, ServerExchange
 from .messages import (
+    MAX_HEADERS,
     ExchangeHead,
     ExchangeReply,
     ExchangeState,
@@ -154,6 +159,13 @@
             self._finish(ExchangeState.LOST, "relay_failed")
 
     async def _receive(self, exchange: ServerExchange) -> None:
+        """Receives the response.
+
+        Raises:
+            ServerConnectionLostError: If it ends early or has too many header lines.
+        """
+        if len(exchange.headers) > MAX_HEADERS:
+            raise ServerResponseLimitError("head_too_large", f"more than {MAX_HEADERS} lines")
         self._head = ExchangeHead(
             status=exchange.status,
             headers=encode_headers(exchange.headers),
--- a/packages/router/laburnumpier_router/relay/messages.py
+++ b/packages/router/laburnumpier_router/relay/messages.py
@@ -15,8 +15,8 @@
 
 from ..fleet.member import ServerReach
 
-MAX_HEADERS = 256
-"""Header lines of a head; HTTP libraries reject heads that are larger than 64 KiB anyway."""
+MAX_HEADERS = 4096
+"""Header lines of a head, which may have 64 KiB."""
 MAX_BODY_BYTES = 4 * 1024 * 1024
 """Size of a request body, as large as the bodies that callers send."""
 MAX_WAIT_MS = 2_000
--- a/packages/router/laburnumpier_router/relay/relay_sender.py
+++ b/packages/router/laburnumpier_router/relay/relay_sender.py
@@ -25,7 +25,7 @@
     encode_headers,
     encode_text,
 )
-from .relay_session import RelaySession
+from .relay_session import RelayLostError, RelaySession
 from .relayed_exchange import READ_BYTES, RelayedExchange, make_relayed_error
 
 MAX_ASKED_ROUTERS = 3
@@ -128,7 +128,11 @@
             if refusal is not None:
                 return refusal
             self._metrics.count("relay.sent")
-            reply = await self._wait_for_head(session)
+            try:
+                reply = await self._wait_for_head(session)
+            except RelayLostError:
+                self._monitor.peers.hold_off(peer, "silent", self._now())
+                raise
             if reply.state is ExchangeState.NOT_RUN:
                 # The server is more likely down than the router, so the next try is another one.
                 raise ServerUnreachableError(f"not reached by {peer}: {reply.reason}")
--- a/packages/router/laburnumpier_router/relay/relaying_client.py
+++ b/packages/router/laburnumpier_router/relay/relaying_client.py
@@ -13,7 +13,6 @@
 )
 
 from ..forward.exchange import ServerCall, ServerClient, ServerExchange
-from .contact import Contact
 from .contact_monitor import SILENCE_SECONDS, ContactMonitor
 from .messages import RelayReason
 from .relay_sender import RelaySender
@@ -122,9 +121,10 @@
     async def is_refusing(self, address: str) -> bool:
         """Returns whether nothing listens at an address; False if that is not known.
 
-        A router that is cut off cannot tell, and must not report servers as crashed.
+        A router that is cut off cannot tell, and must not report servers as crashed. If no router
+        is known to reach servers, they count as down.
         """
-        if self._monitor.contact is not Contact.REACHED:
+        if self._monitor.is_cut_off:
             return False
         return await self._direct.is_refusing(address) and not await self._monitor.verify()
 
