More features of relaying: large fleets, starts in a cut, earlier releases, hanging connects

Cause: not covered before: 60 and 80 of 88 routers cut off, the first request of a router that starts in a cut while the others are idle, routers of an earlier release, bodies of 4 MiB and hanging connects on real sockets.

Change: features only.

--- a/features/relay/answers.feature
+++ b/features/relay/answers.feature
@@ -22,3 +22,20 @@
       | breaks off after 2 events and a half        |
       | closes after 2 events and a half            |
       | streams a large event without a length      |
+
+  # Guards against messages that are larger than the transport takes.
+  Scenario: A request body of 4 MiB
+    Given two routers on sockets, one of them cut off from a server that answers
+    When a request with a body of 4 MiB is sent through the other router
+    Then the server has received it, and its answer arrives
+
+  # Guards against hanging connects that use up the deadline of a request.
+  Scenario Outline: A hanging connect ends after the time that the call allows
+    Given a port at which connections hang
+    When a request with a connect timeout of <seconds> s is sent there
+    Then it fails as not sent within <seconds> to <high> s
+
+    Examples:
+      | seconds | high |
+      | 0.25    | 0.45 |
+      | 0.5     | 0.7  |
--- a/features/relay/relay.feature
+++ b/features/relay/relay.feature
@@ -25,6 +25,8 @@
       | 12      | 11  | accept and hang  | non-idempotent |
       | 12      | 11  | reset            | non-idempotent |
       | 20      | 16  | accept and reset | non-idempotent |
+      | 88      | 60  | hang             | non-idempotent |
+      | 88      | 80  | accept and hang  | non-idempotent |
 
   # Guards against routers that count as cut off themselves because one server is down.
   Scenario: A server is down while routers are cut off
@@ -76,6 +78,29 @@
       | reset           |
       | refuse new ones |
 
+  # Guards against a router that needs requests of before the cut, or busy peers, to find out.
+  Scenario Outline: The first request of a router that starts in a cut
+    Given 6 routers that may relay before 5 servers
+    And router r0 starts while connections <mode> there, and the others are idle
+    When router r0 gets a request
+    Then the request is served within 1.5 s
+    And the request has run once
+
+    Examples:
+      | mode            |
+      | hang            |
+      | reset           |
+      | refuse new ones |
+
+  # Guards against requests that wait for routers which do not know the messages.
+  Scenario: All others are of an earlier release
+    Given 6 routers that may relay before 5 servers
+    And router r0 starts while connections reset there, and the others are idle
+    And all routers but r0 are of an earlier release
+    When router r0 gets a request
+    Then the request is refused as not run within 1.5 s
+    And the request has not run
+
   # Guards against requests that are relayed although they may have run.
   Scenario Outline: A request that may have run is not relayed
     Given 6 routers that may relay before 5 servers
--- a/features/steps/cut_off_steps.py
+++ b/features/steps/cut_off_steps.py
@@ -90,6 +90,18 @@
         context.world.cuts[name] = context.mode
 
 
+@given("router {name} starts while connections {mode} there, and the others are idle")
+def start_cut_off(context, name, mode):
+    context.world.cuts[name] = mode
+
+
+@given("all routers but {name} are of an earlier release")
+def use_earlier_release(context, name):
+    for other, router in context.world.routers.items():
+        if other != name:
+            router.link._handlers.clear()
+
+
 @given("server i-0 is down")
 def stop_server(context):
     context.world.servers[0].is_up = False
--- a/features/steps/relayed_answer_steps.py
+++ b/features/steps/relayed_answer_steps.py
@@ -3,8 +3,10 @@
 They guard against answers that arrive in another form or with another end than the server sent.
 """
 
+import asyncio
 import contextlib
 import random
+import socket
 
 from behave import given, then, when
 from contract_steps import run
@@ -26,6 +28,8 @@
 from multidict import CIMultiDict
 from scripted_server import ScriptedServer
 
+QUEUED_CONNECTIONS = 8
+
 
 class CutOffClient:
     """A way to the servers on which no connection is made."""
@@ -106,14 +110,14 @@
     context.cleanups.append((context.real, stop))
 
 
-async def fetch(client, address):
+async def fetch(client, address, request_body=b"order"):
     """Returns all that is known of an answer, or the error in its place."""
     call = ServerCall(
         method="POST",
         address=address,
         target="/x?y=%201",
         headers=CIMultiDict({"X-Attempt-Id": "a1", "Last-Event-Id": "0"}),
-        body=b"order",
+        body=request_body,
         server_id="i-0",
         remaining_seconds=4.0,
     )
@@ -143,8 +147,72 @@
     run(context, play())
 
 
+@when("a request with a body of 4 MiB is sent through the other router")
+def fetch_large(context):
+    context.large_body = bytes(range(256)) * 16384
+    relay = context.sockets.routers["r0"][1]
+    context.relayed = run(context, fetch(relay.client, context.server.address, context.large_body))
+
+
+@then("the server has received it, and its answer arrives")
+def check_large(context):
+    assert context.relayed[0] == 200, context.relayed
+    assert context.relayed[-2:] == (b"hello", "")
+    assert context.large_body in [body for _, body in context.server.requests]
+
+
 @then("both answers are the same, to their end")
 def compare(context):
     assert context.relayed == context.direct, (context.relayed, context.direct)
     sent = [(head.split(b" HTTP", 1)[0], body) for head, body in context.server.requests]
     assert sent.count((b"POST /x?y=%201", b"order")) == 2, sent
+
+
+@given("a port at which connections hang")
+def hang(context):
+    # The kernel drops further connection requests while the queue of the listener is full.
+    context.listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+    port = context.listener.getsockname()[1]
+    context.queued = []
+    for _ in range(QUEUED_CONNECTIONS):
+        queued = socket.socket()
+        queued.setblocking(False)
+        queued.connect_ex(("127.0.0.1", port))
+        context.queued.append(queued)
+
+    async def close():
+        for item in [context.listener, *context.queued]:
+            item.close()
+
+    context.address = f"127.0.0.1:{port}"
+    context.cleanups.append((context.real, close))
+
+
+@when("a request with a connect timeout of {seconds:g} s is sent there")
+def send_to_hanging(context, seconds):
+    async def play():
+        client = HttpServerClient()
+        call = ServerCall(
+            method="POST",
+            address=context.address,
+            target="/",
+            headers=CIMultiDict(),
+            body=b"x",
+            connect_timeout_seconds=seconds,
+        )
+        started = asyncio.get_running_loop().time()
+        try:
+            async with client.open(call):
+                context.error = None
+        except ServerUnreachableError as error:
+            context.error = error
+        context.took_seconds = asyncio.get_running_loop().time() - started
+        await client.close()
+
+    run(context, play())
+
+
+@then("it fails as not sent within {low:g} to {high:g} s")
+def check_hang(context, low, high):
+    assert context.error is not None
+    assert low <= context.took_seconds <= high, context.took_seconds
