Count calls that callers give up as silent

Cause: where callers wait for less than 0.8 s and connections are accepted but silent, no call lasted long enough to count as failed: 0 of the requests were served (features/relay, 'Callers that wait only for a short time').

Change: a call that is given up after 0.3 s or more counts as silent.

--- a/features/relay/relay.feature
+++ b/features/relay/relay.feature
@@ -38,6 +38,15 @@
     And no request runs twice
     And each refusal that says not run is true
 
+  # Guards against callers that leave before a silent connection counts as failed.
+  Scenario: Callers that wait only for a short time
+    Given 6 routers that may relay before 5 servers
+    And callers that wait 0.6 s
+    And a cut of 2 routers in which connections accept and hang
+    When callers send requests to all routers before, in and after the cut
+    Then from 2 s on 0.95 of the requests at the cut routers are served as at the others
+    And no request runs twice
+
   # Guards against requests that are sent to silent or resetting servers while a check is running.
   Scenario Outline: Few requests are lost at the start of a cut
     Given 6 routers that may relay before 5 servers
--- a/features/steps/cut_off_steps.py
+++ b/features/steps/cut_off_steps.py
@@ -102,6 +102,11 @@
             router.link._handlers.clear()
 
 
+@given("callers that wait {seconds:g} s")
+def set_patience(context, seconds):
+    context.world.set_route(RouteKind.NON_IDEMPOTENT, limit_seconds=seconds)
+
+
 @given("server i-0 is down")
 def stop_server(context):
     context.world.servers[0].is_up = False
--- a/packages/router/laburnumpier_router/relay/relaying_client.py
+++ b/packages/router/laburnumpier_router/relay/relaying_client.py
@@ -20,6 +20,9 @@
 SHORT_CONNECT_TIMEOUT_SECONDS = 0.25
 """Timeout for connecting while another router is known to reach servers. Four servers are tried
 for a request, and a hanging connection must leave it the time to be relayed."""
+MIN_WAITED_SECONDS = 0.3
+"""Time after which a call that its caller gives up without an answer counts as silent. Callers may
+wait for less than the usual silence."""
 
 
 class ObservedServerClient:
@@ -79,6 +82,11 @@
         except (ServerUnreachableError, ServerConnectionLostError):
             self._monitor.record_failure(key, started_seconds)
             raise
+        except asyncio.CancelledError:
+            waited_seconds = self._clock.monotonic_seconds() - started_seconds
+            if waited_seconds >= MIN_WAITED_SECONDS:
+                self._monitor.record_silence(key, started_seconds)
+            raise
         finally:
             silence.cancel()
         self._monitor.record_reached(started_seconds)
