Features of relaying under random faults

Cause: combinations of cuts, lost messages and servers that are down were not covered.

Change: random faults with fixed seeds; each request of these features has a body of its own.

--- a/features/steps/cut_off_steps.py
+++ b/features/steps/cut_off_steps.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import itertools
+import random
 import statistics
 
 from behave import given, then, when
@@ -707,3 +708,65 @@
 @then("the memory set aside for one exchange covers its buffers")
 def check_buffers(context):
     assert relay_host.EXCHANGE_BYTES >= held_exchange.BUFFER_BYTES + held_exchange.READ_BYTES
+
+
+@when("random faults happen for {seconds:d} seconds with seed {seed:d}")
+def play_faults(context, seconds, seed):
+    world = context.world
+    source = random.Random(seed)
+    modes = ["hang", "reset", "refuse new ones", "accept and hang", "accept and reset"]
+    message_faults = ["lost message", "lost reply", "doubled message"]
+    kinds = ["KeepRequest", "StartExchange", "ReadExchange", "CancelExchange", "AskContact"]
+
+    def make_fault():
+        match source.randrange(5):
+            case 0 | 1:
+                names = source.sample(list(world.routers), source.randint(1, len(world.routers)))
+                world.cuts = dict.fromkeys(names, source.choice(modes))
+            case 2:
+                fault = (source.choice(message_faults), source.choice(kinds))
+                world.faults[fault] += source.randint(1, 5)
+            case 3:
+                server = source.choice(world.servers)
+                server.is_up = not server.is_up
+            case 4:
+                world.answer_seconds = source.choice([0.02, 0.3, 1.5])
+
+    async def change():
+        while True:
+            await asyncio.sleep(source.uniform(0.2, 2.0))
+            make_fault()
+
+    async def play():
+        changing = asyncio.create_task(change())
+        await world.send_requests(REQUESTS_PER_SECOND, seconds)
+        changing.cancel()
+        world.cuts, world.answer_seconds = {}, 0.02
+        world.faults.clear()
+        for server in world.servers:
+            server.is_up = True
+        await asyncio.sleep(3.0)
+        context.late = [await world.send(name) for name in world.routers]
+
+    run(context, play())
+
+
+@then("all requests after the faults are served")
+def check_late(context):
+    for attempt in context.late:
+        assert attempt.is_served, attempt.error
+
+
+@then("no part of a router has failed")
+def check_no_failure(context):
+    assert context.world.count_events("tasks.failed") == 0
+
+
+@then("each finished answer is whole")
+def check_whole(context):
+    world = context.world
+    expected = b"".join(EVENTS) if world.answer == "stream" else world.body
+    finished = [attempt for attempt in world.attempts if attempt.is_served]
+    assert finished
+    for attempt in finished:
+        assert attempt.sink.body == expected, (attempt.attempt_id, attempt.sink.body)
--- a/features/steps/cut_off_world.py
+++ b/features/steps/cut_off_world.py
@@ -441,8 +441,11 @@
                     other.adopt(name, router.relay.monitor.make_reach())
                     router.relay.monitor.adopt(peer, other.make_reach())
 
-    async def send(self, name, body=b"order"):
-        """Sends a caller's request to a router, and returns what came of it."""
+    async def send(self, name, body=None):
+        """Sends a caller's request to a router, and returns what came of it.
+
+        Requests with the same body could be taken for one that crashes servers.
+        """
         loop = asyncio.get_running_loop()
         attempt_id = f"a{len(self.attempts)}"
         attempt = Attempt(attempt_id, name, loop.time(), self.caller_seconds)
@@ -457,7 +460,7 @@
             target="/shop/2f?x=1%20y",
             host=HOST,
             headers=CIMultiDictProxy(headers),
-            body=body,
+            body=body or attempt_id.encode(),
             head=PlatformDialect().read_request(CIMultiDictProxy(headers)),
             received_seconds=loop.time(),
         )
