Prefer near routers for relaying while enough of them reach servers

Cause: a relaying router was chosen at random in the whole fleet. Each relayed request takes two round trips to it, which are longer to other data centres.

Change: near routers come first, unless more near ones are known to fail than to reach servers.

The gain in a real network is not measured.

--- a/features/relay/contact.feature
+++ b/features/relay/contact.feature
@@ -35,3 +35,19 @@
       | usable | events                                                          | at  | belief   |
       | 4      | 1 fails a; 1.2 fails b; 1.2 peer p1 10; 1.3 answers 0.5         | 1.4 | cut_off  |
       | 4      | 1 fails a; 1.2 fails b; 1.3 judges; 2 answers 0.5; 2 peer p1 9  | 2.1 | cut_off  |
+
+  # Guards against detours to other data centres, and against few routers that get the requests of
+  # a whole data centre.
+  Scenario Outline: Which router is asked first
+    Given a router with 4 usable servers
+    When these things happen: <events>
+    Then at 2 s it asks <first> first, of <live>, where <near> are near
+
+    Examples:
+      | events                                                               | first    | live        | near     |
+      | 1.5 peer a 100; 1.5 peer b 100                                       | a        | a b         | a        |
+      | 1.5 peer a 100; 1.5 peer b 100                                       | a or b   | a b         | -        |
+      | 1.5 peer a 900; 1.5 peer b 100                                       | b        | a b         | a        |
+      | 1.5 peer b 100                                                       | b        | a b         | a        |
+      | 1.5 peer a 9; 1.5 peer b 9; 1 peer c failing; 1 peer d failing       | a or b   | a b c d     | a c d    |
+      | 1.5 peer a 9; 1.5 peer b 9; 1 peer c failing                         | a        | a b c       | a c      |
--- a/features/steps/contact_steps.py
+++ b/features/steps/contact_steps.py
@@ -42,6 +42,15 @@
                 context.judge.judge(now, context.usable, ["p1", "p2"])
 
 
+@then("at {seconds:g} s it asks {first} first, of {live}, where {near} are near")
+def check_first(context, seconds, first, live, near):
+    asked_first = {
+        context.peers.list_candidates(seconds, live.split(), 1.0, lambda n: n in near.split())[0]
+        for _ in range(50)
+    }
+    assert asked_first == set(first.split(" or ")), asked_first
+
+
 @then("at {seconds:g} s it believes {belief}")
 def check_belief(context, seconds, belief):
     contact = context.judge.judge(seconds, context.usable, ["p1", "p2"])
--- a/features/steps/cut_off_world.py
+++ b/features/steps/cut_off_world.py
@@ -187,6 +187,10 @@
         names = [*self._world.routers, *self._world.killed]
         return [name for name in names if name != self.self_name]
 
+    def is_near(self, peer):
+        """Returns that all routers are in one data centre."""
+        return True
+
     def find_home(self, key):
         """Returns this router."""
         return self.self_name
--- a/packages/router/laburnumpier_router/fleet/service.py
+++ b/packages/router/laburnumpier_router/fleet/service.py
@@ -173,6 +173,11 @@
         """
         return self._view.live if self._registered else []
 
+    def is_near(self, peer: str) -> bool:
+        """Whether a known member is in the data centre of this process."""
+        known = self._view.known.get(peer)
+        return known is not None and known.member.data_centre == self._member.data_centre
+
     def find_home(self, key: str) -> str:
         """Returns the incarnation that a key is placed on; this process while unregistered."""
         return self._view.find_home(key) if self._registered else self.self_name
--- a/packages/router/laburnumpier_router/relay/contact_monitor.py
+++ b/packages/router/laburnumpier_router/relay/contact_monitor.py
@@ -137,7 +137,10 @@
     def list_relaying(self) -> list[str]:
         """Returns the routers that may be asked to relay, in the order in which to ask them."""
         return self._peers.list_candidates(
-            self._now(), self._fleet.list_peers(), self._judge.first_failure_seconds
+            self._now(),
+            self._fleet.list_peers(),
+            self._judge.first_failure_seconds,
+            self._fleet.is_near,
         )
 
     def is_reached_by_peer(self) -> bool:
--- a/packages/router/laburnumpier_router/relay/peer_contacts.py
+++ b/packages/router/laburnumpier_router/relay/peer_contacts.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+from collections.abc import Callable
 
 from ..fleet.member import MAX_TOLD_CONTACTS, ServerContact, ServerReach
 
@@ -80,18 +81,34 @@
         )
 
     def list_candidates(
-        self, now_seconds: float, live: list[str], since_seconds: float
+        self,
+        now_seconds: float,
+        live: list[str],
+        since_seconds: float,
+        is_near: Callable[[str], bool],
     ) -> list[str]:
         """Returns the routers to ask for a relay.
 
         Those that have reached servers since a time come first, as many may have been cut off
-        then; others that reach servers follow, and unknown ones. Within each group the order is
-        random, so that cut-off routers spread their requests.
+        then; others that reach servers follow, and unknown ones. Within each group near ones come
+        first, unless more near ones are known to fail than to reach servers: the few would get
+        the requests of many. Otherwise the order is random, so that requests are spread.
+
+        Args:
+            now_seconds: Monotonic time.
+            live: The other live routers.
+            since_seconds: Start of the failures of this router.
+            is_near: Whether a router is in the data centre of this one.
         """
         ready = [name for name in live if self._is_ready(name, now_seconds)]
         self._random.shuffle(ready)
         reaching = [name for name in ready if self._is_reaching(name, now_seconds)]
         unknown = [name for name in ready if self._is_unknown(name, now_seconds)]
+        near_balance = sum(is_near(name) for name in reaching) - sum(
+            is_near(name) for name in live if self._is_failing(name, now_seconds)
+        )
+        if near_balance >= 0:
+            reaching.sort(key=lambda name: not is_near(name))
         reaching.sort(key=lambda name: self._contacts[name].reached_seconds < since_seconds)
         return reaching + unknown
 
@@ -113,6 +130,12 @@
             return False
         return now_seconds - contact.reached_seconds <= MAX_CONTACT_AGE_SECONDS
 
+    def _is_failing(self, name: str, now_seconds: float) -> bool:
+        contact = self._contacts.get(name)
+        if contact is None or contact.failed_seconds < contact.reached_seconds:
+            return False
+        return now_seconds - contact.failed_seconds <= MAX_CONTACT_AGE_SECONDS
+
     def _is_ready(self, name: str, now_seconds: float) -> bool:
         contact = self._contacts.get(name)
         return contact is None or now_seconds >= contact.hold_off_until_seconds
