--- /dev/null
+++ b/features/relay/answers.feature
@@ -0,0 +1,41 @@
+Feature: Answers through another router are those of the server
+  Status, headers, bytes, end marker and the way in which an answer breaks off are unchanged.
+
+  Scenario Outline: A relayed answer is the same as a direct one
+    Given two routers on sockets, one of them cut off from a server that <behaviour>
+    When the same request is sent directly and through the other router
+    Then both answers are the same, to their end
+
+    Examples:
+      | behaviour                                   |
+      | answers                                     |
+      | answers in chunks                           |
+      | answers without a length                    |
+      | closes an answer with codings on two lines  |
+      | resets an answer without a length           |
+      | breaks off in the body                      |
+      | breaks off in a chunk                       |
+      | fails                                       |
+      | refuses as full                             |
+      | streams slowly                              |
+      | streams without a length                    |
+      | breaks off after 2 events and a half        |
+      | closes after 2 events and a half            |
+      | streams a large event without a length      |
+
+  # Guards against messages that are larger than the transport takes.
+  Scenario: A request body of 4 MiB
+    Given two routers on sockets, one of them cut off from a server that answers
+    When a request with a body of 4 MiB is sent through the other router
+    Then the server has received it, and its answer arrives
+
+  # Guards against hanging connects that use up the deadline of a request.
+  Scenario Outline: A hanging connect ends after the time that the call allows
+    Given a port at which connections hang
+    When a request with a connect timeout of <seconds> s is sent there
+    Then it fails as not sent within <seconds> to <high> s
+
+    Examples:
+      | seconds | high |
+      | 0.25    | 0.45 |
+      | 0.5     | 0.7  |
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -79,6 +79,8 @@
 from .ports.server_registry import ServerRegistry
 from .ports.store_calls import log_store_calls_periodically
 from .ports.vm_list import VmList
+from .relay import messages as relay_messages
+from .relay.feature import RelayFeature
 from .request import messages as request_messages
 from .request.call_service import CallService
 from .request.chat_runner import ChatRunner
@@ -120,6 +122,7 @@
     *crash_messages.MESSAGE_TYPES,
     *permit_messages.MESSAGE_TYPES,
     *cold_messages.MESSAGE_TYPES,
+    *relay_messages.MESSAGE_TYPES,
     request_messages.OpenRequest,
     request_messages.RequestOpened,
     request_messages.PlaceRequest,
@@ -287,6 +290,8 @@
             self._reports.add_dump("server_notices", self._notices.dump_state)
         if self._ingress is not None:
             self._reports.add_dump("ingress", self._ingress.dump_state)
+        if self._relay is not None:
+            self._reports.add_dump("relay", self._relay.describe)
         self._caller_frontend = CallerFrontend(
             configuration=self._configuration,
             chats=self._chats,
@@ -445,6 +450,8 @@
         if self._forward_frontend is not None:
             times = plan_stop(requested_seconds, self._settings.stop_grace_seconds)
             self._forward_frontend.begin_stop(times.serve_until)
+        if self._relay is not None:
+            self._relay.host.begin_stop(times.serve_until)
         self._caller_frontend.stop_accepting_requests()
         stop = GracefulStop(
             times=times,
@@ -464,6 +471,8 @@
         """Waits until no request is open."""
         if self._forward_frontend is not None:
             await self._forward_frontend.wait_until_idle()
+            if self._relay is not None:
+                await self._relay.host.wait_until_idle()
             return
         await self._caller_frontend.wait_until_idle()
         await self._chats.wait_until_idle()
@@ -484,7 +493,9 @@
         if self._crash_guard is not None:
             await self._crash_guard.close()
         await self._peer_link.close()
-        if self._ports.forwarding is not None:
+        if self._relay is not None:
+            await self._relay.close()
+        elif self._ports.forwarding is not None:
             await self._ports.forwarding.client.close()
         await self._ports.store.close()
         if self._ports.vm_list is not None:
@@ -623,6 +634,7 @@
         self._crash_guard: CrashGuard | None = None
         self._cold_servers = ColdServers(clock=self._clock, metrics=self._metrics)
         self._ingress: IngressService | None = None
+        self._relay: RelayFeature | None = None
         self._broadcaster = Broadcaster(fleet=self._fleet, metrics=self._metrics)
         if ports is None:
             return
@@ -638,6 +650,7 @@
         )
         self._server_table = ServerTable()
         self._server_table.add_exclusion(self._evacuated.excludes)
+        client = self._build_relay(ports)
         self._retry_budget = RetryBudget(
             ratio=settings.retry_ratio,
             extra=settings.retry_extra,
@@ -677,7 +690,7 @@
         self._crash_guard = CrashGuard(
             fleet=self._fleet,
             table=self._server_table,
-            client=ports.client,
+            client=client,
             clock=self._clock,
             metrics=self._metrics,
         )
@@ -689,7 +702,7 @@
                 configuration=self._configuration,
                 budget=self._budget,
                 table=self._server_table,
-                client=ports.client,
+                client=client,
                 crash_guard=self._crash_guard,
                 stream_versions=StreamVersions(
                     origins=self._stream_origins,
@@ -717,6 +730,23 @@
             ingress=self._ingress,
         )
 
+    def _build_relay(self, ports: ForwardingPorts) -> ServerClient:
+        """Returns the client of forwarded requests; one that relays if the settings ask for it."""
+        if not self._settings.relay:
+            return ports.client
+        self._relay = RelayFeature(
+            client=ports.client,
+            dialect=ports.dialect,
+            fleet=self._fleet,
+            table=self._server_table,
+            clock=self._clock,
+            metrics=self._metrics,
+            random_source=self._random,
+        )
+        self._relay.register_handlers(self._peer_link)
+        self._fleet.make_server_reach = self._relay.monitor.make_reach
+        return self._relay.client
+
     def _build_cold_permits(self) -> None:
         self._cold_permits = ColdPermits(
             fleet=self._fleet,
@@ -871,6 +901,8 @@
             self._notices.adopt(message.leaving_notices)
         if self._ingress is not None:
             self._ingress.adopt(message.shedding_notices)
+        if self._relay is not None:
+            self._relay.monitor.adopt(sender, message.server_reach)
         # Only homes of shards normally write, but members may temporarily disagree on the homes.
         max_writers = MAX_HOMES_PER_SHARD * self._settings.account_shards
         self._write_pacer.set_member_count(min(1 + len(self._fleet.view.live), max_writers))
--- a/packages/router/laburnumpier_router/fleet/member.py
+++ b/packages/router/laburnumpier_router/fleet/member.py
@@ -135,6 +135,31 @@
     age_ms: Annotated[int, msgspec.Meta(ge=0)]
 
 
+MAX_TOLD_CONTACTS = 4
+"""Routers that reach servers which one report names; the receiver needs one to relay through."""
+
+
+class ServerContact(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A router that reaches servers, and the time since it last did, in milliseconds."""
+
+    router: Annotated[str, msgspec.Meta(max_length=200)]
+    age_ms: Annotated[int, msgspec.Meta(ge=0)]
+
+
+class ServerReach(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Whether a router's new connections to servers succeed.
+
+    Attributes:
+        own_age_ms: Time since the sender reached a server; None if it has not lately.
+        is_failing: Whether its new connections fail.
+        others: Routers that reach servers, named by a sender that does not.
+    """
+
+    own_age_ms: Annotated[int, msgspec.Meta(ge=0)] | None
+    is_failing: bool
+    others: Annotated[list[ServerContact], msgspec.Meta(max_length=MAX_TOLD_CONTACTS)] = []
+
+
 class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Request to a partner in each heartbeat interval, and the partner's reply.
 
@@ -149,6 +174,7 @@
         shedding_notices: Routers that report not ready because of their load.
         evacuations: Evacuated data centres, as the sender knows them; None while it does not.
         cold_servers: Servers that said in an answer to the sender or others that they are cold.
+        server_reach: Whether the sender reaches servers; None if it does not observe that.
     """
 
     entries: list[GossipEntry]
@@ -161,3 +187,4 @@
     shedding_notices: list[SheddingNotice] = []
     evacuations: EvacuationsTold | None = None
     cold_servers: list[ColdServer] = []
+    server_reach: ServerReach | None = None
--- a/packages/router/laburnumpier_router/fleet/service.py
+++ b/packages/router/laburnumpier_router/fleet/service.py
@@ -27,6 +27,7 @@
     MemberRecord,
     MemberState,
     NamedLimit,
+    ServerReach,
     SheddingNotice,
 )
 from .peer_link import PeerLink
@@ -80,6 +81,7 @@
         "list_named_limits",
         "list_preferred_partners",
         "list_shedding_notices",
+        "make_server_reach",
         "reaches_store",
     )
 
@@ -140,6 +142,7 @@
         self.list_shedding_notices: Callable[[], list[SheddingNotice]] = list
         self.list_cold_servers: Callable[[], list[ColdServer]] = list
         self.get_evacuations: Callable[[], EvacuationsTold | None] = lambda: None
+        self.make_server_reach: Callable[[], ServerReach | None] = lambda: None
         self.reaches_store: Callable[[], bool] = lambda: True
         self.list_preferred_partners: Callable[[], list[str]] = list
         link.register_handler(Heartbeat, self._handle_heartbeat)
@@ -182,6 +185,11 @@
         """
         return self._view.live if self._registered else []
 
+    def is_near(self, peer: str) -> bool:
+        """Whether a known member is in the data centre of this process."""
+        known = self._view.known.get(peer)
+        return known is not None and known.member.data_centre == self._member.data_centre
+
     def find_home(self, key: str) -> str:
         """Returns the incarnation that a key is placed on; this process while unregistered."""
         return self._view.find_home(key) if self._registered else self.self_name
@@ -406,4 +414,5 @@
             shedding_notices=self.list_shedding_notices(),
             evacuations=self.get_evacuations(),
             cold_servers=self.list_cold_servers(),
+            server_reach=self.make_server_reach(),
         )
