--- a/features/steps/crash_world.py
+++ b/features/steps/crash_world.py
@@ -36,6 +36,7 @@
 from laburnumpier_router.forward.service import build_forward_service
 from laburnumpier_router.forward.stream_versions import StreamVersions
 from laburnumpier_router.forward.time_limits import TimeLimits
+from laburnumpier_router.places.place_keeper import build_place_keeper
 from laburnumpier_router.ports.server_registry import RegisteredServer
 from laburnumpier_router.response_end import EndMarker
 from laburnumpier_standins.virtual_loop import VirtualClock
@@ -366,6 +367,9 @@
             retry_budget=RetryBudget(ratio=0.2, extra=20, window_seconds=10),
             rate_limits=self.limits,
             limiter=self.limiter,
+            places=build_place_keeper(
+                fleet=self.fleet, clock=clock, metrics=metrics, random_source=random.Random(3)
+            ),
             time_limits=TimeLimits(),
             clock=clock,
             metrics=metrics,
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -34,6 +34,7 @@
 from laburnumpier_router.forward.service import build_forward_service
 from laburnumpier_router.forward.stream_versions import StreamVersions
 from laburnumpier_router.forward.time_limits import TimeLimits
+from laburnumpier_router.places.place_keeper import build_place_keeper
 from laburnumpier_router.ports.server_registry import RegisteredServer
 from scripted_server import ScriptedServer
 
@@ -198,6 +199,12 @@
                 metrics=metrics,
                 random_source=random.Random(1),
             ),
+            places=build_place_keeper(
+                fleet=FakeFleet(),
+                clock=clock,
+                metrics=metrics,
+                random_source=random.Random(1),
+            ),
             time_limits=time_limits,
             clock=clock,
             metrics=metrics,
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -66,6 +66,8 @@
 from .operators.reports import OperatorReports
 from .orders.controller import EngineController
 from .orders.lease import ControllerLease
+from .places import place_messages
+from .places.place_keeper import PlaceKeeper, build_place_keeper
 from .ports.dialect import Dialect
 from .ports.key_value_service import KeyValueService
 from .ports.server_registry import ServerRegistry
@@ -111,6 +113,7 @@
     *origin_messages.MESSAGE_TYPES,
     *crash_messages.MESSAGE_TYPES,
     *permit_messages.MESSAGE_TYPES,
+    *place_messages.MESSAGE_TYPES,
     request_messages.OpenRequest,
     request_messages.RequestOpened,
     request_messages.PlaceRequest,
@@ -266,6 +269,7 @@
             backend_directory=self._backend_directory,
             dispatcher=self._dispatcher,
             stream_origins=self._stream_origins,
+            places=self._places,
             fleet=self._fleet,
             metrics=metrics,
         )
@@ -384,6 +388,7 @@
             self._keep_running(self._registry_follower.follow_periodically)
             self._keep_running(self._version_history.update_periodically)
             self._keep_running(self._budget.refill_periodically)
+            self._keep_running(self._places.tell_periodically)
         self._keep_running(self._log_store_calls_periodically)
         if self._settings.give_engine_orders:
             self._keep_running(self._controller.send_orders_periodically)
@@ -463,6 +468,8 @@
         await self._broadcaster.close()
         if self._crash_guard is not None:
             await self._crash_guard.close()
+        if self._places is not None:
+            await self._places.close()
         await self._peer_link.close()
         if self._ports.forwarding is not None:
             await self._ports.forwarding.client.close()
@@ -583,6 +590,7 @@
         self._forward_frontend: ForwardFrontend | None = None
         self._registry_relay: RegistryRelay | None = None
         self._crash_guard: CrashGuard | None = None
+        self._places: PlaceKeeper | None = None
         self._broadcaster = Broadcaster(fleet=self._fleet, metrics=self._metrics)
         if ports is None:
             return
@@ -610,6 +618,13 @@
             metrics=self._metrics,
             random_source=self._random,
         )
+        self._places = build_place_keeper(
+            fleet=self._fleet,
+            clock=self._clock,
+            metrics=self._metrics,
+            random_source=self._random,
+        )
+        self._fleet.list_brittle_servers = self._places.servers.list_told
         self._registry_follower = RegistryFollower(
             registry=self._registry_relay,
             table=self._server_table,
@@ -653,6 +668,7 @@
                 retry_budget=self._retry_budget,
                 rate_limits=self._rate_limits,
                 limiter=self._request_limiter,
+                places=self._places,
                 time_limits=time_limits,
                 clock=self._clock,
                 metrics=self._metrics,
@@ -714,6 +730,9 @@
             register(crash_messages.AskTrial, self._crash_guard.handle_ask_trial)
             register(ListRegistry, self._registry_follower.handle_list)
             register(permit_messages.AskPermit, self._request_limiter.handle_ask_permit)
+            register(place_messages.AskPlace, self._places.home.handle_ask_place)
+            register(place_messages.ReturnPlaces, self._places.home.handle_return_places)
+            register(place_messages.HoldPlaces, self._places.home.handle_hold_places)
 
     async def _handle_submit_changes(
         self, sender: str, message: budget_messages.SubmitChanges
@@ -787,6 +806,7 @@
         if self._crash_guard is not None:
             self._crash_guard.adopt_blocks(sender, message.blocked_parts)
             self._rate_limits.adopt(message.named_limits)
+            self._places.servers.adopt(message.brittle_servers)
         # Only homes of shards normally write, but members may temporarily disagree on the homes.
         max_writers = MAX_HOMES_PER_SHARD * self._settings.account_shards
         self._write_pacer.set_member_count(min(1 + len(self._fleet.view.live), max_writers))
--- a/packages/router/laburnumpier_router/fleet/member.py
+++ b/packages/router/laburnumpier_router/fleet/member.py
@@ -107,6 +107,28 @@
     age_ms: Annotated[int, msgspec.Meta(ge=0)]
 
 
+MAX_TOLD_REJECTS = 1_000_000
+"""Upper bound of the rejections a second that a brittle server is known to bear."""
+
+
+class NamedBrittleness(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What a backend server last said of being brittle.
+
+    Attributes:
+        started_ms: Start of the server process, from its registry entry.
+        max_rejects: Requests that it can reject in a second; None if it is not brittle any more.
+        age_ms: Time since the answer that said so, in milliseconds.
+        began_ms: Time since the brittle time of its service began, in milliseconds.
+    """
+
+    server_id: Annotated[str, msgspec.Meta(max_length=200)]
+    service: Annotated[str, msgspec.Meta(max_length=200)]
+    started_ms: int
+    max_rejects: Annotated[int, msgspec.Meta(ge=0, le=MAX_TOLD_REJECTS)] | None
+    age_ms: Annotated[int, msgspec.Meta(ge=0)]
+    began_ms: Annotated[int, msgspec.Meta(ge=0)]
+
+
 class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Request to a partner in each heartbeat interval, and the partner's reply.
 
@@ -117,6 +139,7 @@
         store_era: Highest era of the store known to the sender.
         blocked_parts: Parts of prompts that the sender refuses.
         named_limits: Limits of backend servers that the sender knows.
+        brittle_servers: What backend servers said of being brittle.
     """
 
     entries: list[GossipEntry]
@@ -125,3 +148,4 @@
     store_era: int = 0
     blocked_parts: list[BlockedPart] = []
     named_limits: list[NamedLimit] = []
+    brittle_servers: Annotated[list[NamedBrittleness], msgspec.Meta(max_length=256)] = []
--- a/packages/router/laburnumpier_router/fleet/service.py
+++ b/packages/router/laburnumpier_router/fleet/service.py
@@ -23,6 +23,7 @@
     Member,
     MemberRecord,
     MemberState,
+    NamedBrittleness,
     NamedLimit,
 )
 from .peer_link import PeerLink
@@ -69,6 +70,7 @@
         "get_configuration_number",
         "get_store_era",
         "list_blocked_parts",
+        "list_brittle_servers",
         "list_leaving_servers",
         "list_named_limits",
         "list_preferred_partners",
@@ -128,6 +130,7 @@
         self.list_leaving_servers: Callable[[], list[str]] = list
         self.list_blocked_parts: Callable[[], list[BlockedPart]] = list
         self.list_named_limits: Callable[[], list[NamedLimit]] = list
+        self.list_brittle_servers: Callable[[], list[NamedBrittleness]] = list
         self.reaches_store: Callable[[], bool] = lambda: True
         self.list_preferred_partners: Callable[[], list[str]] = list
         link.register_handler(Heartbeat, self._handle_heartbeat)
@@ -381,4 +384,5 @@
             leaving_servers=self.list_leaving_servers(),
             blocked_parts=self.list_blocked_parts(),
             named_limits=self.list_named_limits(),
+            brittle_servers=self.list_brittle_servers(),
         )
--- a/packages/router/laburnumpier_router/forward/request_progress.py
+++ b/packages/router/laburnumpier_router/forward/request_progress.py
@@ -5,6 +5,7 @@
 from multidict import CIMultiDict
 
 from ..configuration.document import Route, RouteKind
+from ..places.held_places import HeldPlace
 from ..ports.server_registry import RegisteredServer
 from .crash_messages import MAX_PART_ID_LENGTH
 from .event_stream import EventSplitter
@@ -51,6 +52,7 @@
         is_trial: Whether a blocked part of its prompt is tried, at one server.
         run: The request at the server to which it was last sent.
         lost_count: Number of servers that lost it before its answer had begun.
+        place: Its place at the server to which it is sent; None before.
     """
 
     request: ForwardRequest
@@ -79,6 +81,7 @@
     is_trial: bool = False
     run: WatchedRun | None = None
     lost_count: int = 0
+    place: HeldPlace | None = None
     _fingerprint: str = ""
 
     @property
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -20,6 +20,7 @@
 from ..budget.service import BudgetService
 from ..configuration.document import Configuration, Route
 from ..configuration.service import ConfigurationService
+from ..places.place_keeper import PlaceKeeper
 from ..ports.dialect import Dialect
 from ..selection.selector import ServerSelector
 from ..sending.attempt_error import ServerAttemptError
@@ -62,7 +63,6 @@
         "_clock",
         "_configuration",
         "_crash_guard",
-        "_limiter",
         "_metrics",
         "_retry_budget",
         "_routes",
@@ -84,7 +84,6 @@
         crash_guard: CrashGuard,
         stream_versions: StreamVersions,
         retry_budget: RetryBudget,
-        limiter: RequestLimiter,
         time_limits: TimeLimits,
         clock: Clock,
         metrics: Metrics,
@@ -99,7 +98,6 @@
             crash_guard: Refuses prompts that crash servers.
             stream_versions: Decides at which version streams go on that callers take up.
             retry_budget: Limits the retries to each service.
-            limiter: Gives permits for requests to servers with a limit.
             time_limits: Time limits of all open requests.
             clock: Source of time.
             metrics: Counters.
@@ -111,7 +109,6 @@
         self._crash_guard = crash_guard
         self._stream_versions = stream_versions
         self._retry_budget = retry_budget
-        self._limiter = limiter
         self._time_limits = time_limits
         self._clock = clock
         self._metrics = metrics
@@ -272,6 +269,7 @@
                 return
             raise self._make_timeout_error(progress) from error
         finally:
+            self._selector.release_place(progress, is_answered=sink.finished)
             if reservation is not None:
                 self._budget.settle_unbilled(reservation, progress.charged_tokens)
 
@@ -394,10 +392,9 @@
         elif progress.may_have_run:
             raise RequestError(ResultCode.OUTCOME_UNKNOWN, ran=Ran.UNKNOWN, detail=reason)
         elif reason == SERVERS_LIMITED:
-            servers = self._selector.list_limited(progress)
             raise RequestError(
                 ResultCode.SERVERS_LIMITED,
-                retry_after_seconds=self._limiter.plan_return(progress.service, servers),
+                retry_after_seconds=self._selector.plan_return(progress),
             )
         else:
             codes = {"no_server": ResultCode.NO_SERVER, PART_BLOCKED: ResultCode.PROMPT_BLOCKED}
@@ -468,6 +465,7 @@
     retry_budget: RetryBudget,
     rate_limits: ServerRateLimits,
     limiter: RequestLimiter,
+    places: PlaceKeeper,
     time_limits: TimeLimits,
     clock: Clock,
     metrics: Metrics,
@@ -487,6 +485,7 @@
         retry_budget: Limits the retries to each service.
         rate_limits: Limits that servers name in their answers.
         limiter: Gives permits for requests to servers with a limit.
+        places: Gives places for requests to brittle servers.
         time_limits: Time limits of all open requests.
         clock: Source of time.
         metrics: Counters.
@@ -497,6 +496,7 @@
         configuration=configuration,
         table=table,
         limiter=limiter,
+        places=places,
         clock=clock,
         random_source=random_source,
         data_centre=data_centre,
@@ -509,7 +509,7 @@
         dialect=dialect,
         retry_budget=retry_budget,
         rate_limits=rate_limits,
-        limiter=limiter,
+        places=places,
         clock=clock,
     )
     return ForwardService(
@@ -520,7 +520,6 @@
         crash_guard=crash_guard,
         stream_versions=stream_versions,
         retry_budget=retry_budget,
-        limiter=limiter,
         time_limits=time_limits,
         clock=clock,
         metrics=metrics,
--- a/packages/router/laburnumpier_router/operators/reports.py
+++ b/packages/router/laburnumpier_router/operators/reports.py
@@ -19,6 +19,7 @@
 from ..configuration.service import ConfigurationService
 from ..fleet.service import FleetService
 from ..forward.stream_origins import StreamOrigins
+from ..places.place_keeper import PlaceKeeper
 from ..ports.key_value_service import KeyValueService
 from ..request.call_service import CallService
 from ..request.chat_service import ChatService
@@ -39,6 +40,7 @@
         "_dispatcher",
         "_fleet",
         "_metrics",
+        "_places",
         "_request_directory",
         "_store",
         "_stream_origins",
@@ -58,6 +60,7 @@
         backend_directory: BackendDirectory,
         dispatcher: Dispatcher,
         stream_origins: StreamOrigins,
+        places: PlaceKeeper | None,
         fleet: FleetService,
         metrics: Metrics,
     ):
@@ -72,6 +75,7 @@
         self._backend_directory = backend_directory
         self._dispatcher = dispatcher
         self._stream_origins = stream_origins
+        self._places = places
         self._fleet = fleet
         self._metrics = metrics
 
@@ -241,6 +245,7 @@
             "requests_at_home": self._request_directory.entry_count,
             "stream_origins": self._stream_origins.kept_count,
             "stream_origins_untold": self._stream_origins.untold_count,
+            "places": self._places.describe() if self._places is not None else {},
             "counters": self._metrics.counters,
             "gauges": self._metrics.gauges,
         }
--- a/packages/router/laburnumpier_router/selection/selector.py
+++ b/packages/router/laburnumpier_router/selection/selector.py
@@ -1,4 +1,4 @@
-"""Selects the server of a forwarded request and gets the permit that a limited one requires."""
+"""Selects the server of a forwarded request and gets the permit or place that it requires."""
 
 import random
 
@@ -9,6 +9,7 @@
 from ..forward.request_limiter import RequestLimiter
 from ..forward.request_progress import RequestProgress
 from ..forward.servers import ServerLoad, ServerTable
+from ..places.place_keeper import PlaceKeeper
 from ..ports.server_registry import RegisteredServer
 
 MAX_PERMIT_WAIT_SHARE = 0.5
@@ -16,12 +17,23 @@
 MAX_PERMITS_ASKED = 4
 """Servers with a limit that are asked about for one request before it is refused."""
 URGENCY_LEVELS = 10
+MAX_PLACE_WAIT_SECONDS = 0.25
+"""Longest wait for a place at a brittle server; requests beyond what the servers can run are to be
+refused at once."""
 
 
 class ServerSelector:
     """Selects servers among those that accept new requests."""
 
-    __slots__ = ("_clock", "_configuration", "_data_centre", "_limiter", "_random", "_table")
+    __slots__ = (
+        "_clock",
+        "_configuration",
+        "_data_centre",
+        "_limiter",
+        "_places",
+        "_random",
+        "_table",
+    )
 
     def __init__(
         self,
@@ -29,6 +41,7 @@
         configuration: ConfigurationService,
         table: ServerTable,
         limiter: RequestLimiter,
+        places: PlaceKeeper,
         clock: Clock,
         random_source: random.Random,
         data_centre: str,
@@ -39,6 +52,7 @@
             configuration: Provides the urgency of workspaces.
             table: Registered servers.
             limiter: Gives permits for requests to servers with a limit.
+            places: Gives places for requests to brittle servers.
             clock: Source of time.
             random_source: Selects among equally loaded servers.
             data_centre: Data centre of this router.
@@ -46,6 +60,7 @@
         self._configuration = configuration
         self._table = table
         self._limiter = limiter
+        self._places = places
         self._clock = clock
         self._random = random_source
         self._data_centre = data_centre
@@ -53,31 +68,91 @@
     async def find_server(self, progress: RequestProgress) -> ServerLoad | None:
         """Returns a server that the request may be sent to now; None if there is none.
 
-        A server with a limit is chosen like any other one as long as there are permits for it.
-        The request waits for a permit only if all servers that are left have a limit.
+        A server with a limit, or a brittle one, is chosen like any other one as long as there are
+        permits or places for it. The request waits only if all servers that are left need one.
         """
+        self.release_place(progress)
+        server = await self._find_server_now(progress)
+        if server is None:
+            server = await self._wait_for_place(progress)
+        if server is not None and progress.place is None:
+            progress.place = self._places.track(server.entry)
+        return server
+
+    def release_place(self, progress: RequestProgress, *, is_answered: bool = False) -> None:
+        """Returns the place of a request whose last send has ended in whatever way.
+
+        Args:
+            progress: The request.
+            is_answered: Whether the whole answer was received.
+        """
+        place, progress.place = progress.place, None
+        if place is not None:
+            is_ended = is_answered or place.is_rejected or not progress.may_have_run
+            self._places.release(place, is_broken_off=not is_ended)
+
+    async def _find_server_now(self, progress: RequestProgress) -> ServerLoad | None:
+        """Returns a server without a wait for a place, but maybe with one for a permit."""
         denied: set[str] = set()
         while True:
             usable = self.list_untried(progress)
-            unlimited = [s for s in usable if not self._limiter.is_limited(s.entry)]
-            if len(unlimited) == len(usable) or len(denied) >= MAX_PERMITS_ASKED:
-                return self.choose_server(progress, unlimited)
-            max_wait_seconds = 0.0 if unlimited else self._get_max_permit_wait(progress)
+            free = [server for server in usable if not self._needs_leave(server.entry)]
+            if len(free) == len(usable) or len(denied) >= MAX_PERMITS_ASKED:
+                return self.choose_server(progress, free)
+            max_wait_seconds = 0.0 if free else self._get_max_permit_wait(progress)
             candidates = [
                 server
                 for server in usable
                 if server.entry.server_id not in denied
+                and self._places.may_have_place(server.entry, 0.0)
                 and self._limiter.may_have_permit(server.entry, max_wait_seconds)
             ]
             server = self.choose_server(progress, candidates)
-            if server is None or not self._limiter.is_limited(server.entry):
+            if server is None or not self._needs_leave(server.entry):
                 return server
-            has_permit = await self._limiter.acquire(server.entry, max_wait_seconds)
-            # The server may have begun to leave meanwhile.
-            if has_permit and server in self.list_untried(progress):
+            if await self._acquire(progress, server, max_wait_seconds):
                 return server
             denied.add(server.entry.server_id)
 
+    async def _wait_for_place(self, progress: RequestProgress) -> ServerLoad | None:
+        """Returns a brittle server at which a place was free soon; None if there is none."""
+        max_wait_seconds = min(MAX_PLACE_WAIT_SECONDS, self._get_max_permit_wait(progress))
+        waitable = [
+            server
+            for server in self.list_untried(progress)
+            if self._places.is_brittle(server.entry)
+            and self._places.may_have_place(server.entry, max_wait_seconds)
+        ]
+        if not waitable or not max_wait_seconds:
+            return None
+        soonest = min(waitable, key=lambda s: self._places.find_next_seconds(s.entry))
+        has_place = await self._acquire(progress, soonest, 0.0, max_wait_seconds)
+        return soonest if has_place else None
+
+    def _needs_leave(self, entry: RegisteredServer) -> bool:
+        """Whether requests to a server need a permit or a place."""
+        return self._limiter.is_limited(entry) or self._places.is_brittle(entry)
+
+    async def _acquire(
+        self,
+        progress: RequestProgress,
+        server: ServerLoad,
+        permit_wait_seconds: float,
+        place_wait_seconds: float = 0.0,
+    ) -> bool:
+        """Gets the place and the permit that a request needs at a server."""
+        entry = server.entry
+        if self._places.is_brittle(entry):
+            progress.place = await self._places.acquire(entry, place_wait_seconds)
+            if progress.place is None:
+                return False
+        has_permit = await self._limiter.acquire(entry, permit_wait_seconds)
+        # The server may have begun to leave meanwhile.
+        if has_permit and server in self.list_untried(progress):
+            return True
+        self.release_place(progress, is_answered=True)
+        return False
+
     def _get_max_permit_wait(self, progress: RequestProgress) -> float:
         """Returns the longest wait for a permit in seconds; urgent requests wait longer.
 
@@ -95,9 +170,21 @@
         return [s for s in usable if s.entry.server_id not in progress.tried_server_ids]
 
     def list_limited(self, progress: RequestProgress) -> list[RegisteredServer]:
-        """Returns the servers with a limit that the request was not sent to."""
+        """Returns the servers with a limit, and brittle ones, that it was not sent to."""
         untried = [server.entry for server in self.list_untried(progress)]
-        return [entry for entry in untried if self._limiter.is_limited(entry)]
+        return [entry for entry in untried if self._needs_leave(entry)]
+
+    def plan_return(self, progress: RequestProgress) -> float:
+        """Returns the seconds after which a refused request may find a permit or a place."""
+        servers = self.list_limited(progress)
+        limited = [entry for entry in servers if self._limiter.is_limited(entry)]
+        brittle = [entry for entry in servers if self._places.is_brittle(entry)]
+        waits = []
+        if limited:
+            waits.append(self._limiter.plan_return(progress.service, limited))
+        if brittle:
+            waits.append(self._places.plan_return(progress.service, brittle))
+        return min(waits, default=0.0)
 
     def choose_server(
         self, progress: RequestProgress, usable: list[ServerLoad]
@@ -124,13 +211,17 @@
         usable = [
             server
             for server in self._table.list_usable(progress.service, progress.software_version)
-            if server.entry is progress.sent_to
-            or self._limiter.may_have_permit(server.entry, max_wait_seconds=0.0)
+            if server.entry is progress.sent_to or self.may_have_leave(server.entry)
         ]
         if progress.software_version is None:
             return len(usable) > 1
         return any(server.entry.server_id not in progress.tried_server_ids for server in usable)
 
+    def may_have_leave(self, entry: RegisteredServer) -> bool:
+        """Whether a server needs neither permit nor place, or they may be had at once."""
+        has_place = self._places.may_have_place(entry, max_wait_seconds=0.0)
+        return has_place and self._limiter.may_have_permit(entry, max_wait_seconds=0.0)
+
     def get_urgency(self, progress: RequestProgress) -> int:
         """Returns the urgency of the request's workspace or else of its route; 0 comes first."""
         workspace = self._configuration.configuration.workspaces.get(progress.workspace)
--- a/packages/router/laburnumpier_router/sending/sender.py
+++ b/packages/router/laburnumpier_router/sending/sender.py
@@ -14,7 +14,6 @@
 from ..forward.crash_guard import CrashGuard
 from ..forward.exchange import ResponseSink, ServerCall, ServerClient, ServerExchange
 from ..forward.patience import PatientReader, PatientWait, StillWaitingError, read_patiently
-from ..forward.request_limiter import RequestLimiter
 from ..forward.request_progress import ErrorResponse, RequestProgress
 from ..forward.response_limits import StreamLimitError
 from ..forward.retry_budget import RetryBudget
@@ -22,6 +21,7 @@
 from ..forward.servers import ServerLoad
 from ..forward.stream_versions import StreamVersions
 from ..forward.watched_run import PartBlockedError, WatchedRun
+from ..places.place_keeper import PlaceKeeper
 from ..ports.dialect import Dialect, ForwardedRequestInfo, ResponseHead
 from ..selection.selector import ServerSelector
 from .attempt_error import ServerAttemptError, ServerSilentError
@@ -49,7 +49,7 @@
         "_clock",
         "_crash_guard",
         "_dialect",
-        "_limiter",
+        "_places",
         "_rate_limits",
         "_retry_budget",
         "_selector",
@@ -66,7 +66,7 @@
         dialect: Dialect,
         retry_budget: RetryBudget,
         rate_limits: ServerRateLimits,
-        limiter: RequestLimiter,
+        places: PlaceKeeper,
         clock: Clock,
     ):
         """Creates the sender.
@@ -79,7 +79,7 @@
             dialect: Translates headers between callers, this router and servers.
             retry_budget: Limits the retries to each service.
             rate_limits: Limits that servers name in their answers.
-            limiter: Gives permits for requests to servers with a limit.
+            places: Knows which servers are brittle.
             clock: Source of time.
         """
         self._client = client
@@ -89,7 +89,7 @@
         self._dialect = dialect
         self._retry_budget = retry_budget
         self._rate_limits = rate_limits
-        self._limiter = limiter
+        self._places = places
         self._clock = clock
 
     async def send(
@@ -192,7 +192,7 @@
                 other
                 for other in self._selector.list_untried(progress)
                 if other.backoff_until_seconds <= now
-                and self._limiter.may_have_permit(other.entry, max_wait_seconds=0.0)
+                and self._selector.may_have_leave(other.entry)
             ],
         )
         return server is not None and await self._client.is_accepting(server.entry.address)
@@ -307,6 +307,7 @@
         is_stray = not is_unnamed and head.attempt_id != progress.request.head.attempt_id
         if not is_stray:
             self._rate_limits.record_answer(progress.sent_to, head)
+            self._places.record_answer(progress.place, progress.sent_to, head)
         if head.not_executed:
             if exchange.status != 421:
                 server.record_report(server.entry.slots, 1, self._clock.monotonic_seconds())
