--- a/features/steps/brittle_world.py
+++ b/features/steps/brittle_world.py
@@ -284,6 +284,12 @@
     def _list_live(self):
         return self._world.list_live(self.self_name)
 
+    async def send_heartbeats(self):
+        """Sends a heartbeat to each partner now."""
+        await asyncio.sleep(PEER_SECONDS)
+        if self.self_name in self._world.routers:
+            self._world.exchange_heartbeat(self.self_name)
+
     async def call(self, peer, message, timeout_seconds):
         """Calls the handler of another router, unless it is not reached."""
         try:
@@ -446,13 +452,18 @@
         """Tells partners which servers are brittle, until cancelled."""
         while True:
             await asyncio.sleep(HEARTBEAT_SECONDS)
-            for name, router in list(self.routers.items()):
-                partners = rank_by_rendezvous(name, [n for n in self.routers if n != name])
-                for partner in partners[:HEARTBEAT_PARTNERS]:
-                    if self.is_reached(name, partner):
-                        other = self.routers[partner]
-                        other.places.servers.adopt(router.places.servers.list_told())
-                        router.places.servers.adopt(other.places.servers.list_told())
+            for name in list(self.routers):
+                self.exchange_heartbeat(name)
+
+    def exchange_heartbeat(self, name):
+        """Exchanges a heartbeat with each partner of a router."""
+        router = self.routers[name]
+        partners = rank_by_rendezvous(name, [n for n in self.routers if n != name])
+        for partner in partners[:HEARTBEAT_PARTNERS]:
+            if self.is_reached(name, partner):
+                other = self.routers[partner]
+                other.places.adopt(router.places.servers.list_told())
+                router.places.adopt(other.places.servers.list_told())
 
     async def send_requests(self, rate, seconds):
         """Sends requests at random routers, and waits until all have ended."""
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -806,7 +806,7 @@
         if self._crash_guard is not None:
             self._crash_guard.adopt_blocks(sender, message.blocked_parts)
             self._rate_limits.adopt(message.named_limits)
-            self._places.servers.adopt(message.brittle_servers)
+            self._places.adopt(message.brittle_servers)
         # Only homes of shards normally write, but members may temporarily disagree on the homes.
         max_writers = MAX_HOMES_PER_SHARD * self._settings.account_shards
         self._write_pacer.set_member_count(min(1 + len(self._fleet.view.live), max_writers))
--- a/packages/router/laburnumpier_router/places/brittle_servers.py
+++ b/packages/router/laburnumpier_router/places/brittle_servers.py
@@ -83,6 +83,12 @@
         self._metrics = metrics
         self._known: collections.OrderedDict[str, Brittleness] = collections.OrderedDict()
 
+    @property
+    def has_brittle(self) -> bool:
+        """Whether any server is brittle."""
+        now = self._clock.monotonic_seconds()
+        return any(known.is_brittle(now) for known in self._known.values())
+
     def record_answer(self, server: RegisteredServer, head: ResponseHead) -> None:
         """Records what an answer of a server says.
 
--- a/packages/router/laburnumpier_router/places/held_places.py
+++ b/packages/router/laburnumpier_router/places/held_places.py
@@ -57,6 +57,10 @@
         """Returns the number of requests in progress at a server."""
         return len(self._places.get(server_id, ()))
 
-    def list_by_server(self) -> list[list[HeldPlace]]:
-        """Returns the requests in progress, grouped by server."""
-        return [list(places.values()) for places in self._places.values()]
+    def list_servers(self) -> list[RegisteredServer]:
+        """Returns the servers at which requests are in progress."""
+        return [next(iter(places.values())).server for places in self._places.values()]
+
+    def list_ids(self, server_id: str) -> list[int]:
+        """Returns the ids of the places in use at a server."""
+        return list(self._places.get(server_id, ()))
--- a/packages/router/laburnumpier_router/places/place_home.py
+++ b/packages/router/laburnumpier_router/places/place_home.py
@@ -62,7 +62,7 @@
 class PlaceHome:
     """Keeps the ledgers of servers, and answers the routers that ask for places."""
 
-    __slots__ = ("_clock", "_fleet", "_metrics", "_random", "_reached_share", "_servers")
+    __slots__ = ("_clock", "_fleet", "_metrics", "_random", "_servers")
 
     def __init__(
         self,
@@ -84,13 +84,8 @@
         self._clock = clock
         self._metrics = metrics
         self._random = random_source
-        self._reached_share = 1.0
         self._servers: dict[str, HomeServer] = {}
 
-    def set_reached_share(self, share: float) -> None:
-        """Sets the share of the other homes that answer this router lately, from 0 to 1."""
-        self._reached_share = share
-
     async def handle_ask_place(self, sender: str, message: AskPlace) -> PlaceAnswered:
         """Answers whether another router may send a request to a server."""
         return await self.ask(sender, message)
@@ -207,9 +202,8 @@
             server = self._add_server(told, server, now_seconds)
         server.used_seconds = now_seconds
         if told.started_ms == server.started_ms:
-            share = self._fleet.count_live_vms() / max(1, self._fleet.count_vms())
-            share = min(share, self._reached_share)
-            server.ledger.update(told.slots, told.max_rejects, share, now_seconds)
+            routers = self._fleet.count_vms()
+            server.ledger.update(told.slots, told.max_rejects, routers, now_seconds)
             self._log_level(told.server_id, server)
         return server
 
@@ -221,6 +215,7 @@
         ledger = PlaceLedger(
             slots=told.slots,
             max_rejects=told.max_rejects,
+            routers=self._fleet.count_vms(),
             now_seconds=now_seconds,
             is_beginning=earlier is None and told.began_ms <= BEGINNING_SECONDS * 1000,
         )
--- a/packages/router/laburnumpier_router/places/place_keeper.py
+++ b/packages/router/laburnumpier_router/places/place_keeper.py
@@ -18,8 +18,10 @@
 from laburnumpier_core.background_tasks import BackgroundTasks
 from laburnumpier_core.clock import Clock
 from laburnumpier_core.errors import PeerError
+from laburnumpier_core.hashing import rank_by_rendezvous
 from laburnumpier_core.metrics import Metrics
 
+from ..fleet.member import NamedBrittleness
 from ..fleet.service import FleetService
 from ..ports.dialect import ResponseHead
 from ..ports.server_registry import RegisteredServer
@@ -43,8 +45,9 @@
 ASK_TIMEOUT_SECONDS = 0.15
 SILENT_HOME_SECONDS = 1.0
 """Time for which a home that did not answer is not asked."""
-ANSWERED_SECONDS = 2.0
-"""Time for which an answer of a home shows that it is reached."""
+MAX_HOMES = 3
+"""Routers that are asked for the places of a server before the own share is used: its home, and
+those that take over if it is silent."""
 TELL_SECONDS = 1.0
 """Interval in which homes are told which places are in use."""
 SHARE_HOLD_OFF_SECONDS = 0.2
@@ -76,7 +79,6 @@
     """Asks for places, uses own shares, and returns places."""
 
     __slots__ = (
-        "_answered",
         "_clock",
         "_denials",
         "_ended",
@@ -84,11 +86,14 @@
         "_held",
         "_home",
         "_metrics",
+        "_ranked",
         "_return_seconds",
         "_servers",
         "_shares",
         "_silent_until",
         "_tasks",
+        "_told_seconds",
+        "_used",
     )
 
     def __init__(
@@ -119,8 +124,10 @@
         self._held = HeldPlaces()
         self._shares = OwnShares(random_source=random_source)
         self._tasks = BackgroundTasks(part="places", metrics=metrics)
+        self._told_seconds = -math.inf
+        self._used: dict[str, RegisteredServer] = {}
         self._denials: dict[str, PlaceDenial] = {}
-        self._answered: dict[str, float] = {}
+        self._ranked: dict[str, tuple[list[str], list[str]]] = {}
         self._silent_until: dict[str, float] = {}
         self._ended: dict[str, collections.deque[float]] = {}
         self._return_seconds: dict[str, float] = {}
@@ -163,6 +170,7 @@
         if brittleness is None:
             self._held.add(place)
             return place
+        self._used[server.server_id] = server
         try:
             answer = await self._ask_home(place, brittleness, max_wait_seconds)
         except asyncio.CancelledError:
@@ -204,7 +212,10 @@
             server: Registry entry of the server, as of the moment of sending.
             head: Head of the answer.
         """
+        was_brittle = self.is_brittle(server)
         self._servers.record_answer(server, head)
+        if not was_brittle and self.is_brittle(server):
+            self.tell_beginning()
         is_full = head.not_executed and not head.is_misdirected and not head.is_leaving
         if place is not None and is_full:
             place.is_rejected = True
@@ -233,20 +244,27 @@
         """Tells homes which places are in use, until cancelled."""
         while True:
             await asyncio.sleep(TELL_SECONDS)
-            self._home.set_reached_share(self._compute_reached_share())
             self.tell_held()
             self._home.maintain()
 
     def tell_held(self) -> None:
-        """Tells the home of each brittle server which places this router uses there."""
+        """Tells the home of each brittle server which places this router uses there.
+
+        A router that has asked for a place tells it also while it uses none: one that is not heard
+        of any more may be cut off, and use its own share.
+        """
         by_home: dict[str, list[HeldPlacesMessage]] = {}
-        for places in self._held.list_by_server():
-            brittleness = self._servers.find(places[0].server)
+        self._used.update({server.server_id: server for server in self._held.list_servers()})
+        for server_id, server in list(self._used.items()):
+            brittleness = self._servers.find(server)
             if brittleness is None:
+                del self._used[server_id]
                 continue
-            home = self._find_home(places[0].server)
-            ids = [place.place_id for place in places[:MAX_PLACES_IN_MESSAGE]]
-            told = self._make_server(places[0].server, brittleness)
+            home = self._find_home(server)
+            if home is None:
+                continue
+            ids = self._held.list_ids(server_id)[:MAX_PLACES_IN_MESSAGE]
+            told = self._make_server(server, brittleness)
             by_home.setdefault(home, []).append(HeldPlacesMessage(server=told, place_ids=ids))
         for home, servers in by_home.items():
             message = HoldPlaces(servers=servers)
@@ -255,6 +273,25 @@
             else:
                 self._tasks.start(self._tell(home, message))
 
+    def adopt(self, told: list[NamedBrittleness]) -> None:
+        """Takes over what another router knows of servers."""
+        were_known = self._servers.has_brittle
+        self._servers.adopt(told)
+        if self._servers.has_brittle and not were_known:
+            self.tell_beginning()
+
+    def tell_beginning(self) -> None:
+        """Tells other routers at once that servers are brittle, and homes what is in use.
+
+        Until a router knows it, it sends without places. With partners that pass it on in the same
+        way, all routers know it after some messages.
+        """
+        self.tell_held()
+        now = self._clock.monotonic_seconds()
+        if now - self._told_seconds >= TELL_SECONDS:
+            self._told_seconds = now
+            self._tasks.start(self._fleet.send_heartbeats())
+
     def describe(self) -> dict[str, object]:
         """Returns the state of the places, for the state dump."""
         now = self._clock.monotonic_seconds()
@@ -276,7 +313,7 @@
         home = self._find_home(place.server)
         if home == self._fleet.self_name:
             answer = await self._home.ask(home, message)
-        elif self._is_silent(home):
+        elif home is None:
             return self._answer_from_share(place)
         else:
             answer = await self._call_home(home, message, max_wait_seconds)
@@ -293,10 +330,8 @@
             answer = await self._fleet.call(home, message, timeout_seconds)
         except PeerError:
             self._metrics.count("places.homes_silent")
-            self._silent_until[home] = self._clock.monotonic_seconds() + SILENT_HOME_SECONDS
-            self._home.set_reached_share(self._compute_reached_share())
+            self._record_silence(home)
             return None
-        self._answered[home] = self._clock.monotonic_seconds()
         self._silent_until.pop(home, None)
         return answer
 
@@ -340,7 +375,7 @@
         home = self._find_home(place.server)
         if home == self._fleet.self_name:
             self._home.give_back(home, message)
-        elif not self._is_silent(home):
+        elif home is not None:
             self._tasks.start(self._tell(home, message))
 
     async def _tell(self, home: str, message: ReturnPlaces | HoldPlaces) -> None:
@@ -350,8 +385,21 @@
         except PeerError:
             self._metrics.count("places.messages_lost")
 
-    def _find_home(self, server: RegisteredServer) -> str:
-        return self._fleet.find_home(f"place/{server.server_id}")
+    def _find_home(self, server: RegisteredServer) -> str | None:
+        """Returns the router that gives out the places of a server; None if none answers."""
+        key, peers = f"place/{server.server_id}", self._fleet.list_peers()
+        ranked = self._ranked.get(key)
+        if ranked is None or ranked[0] != peers:
+            if len(self._ranked) >= MAX_DENIALS:
+                self._ranked.clear()
+            homes = rank_by_rendezvous(key, [self._fleet.self_name, *peers])[:MAX_HOMES]
+            ranked = self._ranked[key] = (list(peers), homes)
+        return next((home for home in ranked[1] if not self._is_silent(home)), None)
+
+    def _record_silence(self, home: str) -> None:
+        now = self._clock.monotonic_seconds()
+        self._silent_until = {h: end for h, end in self._silent_until.items() if end > now}
+        self._silent_until[home] = now + SILENT_HOME_SECONDS
 
     def _make_server(self, server: RegisteredServer, brittleness: Brittleness) -> PlaceServer:
         age_seconds = self._clock.monotonic_seconds() - brittleness.began_seconds
@@ -366,18 +414,6 @@
     def _is_silent(self, home: str) -> bool:
         return self._clock.monotonic_seconds() < self._silent_until.get(home, -math.inf)
 
-    def _compute_reached_share(self) -> float:
-        """Returns the share of the homes that answered lately; a single silent one may be gone."""
-        now = self._clock.monotonic_seconds()
-        self._silent_until = {h: end for h, end in self._silent_until.items() if end > now}
-        oldest_seconds = now - ANSWERED_SECONDS
-        self._answered = {h: s for h, s in self._answered.items() if s > oldest_seconds}
-        silent_count = len(self._silent_until)
-        if silent_count <= 1:
-            return 1.0
-        reached_count = 1 + len(self._answered.keys() - self._silent_until.keys())
-        return reached_count / (reached_count + silent_count)
-
     def _get_ended(self, service: str, now_seconds: float) -> collections.deque[float]:
         ended = self._ended.setdefault(service, collections.deque())
         while ended and ended[0] < now_seconds - RETURN_WINDOW_SECONDS:
--- a/packages/router/laburnumpier_router/places/place_ledger.py
+++ b/packages/router/laburnumpier_router/places/place_ledger.py
@@ -5,6 +5,10 @@
 with a place. At first there are as many places as the server has slots. A rejection shows that
 there are fewer: the number falls to the places that are in use without the rejected one. It rises
 by a small step after some seconds without a rejection, so that a wrong guess costs few.
+
+A holder that falls silent is dead, or is cut off and uses its own share. The home then gives out
+the share of the others only, and raises it in the same careful way. A home that takes over from
+another one begins with the share of the routers that it hears of.
 """
 
 import collections
@@ -13,7 +17,7 @@
 
 LEARNING_SECONDS = 1.2
 """Time after its first message for which a home does not know all places that are in use: each
-router tells them once a second."""
+router that has asked tells them once a second."""
 SILENCE_SECONDS = 3.0
 """Age of the last word of a place's holder at which the place counts as free: three of these
 messages are lost. A request of a router that is gone ends at once at its server."""
@@ -37,6 +41,8 @@
 """Time over which the pace is measured in which places become free."""
 DEFAULT_PLACE_SECONDS = 0.5
 """Time after which a place is expected to be free when none was returned lately."""
+FORGET_SECONDS = 30.0
+"""Time after which a router that fell silent is not counted among the users of the server."""
 MAX_ENDED = 256
 """Returned places that are remembered, in case their request for a lease comes after its end."""
 
@@ -62,33 +68,51 @@
         "_ended",
         "_epoch_end_seconds",
         "_extra",
+        "_heard",
         "_is_beginning",
+        "_is_takeover",
         "_leases",
         "_level",
+        "_lost",
         "_max_rejects",
         "_quiet_since_seconds",
         "_returns",
+        "_routers",
         "_share",
         "_slots",
         "_was_full",
     )
 
-    def __init__(self, *, slots: int, max_rejects: int, now_seconds: float, is_beginning: bool):
+    def __init__(
+        self,
+        *,
+        slots: int,
+        max_rejects: int,
+        routers: int,
+        now_seconds: float,
+        is_beginning: bool,
+    ):
         """Creates a ledger that knows of no place in use.
 
         Args:
             slots: Requests that the server runs concurrently.
             max_rejects: Requests that it can reject in a second.
+            routers: Number of routers.
             now_seconds: Current monotonic time.
-            is_beginning: Whether the brittle time of the server has just begun. It then still has
-                the room that it usually has for some seconds, and all who ask get a place.
+            is_beginning: Whether the brittle time of the server has just begun, so that no other
+                router has given out places. Requests without a place that the home is not told of
+                do no harm then: the server still has its usual room for some seconds.
         """
         self._slots = slots
         self._max_rejects = max_rejects
         self._began_seconds = now_seconds
         self._is_beginning = is_beginning
-        self._level = float(slots)
-        self._share = 1.0
+        self._is_takeover = not is_beginning
+        self._routers = routers
+        self._share = 1.0 if is_beginning else 0.0
+        self._level = self._share * slots
+        self._heard: dict[str, float] = {}
+        self._lost: set[str] = set()
         self._leases: dict[tuple[str, int], Lease] = {}
         self._ended: collections.OrderedDict[tuple[str, int], None] = collections.OrderedDict()
         self._returns: collections.deque[float] = collections.deque()
@@ -108,29 +132,26 @@
         return len(self._leases)
 
     def is_known(self, now_seconds: float) -> bool:
-        """Returns whether the places in use are known, or do not matter yet."""
-        return self._is_beginning or now_seconds - self._began_seconds > LEARNING_SECONDS
+        """Returns whether it is known if there is a place."""
+        is_learnt = now_seconds - self._began_seconds > LEARNING_SECONDS
+        is_learnt = is_learnt or len(self._heard) >= self._routers
+        return self._is_beginning or is_learnt or len(self._leases) >= self._slots
 
-    def update(self, slots: int, max_rejects: int, share: float, now_seconds: float) -> None:
+    def update(self, slots: int, max_rejects: int, routers: int, now_seconds: float) -> None:
         """Takes over what is known of the server and of the fleet.
 
-        A smaller share lowers the level once; it is raised again like after a rejection, since
-        those who are out of reach may be gone as well as send on their own.
-
         Args:
             slots: Requests that the server runs concurrently.
             max_rejects: Requests that it can reject in a second.
-            share: Share of the fleet that this home serves, from 0 to 1.
+            routers: Number of routers.
             now_seconds: Current monotonic time.
         """
         self._max_rejects = max_rejects
+        self._routers = max(1, routers)
         if slots != self._slots:
-            self._level = min(self._level, slots) if slots < self._slots else float(slots)
+            limit = slots * self._share
+            self._level = min(self._level, limit) if slots < self._slots else limit
             self._slots = slots
-        if share < self._share:
-            self._level = min(self._level, slots * share)
-            self._quiet_since_seconds = now_seconds
-        self._share = share
 
     def lease(self, holder: str, place_id: int, now_seconds: float, chance: float) -> bool:
         """Gives out a place if there is one.
@@ -147,6 +168,7 @@
         key = (holder, place_id)
         if key in self._ended:
             return False
+        self._record_heard(holder, now_seconds)
         self._expire(now_seconds)
         self._raise_level(now_seconds)
         if key not in self._leases and not self._has_room(now_seconds, chance):
@@ -160,6 +182,7 @@
     ) -> None:
         """Takes a place back; a rejection lowers the number of places at once."""
         key = (holder, place_id)
+        self._record_heard(holder, now_seconds)
         self._ended[key] = None
         while len(self._ended) > MAX_ENDED:
             self._ended.popitem(last=False)
@@ -168,13 +191,14 @@
         if is_rejected:
             self._is_beginning = False
             # While not all places in use are known, their number says little.
-            limit = len(self._leases) if self.is_known(now_seconds) else self._level - 1.0
-            self._level = min(self._level, max(1.0, float(limit)))
+            if self.is_known(now_seconds):
+                self._level = min(self._level, max(1.0, float(len(self._leases))))
             self._quiet_since_seconds = now_seconds
             self._was_full = False
 
     def renew(self, holder: str, place_ids: list[int], now_seconds: float) -> None:
         """Takes over which places a router uses, also those that another home gave out."""
+        self._record_heard(holder, now_seconds)
         named = set(place_ids)
         for key, lease in list(self._leases.items()):
             is_new = now_seconds - lease.leased_seconds < GRACE_SECONDS
@@ -202,21 +226,47 @@
         return RATE_WINDOW_SECONDS * (1 + ahead + excess) / len(self._returns)
 
     def _has_room(self, now_seconds: float, chance: float) -> bool:
-        is_new = now_seconds - self._began_seconds <= LEARNING_SECONDS
-        if self._is_beginning and is_new:
-            return True
-        self._is_beginning = False
         if now_seconds >= self._epoch_end_seconds:
             self._epoch_end_seconds = now_seconds + EPOCH_SECONDS
             self._extra = int(chance < self._level % 1.0)
         return len(self._leases) < math.floor(self._level) + self._extra
 
+    def _record_heard(self, holder: str, now_seconds: float) -> None:
+        is_new = holder not in self._heard or holder in self._lost
+        self._heard[holder] = now_seconds
+        if is_new:
+            self._lost.discard(holder)
+            self._update_share(now_seconds)
+
     def _expire(self, now_seconds: float) -> None:
         """Frees the places of holders that have been silent for too long."""
         oldest_seconds = now_seconds - SILENCE_SECONDS
-        for key, lease in list(self._leases.items()):
-            if lease.heard_seconds < oldest_seconds:
-                del self._leases[key]
+        silent = {
+            key for key, lease in self._leases.items() if lease.heard_seconds < oldest_seconds
+        }
+        for key in silent:
+            del self._leases[key]
+        lost = {h for h, seconds in self._heard.items() if seconds < oldest_seconds}
+        if lost - self._lost:
+            self._lost |= lost
+            self._update_share(now_seconds)
+
+    def _update_share(self, now_seconds: float) -> None:
+        """Lowers or raises the level with the share of the routers that are heard."""
+        oldest_seconds = now_seconds - FORGET_SECONDS
+        self._heard = {h: s for h, s in self._heard.items() if s > oldest_seconds}
+        self._lost &= self._heard.keys()
+        users = self._routers if self._is_takeover else max(1, len(self._heard))
+        share = min(1.0, (len(self._heard) - len(self._lost)) / users)
+        if not self._heard:
+            share = self._share
+        if share < self._share:
+            self._level = min(self._level, self._slots * share)
+            self._quiet_since_seconds = now_seconds
+        else:
+            self._level += self._slots * (share - self._share)
+            self._level = min(self._level, float(self._slots))
+        self._share = share
 
     def _raise_level(self, now_seconds: float) -> None:
         """Raises the level after a time without a rejection in which all places were used."""
