--- a/packages/router/laburnumpier_router/places/place_keeper.py
+++ b/packages/router/laburnumpier_router/places/place_keeper.py
@@ -238,7 +238,7 @@
         return_seconds = max(now + MIN_RETRY_AFTER_SECONDS, earliest_seconds, last_seconds)
         return_seconds = min(return_seconds + pace_seconds, now + MAX_RETRY_AFTER_SECONDS)
         self._return_seconds[service] = return_seconds
-        return return_seconds - now
+        return min(return_seconds - now, MAX_RETRY_AFTER_SECONDS)
 
     async def tell_periodically(self) -> None:
         """Tells homes which places are in use, until cancelled."""
--- a/packages/router/laburnumpier_router/places/place_ledger.py
+++ b/packages/router/laburnumpier_router/places/place_ledger.py
@@ -65,9 +65,9 @@
 
     __slots__ = (
         "_began_seconds",
+        "_chance",
         "_ended",
         "_epoch_end_seconds",
-        "_extra",
         "_heard",
         "_is_beginning",
         "_is_takeover",
@@ -119,7 +119,7 @@
         self._quiet_since_seconds = now_seconds
         self._was_full = False
         self._epoch_end_seconds = -math.inf
-        self._extra = 0
+        self._chance = 1.0
 
     @property
     def level(self) -> float:
@@ -228,8 +228,9 @@
     def _has_room(self, now_seconds: float, chance: float) -> bool:
         if now_seconds >= self._epoch_end_seconds:
             self._epoch_end_seconds = now_seconds + EPOCH_SECONDS
-            self._extra = int(chance < self._level % 1.0)
-        return len(self._leases) < math.floor(self._level) + self._extra
+            self._chance = chance
+        extra = int(self._chance < self._level % 1.0)
+        return len(self._leases) < math.floor(self._level) + extra
 
     def _record_heard(self, holder: str, now_seconds: float) -> None:
         is_new = holder not in self._heard or holder in self._lost
