Share the pace of raised places between the homes of a cut

Cause: when no router reaches another one each is a home, and each raised its places by one in 2 s. Change: a home raises in proportion to the share of the fleet that it hears.

--- a/packages/router/laburnumpier_router/places/place_ledger.py
+++ b/packages/router/laburnumpier_router/places/place_ledger.py
@@ -35,6 +35,8 @@
 """Part of the slots by which the places rise at most; at least it is one place."""
 MAX_RAISE_SECONDS = 30.0
 """The same for a server that can bear no rejection."""
+MIN_PACE_SHARE = 0.001
+"""Least share of the fleet that counts for the pace of raises."""
 EPOCH_SECONDS = 1.0
 """Time for which the part of a place is drawn by chance."""
 RATE_WINDOW_SECONDS = 1.0
@@ -282,7 +284,8 @@
             self._was_full = False
 
     def _get_raise_seconds(self) -> float:
-        if not self._max_rejects:
-            return MAX_RAISE_SECONDS
-        seconds = RAISE_SECONDS * max(1.0, RAISE_REJECTS / self._max_rejects)
-        return min(seconds, MAX_RAISE_SECONDS)
+        """Returns the seconds between two raises; several homes in a cut share the pace."""
+        seconds = MAX_RAISE_SECONDS
+        if self._max_rejects:
+            seconds = RAISE_SECONDS * max(1.0, RAISE_REJECTS / self._max_rejects)
+        return min(seconds, MAX_RAISE_SECONDS) / max(self._share, MIN_PACE_SHARE)
