--- a/features/steps/crash_world.py
+++ b/features/steps/crash_world.py
@@ -42,6 +42,7 @@
 from laburnumpier_router.forward.stream_versions import StreamVersions
 from laburnumpier_router.forward.time_limits import TimeLimits
 from laburnumpier_router.notices.server_notices import ServerNotices
+from laburnumpier_router.places.place_keeper import build_place_keeper
 from laburnumpier_router.ports.server_registry import RegisteredServer
 from laburnumpier_router.response_end import EndMarker
 from laburnumpier_standins.virtual_loop import VirtualClock
@@ -405,6 +406,9 @@
             rate_limits=self.limits,
             limiter=self.limiter,
             notices=self.notices,
+            places=build_place_keeper(
+                fleet=self.fleet, clock=clock, metrics=metrics, random_source=random.Random(3)
+            ),
             time_limits=TimeLimits(),
             clock=clock,
             metrics=metrics,
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -35,6 +35,7 @@
 from laburnumpier_router.forward.stream_versions import StreamVersions
 from laburnumpier_router.forward.time_limits import TimeLimits
 from laburnumpier_router.notices.server_notices import ServerNotices
+from laburnumpier_router.places.place_keeper import build_place_keeper
 from laburnumpier_router.ports.server_registry import RegisteredServer
 from scripted_server import ScriptedServer
 
@@ -202,6 +203,12 @@
                 random_source=random.Random(1),
             ),
             notices=notices,
+            places=build_place_keeper(
+                fleet=FakeFleet(),
+                clock=clock,
+                metrics=metrics,
+                random_source=random.Random(1),
+            ),
             time_limits=time_limits,
             clock=clock,
             metrics=metrics,
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -73,6 +73,8 @@
 from .operators.reports import OperatorReports
 from .orders.controller import EngineController
 from .orders.lease import ControllerLease
+from .places import place_messages
+from .places.place_keeper import PlaceKeeper, build_place_keeper
 from .ports.dialect import Dialect
 from .ports.evacuations import EvacuationSource
 from .ports.key_value_service import KeyValueService
@@ -123,6 +125,7 @@
     *permit_messages.MESSAGE_TYPES,
     *cold_messages.MESSAGE_TYPES,
     *relay_messages.MESSAGE_TYPES,
+    *place_messages.MESSAGE_TYPES,
     request_messages.OpenRequest,
     request_messages.RequestOpened,
     request_messages.PlaceRequest,
@@ -288,6 +291,8 @@
         self._reports.add_dump("cold_servers", self._cold_servers.describe)
         if self._forward_frontend is not None:
             self._reports.add_dump("server_notices", self._notices.dump_state)
+        if self._places is not None:
+            self._reports.add_dump("places", self._places.describe)
         if self._ingress is not None:
             self._reports.add_dump("ingress", self._ingress.dump_state)
         if self._relay is not None:
@@ -407,6 +412,7 @@
             self._keep_running(self._registry_follower.follow_periodically)
             self._keep_running(self._version_history.update_periodically)
             self._keep_running(self._budget.refill_periodically)
+            self._keep_running(self._places.tell_periodically)
         if self._ingress is not None:
             self._keep_running(self._ingress.update_periodically)
         self._keep_running(self._log_store_calls_periodically)
@@ -492,6 +498,8 @@
         await self._broadcaster.close()
         if self._crash_guard is not None:
             await self._crash_guard.close()
+        if self._places is not None:
+            await self._places.close()
         await self._peer_link.close()
         if self._relay is not None:
             await self._relay.close()
@@ -635,6 +643,7 @@
         self._cold_servers = ColdServers(clock=self._clock, metrics=self._metrics)
         self._ingress: IngressService | None = None
         self._relay: RelayFeature | None = None
+        self._places: PlaceKeeper | None = None
         self._broadcaster = Broadcaster(fleet=self._fleet, metrics=self._metrics)
         if ports is None:
             return
@@ -670,6 +679,13 @@
             random_source=self._random,
             cold=self._cold_permits,
         )
+        self._places = build_place_keeper(
+            fleet=self._fleet,
+            clock=self._clock,
+            metrics=self._metrics,
+            random_source=self._random,
+        )
+        self._fleet.list_brittle_servers = self._places.servers.list_told
         self._registry_follower = RegistryFollower(
             registry=self._registry_relay,
             table=self._server_table,
@@ -715,6 +731,7 @@
                 rate_limits=self._rate_limits,
                 limiter=self._request_limiter,
                 notices=self._notices,
+                places=self._places,
                 time_limits=time_limits,
                 clock=self._clock,
                 metrics=self._metrics,
@@ -822,6 +839,9 @@
             register(ListRegistry, self._registry_follower.handle_list)
             register(permit_messages.AskPermit, self._request_limiter.handle_ask_permit)
             register(cold_messages.AskColdPermit, self._cold_permits.handle_ask)
+            register(place_messages.AskPlace, self._places.home.handle_ask_place)
+            register(place_messages.ReturnPlaces, self._places.home.handle_return_places)
+            register(place_messages.HoldPlaces, self._places.home.handle_hold_places)
 
     async def _handle_submit_changes(
         self, sender: str, message: budget_messages.SubmitChanges
@@ -897,6 +917,7 @@
         if self._crash_guard is not None:
             self._crash_guard.adopt_blocks(sender, message.blocked_parts)
             self._rate_limits.adopt(message.named_limits)
+            self._places.adopt(message.brittle_servers)
             self._cold_servers.adopt(sender, message.cold_servers)
             self._notices.adopt(message.leaving_notices)
         if self._ingress is not None:
--- a/packages/router/laburnumpier_router/fleet/member.py
+++ b/packages/router/laburnumpier_router/fleet/member.py
@@ -160,6 +160,28 @@
     others: Annotated[list[ServerContact], msgspec.Meta(max_length=MAX_TOLD_CONTACTS)] = []
 
 
+MAX_TOLD_REJECTS = 1_000_000
+"""Upper bound of the rejections a second that a brittle server is known to bear."""
+
+
+class NamedBrittleness(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What a backend server last said of being brittle.
+
+    Attributes:
+        started_ms: Start of the server process, from its registry entry.
+        max_rejects: Requests that it can reject in a second; None if it is not brittle any more.
+        age_ms: Time since the answer that said so, in milliseconds.
+        began_ms: Time since the brittle time of its service began, in milliseconds.
+    """
+
+    server_id: Annotated[str, msgspec.Meta(max_length=200)]
+    service: Annotated[str, msgspec.Meta(max_length=200)]
+    started_ms: int
+    max_rejects: Annotated[int, msgspec.Meta(ge=0, le=MAX_TOLD_REJECTS)] | None
+    age_ms: Annotated[int, msgspec.Meta(ge=0)]
+    began_ms: Annotated[int, msgspec.Meta(ge=0)]
+
+
 class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Request to a partner in each heartbeat interval, and the partner's reply.
 
@@ -175,6 +197,7 @@
         evacuations: Evacuated data centres, as the sender knows them; None while it does not.
         cold_servers: Servers that said in an answer to the sender or others that they are cold.
         server_reach: Whether the sender reaches servers; None if it does not observe that.
+        brittle_servers: What backend servers said of being brittle.
     """
 
     entries: list[GossipEntry]
@@ -188,3 +211,4 @@
     evacuations: EvacuationsTold | None = None
     cold_servers: list[ColdServer] = []
     server_reach: ServerReach | None = None
+    brittle_servers: Annotated[list[NamedBrittleness], msgspec.Meta(max_length=256)] = []
--- a/packages/router/laburnumpier_router/fleet/service.py
+++ b/packages/router/laburnumpier_router/fleet/service.py
@@ -26,6 +26,7 @@
     Member,
     MemberRecord,
     MemberState,
+    NamedBrittleness,
     NamedLimit,
     ServerReach,
     SheddingNotice,
@@ -75,6 +76,7 @@
         "get_evacuations",
         "get_store_era",
         "list_blocked_parts",
+        "list_brittle_servers",
         "list_cold_servers",
         "list_leaving_notices",
         "list_leaving_servers",
@@ -143,6 +145,7 @@
         self.list_cold_servers: Callable[[], list[ColdServer]] = list
         self.get_evacuations: Callable[[], EvacuationsTold | None] = lambda: None
         self.make_server_reach: Callable[[], ServerReach | None] = lambda: None
+        self.list_brittle_servers: Callable[[], list[NamedBrittleness]] = list
         self.reaches_store: Callable[[], bool] = lambda: True
         self.list_preferred_partners: Callable[[], list[str]] = list
         link.register_handler(Heartbeat, self._handle_heartbeat)
@@ -415,4 +418,5 @@
             evacuations=self.get_evacuations(),
             cold_servers=self.list_cold_servers(),
             server_reach=self.make_server_reach(),
+            brittle_servers=self.list_brittle_servers(),
         )
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -21,6 +21,7 @@
 from ..configuration.document import Configuration, Route
 from ..configuration.service import ConfigurationService
 from ..notices.server_notices import ServerNotices
+from ..places.place_keeper import PlaceKeeper
 from ..ports.dialect import Dialect
 from ..selection.selector import ServerSelector
 from ..sending.attempt_error import ServerAttemptError
@@ -65,7 +66,6 @@
         "_clock",
         "_configuration",
         "_crash_guard",
-        "_limiter",
         "_metrics",
         "_notices",
         "_retry_budget",
@@ -88,7 +88,6 @@
         crash_guard: CrashGuard,
         stream_versions: StreamVersions,
         retry_budget: RetryBudget,
-        limiter: RequestLimiter,
         notices: ServerNotices,
         time_limits: TimeLimits,
         clock: Clock,
@@ -104,7 +103,6 @@
             crash_guard: Refuses prompts that crash servers.
             stream_versions: Decides at which version streams go on that callers take up.
             retry_budget: Limits the retries to each service.
-            limiter: Gives permits for requests to servers with a limit.
             notices: Servers that leave, and those that want no requests for a time.
             time_limits: Time limits of all open requests.
             clock: Source of time.
@@ -117,7 +115,6 @@
         self._crash_guard = crash_guard
         self._stream_versions = stream_versions
         self._retry_budget = retry_budget
-        self._limiter = limiter
         self._notices = notices
         self._time_limits = time_limits
         self._clock = clock
@@ -279,6 +276,7 @@
                 return
             raise self._make_timeout_error(progress) from error
         finally:
+            self._selector.release_place(progress, is_answered=sink.finished)
             if reservation is not None:
                 self._budget.settle_unbilled(reservation, progress.charged_tokens)
 
@@ -412,10 +410,9 @@
         elif progress.may_have_run:
             raise RequestError(ResultCode.OUTCOME_UNKNOWN, ran=Ran.UNKNOWN, detail=reason)
         elif reason == SERVERS_LIMITED:
-            servers = self._selector.list_limited(progress)
             raise RequestError(
                 ResultCode.SERVERS_LIMITED,
-                retry_after_seconds=self._limiter.plan_return(progress.service, servers),
+                retry_after_seconds=self._selector.plan_return(progress),
             )
         elif reason == SERVERS_HELD_OFF:
             raise RequestError(
@@ -492,6 +489,7 @@
     rate_limits: ServerRateLimits,
     limiter: RequestLimiter,
     notices: ServerNotices,
+    places: PlaceKeeper,
     time_limits: TimeLimits,
     clock: Clock,
     metrics: Metrics,
@@ -512,6 +510,7 @@
         rate_limits: Limits that servers name in their answers.
         limiter: Gives permits for requests to servers with a limit.
         notices: Servers that leave, and those that want no requests for a time.
+        places: Gives places for requests to brittle servers.
         time_limits: Time limits of all open requests.
         clock: Source of time.
         metrics: Counters.
@@ -522,6 +521,7 @@
         configuration=configuration,
         table=table,
         limiter=limiter,
+        places=places,
         clock=clock,
         random_source=random_source,
         data_centre=data_centre,
@@ -536,6 +536,7 @@
         rate_limits=rate_limits,
         limiter=limiter,
         notices=notices,
+        places=places,
         clock=clock,
     )
     return ForwardService(
@@ -546,7 +547,6 @@
         crash_guard=crash_guard,
         stream_versions=stream_versions,
         retry_budget=retry_budget,
-        limiter=limiter,
         notices=notices,
         time_limits=time_limits,
         clock=clock,
--- a/packages/router/laburnumpier_router/sending/sender.py
+++ b/packages/router/laburnumpier_router/sending/sender.py
@@ -23,6 +23,7 @@
 from ..forward.stream_versions import StreamVersions
 from ..forward.watched_run import PartBlockedError, WatchedRun
 from ..notices.server_notices import ServerNotices
+from ..places.place_keeper import PlaceKeeper
 from ..ports.dialect import Dialect, ForwardedRequestInfo, ResponseHead
 from ..selection.selector import ServerSelector
 from .attempt_error import ServerAttemptError, ServerSilentError
@@ -52,6 +53,7 @@
         "_dialect",
         "_limiter",
         "_notices",
+        "_places",
         "_rate_limits",
         "_retry_budget",
         "_selector",
@@ -70,6 +72,7 @@
         rate_limits: ServerRateLimits,
         limiter: RequestLimiter,
         notices: ServerNotices,
+        places: PlaceKeeper,
         clock: Clock,
     ):
         """Creates the sender.
@@ -84,6 +87,7 @@
             rate_limits: Limits that servers name in their answers.
             limiter: Gives permits for requests to servers with a limit.
             notices: Records what servers say of themselves.
+            places: Knows which servers are brittle.
             clock: Source of time.
         """
         self._client = client
@@ -95,6 +99,7 @@
         self._rate_limits = rate_limits
         self._limiter = limiter
         self._notices = notices
+        self._places = places
         self._clock = clock
 
     async def send(
@@ -197,7 +202,7 @@
                 other
                 for other in self._selector.list_untried(progress)
                 if other.backoff_until_seconds <= now
-                and self._limiter.may_have_permit(other.entry, max_wait_seconds=0.0)
+                and self._selector.may_have_leave(other.entry)
             ],
         )
         return server is not None and await self._client.is_accepting(server.entry.address)
@@ -316,6 +321,7 @@
             self._rate_limits.record_answer(progress.sent_to, head)
             self._notices.record_answer(progress.sent_to, head)
             self._limiter.record_answer(progress.sent_to, head)
+            self._places.record_answer(progress.place, progress.sent_to, head)
         if head.not_executed:
             if exchange.status != 421:
                 server.record_report(server.entry.slots, 1, self._clock.monotonic_seconds())
