Evacuations in the own interface: command, keys, watch and eligibility

Cause: only the platform's adapter told of evacuations, and no command wrote them. Change: commands evacuation begin, end and list; the port can remove a key; reads and watches of the configuration over etcd's gateway cover the keys in the same calls; the directory leaves servers out.

--- a/features/operators/operators.feature
+++ b/features/operators/operators.feature
@@ -59,6 +59,10 @@
       | bills export w                         | 0         |
       | fleet show                             | 0         |
       | state dump                             | 0         |
+      | evacuation list                        | 0         |
+      | evacuation begin dc-1                  | 0         |
+      | evacuation end dc-1                    | 0         |
+      | evacuation begin                       | 2         |
       | config history                         | 0         |
       | explain request w r-1                  | 0         |
       | budget top-up w 100                    | 0         |
@@ -70,3 +74,14 @@
       | --router=http://127.0.0.1:9 fleet show | 4         |
       | --token_file=WRONG fleet show          | 5         |
       | key new                                | 0         |
+
+  # Guards against a command that reports success and leaves the key of another data centre, or none.
+  Scenario: The command line evacuates a data centre and withdraws it
+    When the command line is run with evacuation begin dc/1é
+    Then the store has the evacuations dc/1é
+    When the command line is run with evacuation begin dc/1é
+    Then the store has the evacuations dc/1é
+    When the command line is run with evacuation end dc/1é
+    Then the store has no evacuations
+    When the command line is run with evacuation end dc/1é
+    Then it exits with 0
--- a/features/platform/key_value.feature
+++ b/features/platform/key_value.feature
@@ -9,6 +9,7 @@
     And a write that expects it absent succeeds once, and the second finds the first
     And several keys are written together or not at all
     And listing a prefix returns its keys in order
+    And a key that is removed is absent, also if it is removed again
     And a key bound to a lease disappears with the lease
     And waiting for a change returns the new value, or nothing when the time is up
 
--- a/features/steps/contract_steps.py
+++ b/features/steps/contract_steps.py
@@ -112,6 +112,19 @@
     ).committed
 
 
+@then("a key that is removed is absent, also if it is removed again")
+def check_remove(context):
+    async def remove():
+        await context.store.commit({}, [Write(key="r/1", value=b"1")])
+        assert "r/1" in await context.store.read(["r/1"])
+        await context.store.remove("r/1")
+        assert await context.store.read(["r/1"]) == {}
+        await context.store.remove("r/1")
+        assert await context.store.read(["r/1"]) == {}
+
+    run(context, remove())
+
+
 @then("listing a prefix returns its keys in order")
 def check_prefix(context):
     found = run(context, context.store.list_prefix("p/"))
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -124,7 +124,6 @@
                 dialect=PlatformDialect(),
                 registry=MemoryServerRegistry(store=store, control=self.fleet.store),
                 client=UnusedClient(),
-                evacuations=store,
             ),
         )
         self.used = []
--- a/packages/operator/laburnumpier_operator/commands.py
+++ b/packages/operator/laburnumpier_operator/commands.py
@@ -7,6 +7,7 @@
 import json
 import pathlib
 import secrets
+import urllib.parse
 import uuid
 from collections.abc import Callable
 from typing import Any
@@ -115,6 +116,17 @@
     )
 
 
+def _make_evacuation_call(method: str) -> Callable[[list[str], Options], OperatorCall]:
+    def make(arguments: list[str], options: Options) -> OperatorCall:
+        return OperatorCall(
+            method=method,
+            path=f"/evacuations/{urllib.parse.quote(arguments[0], safe='')}",
+            headers={"X-Operator": options.author},
+        )
+
+    return make
+
+
 def _make_list_rows(list_name: str, *columns: str) -> Callable[[dict[str, Any]], list[Row]]:
     def make(response: dict[str, Any]) -> list[Row]:
         return [{column: row.get(column) for column in columns} for row in response[list_name]]
@@ -229,6 +241,27 @@
         make_call=_make_declare_dead_call,
         make_rows=_make_field_rows,
     ),
+    Command(
+        name="evacuation begin",
+        arguments=("DATA_CENTRE",),
+        help="Asks that nothing more is sent to the servers of a data centre.",
+        make_call=_make_evacuation_call("PUT"),
+        make_rows=_make_field_rows,
+    ),
+    Command(
+        name="evacuation end",
+        arguments=("DATA_CENTRE",),
+        help="Withdraws the evacuation of a data centre.",
+        make_call=_make_evacuation_call("DELETE"),
+        make_rows=_make_field_rows,
+    ),
+    Command(
+        name="evacuation list",
+        arguments=(),
+        help="Lists the evacuated data centres, as the store says.",
+        make_call=_make_get_call("/evacuations"),
+        make_rows=_make_list_rows("evacuations", "data_centre"),
+    ),
     Command(
         name="state dump",
         arguments=(),
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -36,6 +36,7 @@
 from .configuration.peer_sources import ConfigurationFetched, FetchConfiguration
 from .configuration.record import RecordFormat
 from .configuration.service import ConfigurationService
+from .evacuation.administration import EvacuationAdministration
 from .evacuation.evacuated import EvacuatedDataCentres
 from .fleet.broadcast import Broadcaster
 from .fleet.departures import DepartureMonitor
@@ -135,13 +136,11 @@
         dialect: Converts the platform's headers.
         registry: Registry in which servers register themselves.
         client: Sends requests to servers.
-        evacuations: Tells which data centres are evacuated; None if the platform names none.
     """
 
     dialect: Dialect
     registry: ServerRegistry
     client: ServerClient
-    evacuations: EvacuationSource | None = None
 
 
 class Ports(msgspec.Struct, kw_only=True):
@@ -155,6 +154,7 @@
         network: Transports messages between routers.
         engines: Client of model engines.
         services: Client of plain services.
+        evacuations: Tells which data centres are evacuated; None if the platform names none.
     """
 
     store: KeyValueService
@@ -164,6 +164,7 @@
     vm_list: VmList | None = None
     forwarding: ForwardingPorts | None = None
     record_format: RecordFormat | None = None
+    evacuations: EvacuationSource | None = None
 
 
 class RouterApplication:
@@ -250,6 +251,7 @@
         )
         self._fleet.list_preferred_partners = self._watchers.list_preferred_partners
         self._build_budget()
+        self._build_evacuation()
         self._build_backend(policy or ExpectedWait())
         self._origin_archive = OriginArchive(
             fleet=self._fleet,
@@ -262,7 +264,6 @@
             fleet=self._fleet, clock=clock, metrics=metrics, archive=self._origin_archive
         )
         self._build_requests()
-        self._build_evacuation()
         self._build_forwarding()
         self._build_controller()
         self._reports = OperatorReports(
@@ -292,7 +293,10 @@
             max_body_bytes=settings.max_body_bytes,
         )
         self._operator_frontend = OperatorFrontend(
-            configuration=self._configuration, reports=self._reports, token=operator_token
+            configuration=self._configuration,
+            reports=self._reports,
+            evacuations=EvacuationAdministration(store=ports.store),
+            token=operator_token,
         )
         self._register_handlers()
 
@@ -549,6 +553,7 @@
             random_source=self._random,
             probe_seconds=self._settings.probe_seconds,
             freshness_seconds=self._settings.probe_freshness_seconds,
+            is_evacuated=self._evacuated.excludes_data_centre,
         )
         self._dispatcher = Dispatcher(
             directory=self._backend_directory,
@@ -591,7 +596,7 @@
         )
 
     def _build_evacuation(self) -> None:
-        source = self._ports.forwarding.evacuations if self._ports.forwarding else None
+        source = self._ports.evacuations
         self._evacuated = EvacuatedDataCentres(
             clock=self._clock,
             metrics=self._metrics,
--- a/packages/router/laburnumpier_router/backend/directory.py
+++ b/packages/router/laburnumpier_router/backend/directory.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from laburnumpier_core.clock import Clock
 from laburnumpier_core.log import get_part_logger
@@ -29,6 +30,7 @@
         "_engines",
         "_freshness_seconds",
         "_gossiped_leaving_at_seconds",
+        "_is_evacuated",
         "_known_vms",
         "_leaving_vms",
         "_probe_seconds",
@@ -47,6 +49,7 @@
         random_source: random.Random,
         probe_seconds: float,
         freshness_seconds: float,
+        is_evacuated: Callable[[str], bool] = lambda data_centre: False,
     ):
         """Creates an empty directory.
 
@@ -57,6 +60,7 @@
             random_source: Random number generator for the jitter of the probe interval.
             probe_seconds: Mean interval between probes of a server.
             freshness_seconds: Maximum age of the last probe response of an eligible server.
+            is_evacuated: Returns whether the servers of a data centre get no new requests.
         """
         self._engines = engines
         self._vm_list = vm_list
@@ -64,6 +68,7 @@
         self._random = random_source
         self._probe_seconds = probe_seconds
         self._freshness_seconds = freshness_seconds
+        self._is_evacuated = is_evacuated
         self._states: dict[str, ServerState] = {}
         self._configured_servers: dict[str, Server] = {}
         self._probe_tasks: dict[str, asyncio.Task[None]] = {}
@@ -189,6 +194,8 @@
             return False
         if not self.is_fresh(name):
             return False
+        if self._is_evacuated(self._configured_servers[name].data_centre):
+            return False
         return model is None or model in state.report.models
 
     async def _probe_server_periodically(self, name: str) -> None:
--- a/packages/router/laburnumpier_router/evacuation/evacuated.py
+++ b/packages/router/laburnumpier_router/evacuation/evacuated.py
@@ -92,9 +92,12 @@
 
     def excludes(self, server: RegisteredServer) -> bool:
         """Whether a server must not get a new request now."""
+        return self.excludes_data_centre(server.data_centre)
+
+    def excludes_data_centre(self, name: str) -> bool:
+        """Whether no server of a data centre must get a new request now."""
         if not self.is_known:
             return True
-        name = server.data_centre
         if name in self._data_centres:
             return True
         return self._clock.monotonic_seconds() < self._kept_until.get(name, -math.inf)
--- a/platform/laburnumpier_platform/operator_keys.py
+++ b/packages/router/laburnumpier_router/evacuation/operator_keys.py
@@ -1,29 +1,50 @@
-"""The operator's keys of the platform's store, as the calls that follow them return them.
+"""The operator's keys of the store, as the calls that follow the configuration return them.
 
-One watch covers the configuration and the evacuations, as both stand under one prefix.
+The names of the keys come from the adapter of the store. Evacuations are read and watched by the
+calls for the configuration, so that they cost none of their own.
 """
 
 from collections.abc import Callable
 
+import msgspec
+from laburnumpier_core.log import get_part_logger
 from laburnumpier_core.metrics import Metrics
-from laburnumpier_router.ports.evacuations import Evacuations
-from laburnumpier_router.ports.key_value_service import StoredValue
-from laburnumpier_router.ports.store_era import StorePosition
 
-from .records import CONFIGURATION_KEY, EVACUATION_KEY_PREFIX, is_evacuation
+from ..ports.evacuations import Evacuations
+from ..ports.key_value_service import StoredValue
+from ..ports.store_era import StorePosition
+from .messages import MAX_NAME_LENGTH
+
+EVACUATION_PREFIX = "op/evacuate/"
+"""Prefix of the keys of evacuated data centres in the product's own interface."""
+
+_log = get_part_logger("evacuation")
 
 
 class OperatorKeys:
     """The evacuated data centres, complete as of a position from which a watch goes on."""
 
-    __slots__ = ("_data_centres", "_listener", "_metrics", "_position")
-
-    def __init__(self, *, metrics: Metrics):
+    __slots__ = (
+        "_configuration_key",
+        "_data_centres",
+        "_listener",
+        "_metrics",
+        "_position",
+        "_prefix",
+    )
+
+    def __init__(
+        self, *, metrics: Metrics, configuration_key: str, prefix: str = EVACUATION_PREFIX
+    ):
         """Creates it with nothing read.
 
         Args:
             metrics: Counts invalid keys.
+            configuration_key: Key of the configuration.
+            prefix: Prefix of the keys of evacuated data centres.
         """
+        self._configuration_key = configuration_key
+        self._prefix = prefix
         self._metrics = metrics
         self._listener: Callable[[Evacuations], None] | None = None
         self._data_centres: set[str] = set()
@@ -57,11 +78,11 @@
         known = self._data_centres
         self._data_centres = set()
         for item in items:
-            name = item.key.removeprefix(EVACUATION_KEY_PREFIX)
+            name = item.key.removeprefix(self._prefix)
             if self._evacuates(item) or (name != item.key and name in known):
                 self._data_centres.add(name)
         self._record(position)
-        return next((item for item in items if item.key == CONFIGURATION_KEY), None)
+        return next((item for item in items if item.key == self._configuration_key), None)
 
     def apply(
         self, written: list[StoredValue], removed: list[str], position: StorePosition
@@ -74,18 +95,18 @@
             position: Position up to which the changes are complete.
         """
         for key in removed:
-            self._data_centres.discard(key.removeprefix(EVACUATION_KEY_PREFIX))
+            self._data_centres.discard(key.removeprefix(self._prefix))
         for item in written:
             if self._evacuates(item):
-                self._data_centres.add(item.key.removeprefix(EVACUATION_KEY_PREFIX))
+                self._data_centres.add(item.key.removeprefix(self._prefix))
         self._record(position)
-        return next((item for item in written if item.key == CONFIGURATION_KEY), None)
+        return next((item for item in written if item.key == self._configuration_key), None)
 
     def _evacuates(self, item: StoredValue) -> bool:
         """Whether a key evacuates a data centre; an invalid one is counted and does not."""
-        if not item.key.startswith(EVACUATION_KEY_PREFIX):
+        if not item.key.startswith(self._prefix):
             return False
-        is_valid = is_evacuation(item)
+        is_valid = _is_evacuation(item, item.key.removeprefix(self._prefix))
         if not is_valid:
             self._metrics.count("evacuation.invalid")
         return is_valid
@@ -95,3 +116,17 @@
         data_centres = frozenset(self._data_centres)
         if self._listener is not None:
             self._listener(Evacuations(position=position, data_centres=data_centres))
+
+
+def _is_evacuation(stored: StoredValue, data_centre: str) -> bool:
+    """Whether a key evacuates the data centre that it names; its value has to be an object."""
+    try:
+        msgspec.json.decode(stored.value, type=dict)
+        if 0 < len(data_centre) <= MAX_NAME_LENGTH:
+            return True
+        error: object = "the name is empty or too long"
+    except (msgspec.MsgspecError, ValueError, RecursionError) as invalid:
+        error = invalid
+    fields = {"key": stored.key[: 2 * MAX_NAME_LENGTH], "error": error}
+    _log.warning("ignoring an invalid evacuation", fields=fields)
+    return False
--- a/packages/router/laburnumpier_router/main.py
+++ b/packages/router/laburnumpier_router/main.py
@@ -136,12 +136,12 @@
         settings: Validated settings.
         metrics: Counters and gauges.
     """
+    store = EtcdKeyValueService(
+        url=settings.store_url, timeout_seconds=settings.store_timeout_seconds, metrics=metrics
+    )
     return Ports(
-        store=EtcdKeyValueService(
-            url=settings.store_url,
-            timeout_seconds=settings.store_timeout_seconds,
-            metrics=metrics,
-        ),
+        store=store,
+        evacuations=store,
         vm_list=(
             HttpVmList(url=settings.vm_list_url, timeout_seconds=settings.store_timeout_seconds)
             if settings.vm_list_url
--- a/packages/router/laburnumpier_router/operators/frontend.py
+++ b/packages/router/laburnumpier_router/operators/frontend.py
@@ -18,6 +18,7 @@
     InvalidPatchError,
     PatchConflictError,
 )
+from ..evacuation.administration import EvacuationAdministration
 from .reports import OperatorReports
 
 MAX_PATCH_BYTES = 1024 * 1024
@@ -32,20 +33,27 @@
 class OperatorFrontend:
     """Serves calls that carry the operator token."""
 
-    __slots__ = ("_configuration", "_reports", "_token")
+    __slots__ = ("_configuration", "_evacuations", "_reports", "_token")
 
     def __init__(
-        self, *, configuration: ConfigurationService, reports: OperatorReports, token: str
+        self,
+        *,
+        configuration: ConfigurationService,
+        reports: OperatorReports,
+        evacuations: EvacuationAdministration,
+        token: str,
     ):
         """Creates the frontend.
 
         Args:
             configuration: Applies patches and top-ups.
             reports: Builds reports and carries out administrative actions.
+            evacuations: Writes the keys of evacuated data centres.
             token: Secret that every call must include.
         """
         self._configuration = configuration
         self._reports = reports
+        self._evacuations = evacuations
         self._token = token
 
     def make_app(self) -> web.Application:
@@ -72,6 +80,10 @@
         )
         add_route("GET", "/fleet", self._wrap_handler(self._show_fleet))
         add_route("POST", "/fleet/declare-dead", self._wrap_handler(self._declare_dead))
+        add_route("GET", "/evacuations", self._wrap_handler(self._list_evacuations))
+        evacuation_path = "/evacuations/{data_centre}"
+        add_route("PUT", evacuation_path, self._wrap_handler(self._begin_evacuation))
+        add_route("DELETE", evacuation_path, self._wrap_handler(self._end_evacuation))
         add_route("GET", "/state", self._wrap_handler(self._dump_state))
         add_route("*", "/{path:.*}", self._wrap_handler(self._refuse_unknown_path))
         return app
@@ -195,6 +207,20 @@
         await self._reports.declare_dead(incarnation, _get_author(request))
         return web.json_response({"declared_dead": incarnation})
 
+    async def _list_evacuations(self, request: web.Request) -> web.Response:
+        names = await self._evacuations.list_names()
+        return web.json_response({"evacuations": [{"data_centre": name} for name in names]})
+
+    async def _begin_evacuation(self, request: web.Request) -> web.Response:
+        data_centre = request.match_info["data_centre"]
+        await self._evacuations.begin(data_centre, _get_author(request))
+        return web.json_response({"evacuated": data_centre})
+
+    async def _end_evacuation(self, request: web.Request) -> web.Response:
+        data_centre = request.match_info["data_centre"]
+        await self._evacuations.end(data_centre, _get_author(request))
+        return web.json_response({"withdrawn": data_centre})
+
     async def _dump_state(self, request: web.Request) -> web.Response:
         return web.json_response(self._reports.dump_state())
 
--- a/packages/router/laburnumpier_router/ports/etcd_service.py
+++ b/packages/router/laburnumpier_router/ports/etcd_service.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -14,7 +15,10 @@
 from laburnumpier_core.errors import StoreUnavailableError, WriteOutcomeUnknownError
 from laburnumpier_core.metrics import Metrics
 
+from ..configuration.record import CONFIGURATION_KEY
+from ..evacuation.operator_keys import EVACUATION_PREFIX, OperatorKeys
 from .bounded_http import MAX_CONTROL_BODY_BYTES, ResponseLimitError, read_body
+from .evacuations import Evacuations
 from .key_value_service import CommitOutcome, FoundValues, StoredValue, Write
 from .store_connections import StoreConnections
 from .store_era import UNKNOWN_ERA, StoreEra, StorePosition
@@ -49,10 +53,26 @@
     return raw[:-1] + bytes([raw[-1] + 1])
 
 
+def _make_prefix_range(prefix: str) -> dict[str, str]:
+    return {"key": _encode(prefix), "range_end": _encode(_find_prefix_end(prefix))}
+
+
+def _is_evacuation_event(event: dict[str, Any]) -> bool:
+    """Whether an event is of an evacuation; each response of a watch has events of one request."""
+    return base64.b64decode(event["kv"]["key"]).startswith(EVACUATION_PREFIX.encode())
+
+
 class EtcdKeyValueService:
     """Implements `KeyValueService` with the etcd v3 JSON gateway."""
 
-    __slots__ = ("_connections", "_era", "_metrics", "_timeout_seconds", "_url")
+    __slots__ = (
+        "_connections",
+        "_era",
+        "_metrics",
+        "_operator_keys",
+        "_timeout_seconds",
+        "_url",
+    )
 
     def __init__(self, *, url: str, timeout_seconds: float, metrics: Metrics):
         """Creates the adapter, which connects on the first call.
@@ -67,21 +87,37 @@
         self._metrics = metrics
         self._era = StoreEra()
         self._connections = StoreConnections(metrics=metrics)
+        self._operator_keys = OperatorKeys(metrics=metrics, configuration_key=CONFIGURATION_KEY)
 
     @property
     def era(self) -> StoreEra:
         """Era of the service, which never changes."""
         return self._era
 
+    def set_evacuation_listener(self, listener: Callable[[Evacuations], None]) -> None:
+        """Sets the function that gets the evacuations that come with the configuration."""
+        self._operator_keys.set_listener(listener)
+
     async def read(self, keys: list[str]) -> FoundValues:
         """Returns the values of those given keys that exist, in one call.
 
+        A read of the configuration returns the keys of evacuations in the same call.
+
         Raises:
             StoreUnavailableError: If the service does not respond.
         """
         ranges = [{"request_range": {"key": _encode(key)}} for key in keys]
+        has_evacuations = CONFIGURATION_KEY in keys and self._operator_keys.is_followed
+        if has_evacuations:
+            ranges.append({"request_range": _make_prefix_range(EVACUATION_PREFIX)})
         response = await self._post("/v3/kv/txn", {"success": ranges}, writes=False)
-        return self._collect_found(response)
+        found = self._collect_found(response)
+        if has_evacuations:
+            names = [key for key in found if key.startswith(EVACUATION_PREFIX)]
+            evacuations = [found.pop(name) for name in names]
+            position = _make_position(response["header"]["revision"])
+            self._operator_keys.replace(evacuations, position)
+        return found
 
     async def list_prefix(self, prefix: str) -> list[StoredValue]:
         """Returns the values of all keys with a prefix, in key order.
@@ -89,8 +125,7 @@
         Raises:
             StoreUnavailableError: If the service does not respond.
         """
-        body = {"key": _encode(prefix), "range_end": _encode(_find_prefix_end(prefix))}
-        response = await self._post("/v3/kv/range", body, writes=False)
+        response = await self._post("/v3/kv/range", _make_prefix_range(prefix), writes=False)
         return [_decode_pair(pair) for pair in response.get("kvs", [])]
 
     async def commit(
@@ -131,6 +166,15 @@
             found=self._collect_found({} if committed else response),
         )
 
+    async def remove(self, key: str) -> None:
+        """Removes a key, if it exists.
+
+        Raises:
+            StoreUnavailableError: If nothing was removed.
+            WriteOutcomeUnknownError: If the response was lost.
+        """
+        await self._post("/v3/kv/deleterange", {"key": _encode(key)}, writes=True)
+
     async def grant_lease(self, ttl_seconds: float) -> int:
         """Creates a lease and returns its id.
 
@@ -166,11 +210,15 @@
     ) -> StoredValue | None:
         """Waits for a write of a key after a position; returns None on timeout.
 
+        A watch of the configuration also covers the evacuations, and ends when they change.
+
         Raises:
             StoreUnavailableError: If the watch fails.
         """
         request = {"key": _encode(key), "start_revision": str(after.revision + 1)}
         body = msgspec.json.encode({"create_request": request})
+        if key == CONFIGURATION_KEY and self._operator_keys.is_followed:
+            body += b"\n" + await self._make_evacuation_watch()
         self._metrics.count("store.watches")
         try:
             async with asyncio.timeout(timeout_seconds):
@@ -178,12 +226,34 @@
         except TimeoutError:
             return None
         except (aiohttp.ClientError, HttpProcessingError, OSError, ValueError) as error:
+            self._operator_keys.forget_position()
             raise StoreUnavailableError(f"watch failed: {error!r}") from error
 
     async def close(self) -> None:
         """Closes the connections."""
         await self._connections.close()
 
+    async def _make_evacuation_watch(self) -> bytes:
+        """Returns the request that adds the evacuations to a watch; reads them first if need be.
+
+        Raises:
+            StoreUnavailableError: If the service does not respond.
+        """
+        if self._operator_keys.must_be_listed:
+            await self.read([CONFIGURATION_KEY])
+        start_revision = self._operator_keys.position.revision + 1
+        request = _make_prefix_range(EVACUATION_PREFIX)
+        request["start_revision"] = str(start_revision)
+        return msgspec.json.encode({"create_request": request})
+
+    def _take_evacuations(self, events: list[dict[str, Any]]) -> None:
+        """Takes over the changes of evacuations that a watch returned together."""
+        pairs = [(event.get("type", "PUT"), _decode_pair(event["kv"])) for event in events]
+        written = [pair for kind, pair in pairs if kind == "PUT"]
+        removed = [pair.key for kind, pair in pairs if kind != "PUT"]
+        position = max(pair.position for _, pair in pairs)
+        self._operator_keys.apply(written, removed, position)
+
     async def _read_watch(self, body: str) -> StoredValue | None:
         """Reads the JSON lines of a watch until the first event."""
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._timeout_seconds)
@@ -197,6 +267,9 @@
                 if received_bytes > MAX_WATCH_BYTES:
                     raise ResponseLimitError("body_too_large", MAX_WATCH_BYTES)
                 events = msgspec.json.decode(line).get("result", {}).get("events", [])
+                if events and _is_evacuation_event(events[0]):
+                    self._take_evacuations(events)
+                    return None
                 for event in events:
                     if event.get("type", "PUT") == "PUT":
                         return _decode_pair(event["kv"])
--- a/packages/router/laburnumpier_router/ports/key_value_service.py
+++ b/packages/router/laburnumpier_router/ports/key_value_service.py
@@ -1,9 +1,9 @@
 """The interface to the platform's key-value service.
 
-The routers need five operations: reading keys, listing a prefix, writing several keys on the
-condition that certain records are unchanged, leases, and waiting for a change. An adapter for
-another protocol implements `KeyValueService`. Every call counts towards the service's rate limit;
-a watch counts as one call.
+The routers need six operations: reading keys, listing a prefix, writing several keys on the
+condition that certain records are unchanged, removing a key, leases, and waiting for a
+change. An adapter for another protocol implements `KeyValueService`. Every call counts towards the
+service's rate limit; a watch counts as one call.
 
 A response of an era before the highest known one is treated as a lost response. A conditional
 write whose conditions were read in an earlier era fails without being sent.
@@ -91,6 +91,9 @@
         A position with revision 0 means that the key is absent.
         """
 
+    async def remove(self, key: str) -> None:
+        """Removes a key, if it exists."""
+
     async def grant_lease(self, ttl_seconds: float) -> int:
         """Creates a lease and returns its id."""
 
--- a/packages/standins/laburnumpier_standins/etcd_gateway.py
+++ b/packages/standins/laburnumpier_standins/etcd_gateway.py
@@ -30,6 +30,51 @@
     }
 
 
+class _Watch:
+    """A watch of a key or range; of several writes of a key it reports the newest one."""
+
+    def __init__(
+        self, state: StoreState, removals: list[tuple[str, int]], request: dict[str, Any]
+    ):
+        """Creates a watch from its request.
+
+        Args:
+            state: Stored data.
+            removals: Key and revision of each removal.
+            request: The decoded `create_request`.
+        """
+        self._state = state
+        self._removals = removals
+        self._key = _decode_text(request["key"])
+        self._end = _decode_text(request["range_end"]) if "range_end" in request else ""
+        self._start_revision = int(request.get("start_revision", 0))
+
+    def take_events(self) -> list[dict[str, Any]]:
+        """Returns the changes since the last time."""
+        written = [
+            {"type": "PUT", "kv": _encode_entry(key, entry)}
+            for key, entry in sorted(self._state.entries.items())
+            if self._covers(key) and entry.revision >= self._start_revision
+        ]
+        removed = [
+            {"type": "DELETE", "kv": _encode_removal(key, revision)}
+            for key, revision in self._removals
+            if self._covers(key)
+            and revision >= self._start_revision
+            and key not in self._state.entries
+        ]
+        self._start_revision = self._state.revision + 1
+        return written + removed
+
+    def _covers(self, key: str) -> bool:
+        return self._key <= key < self._end if self._end else key == self._key
+
+
+def _encode_removal(key: str, revision: int) -> dict[str, str]:
+    name = base64.b64encode(key.encode()).decode()
+    return {"key": name, "mod_revision": str(revision)}
+
+
 class EtcdGatewayStandIn:
     """HTTP handlers of the store and the VM list."""
 
@@ -38,6 +83,7 @@
         self.state = StoreState()
         self.fault = StoreFault.NONE
         self.vms: dict[str, str] = {}
+        self._removals: list[tuple[str, int]] = []
         self.vm_list_serial = 1
 
     def make_app(self) -> web.Application:
@@ -45,6 +91,7 @@
         app = web.Application(client_max_size=16 * 1024 * 1024)
         app.router.add_post("/v3/kv/range", self._range)
         app.router.add_post("/v3/kv/txn", self._txn)
+        app.router.add_post("/v3/kv/deleterange", self._remove)
         app.router.add_post("/v3/lease/grant", self._grant_lease)
         app.router.add_post("/v3/lease/keepalive", self._renew_lease)
         app.router.add_post("/v3/lease/revoke", self._revoke_lease)
@@ -55,9 +102,11 @@
         app.router.add_get("/calls", self._report_calls)
         return app
 
-    async def _begin_call(self, request: web.Request) -> dict[str, Any]:
+    async def _begin_call(
+        self, request: web.Request, content: bytes | None = None
+    ) -> dict[str, Any]:
         self.state.call_count += 1
-        body = json.loads(await request.read())
+        body = json.loads(await request.read() if content is None else content)
         if self.fault is StoreFault.DOWN:
             raise web.HTTPServiceUnavailable(text="down")
         if self.fault is StoreFault.SLOW:
@@ -109,6 +158,14 @@
             result["succeeded"] = True
         return self._make_response(request, result, writes=bool(writes))
 
+    async def _remove(self, request: web.Request) -> web.Response:
+        body = await self._begin_call(request)
+        key = _decode_text(body["key"])
+        removed = self.state.remove(key)
+        if removed:
+            self._removals.append((key, self.state.revision))
+        return self._make_response(request, {"deleted": str(int(removed))}, writes=True)
+
     async def _grant_lease(self, request: web.Request) -> web.Response:
         body = await self._begin_call(request)
         now = asyncio.get_running_loop().time()
@@ -127,20 +184,24 @@
         return self._make_response(request, {}, writes=True)
 
     async def _watch(self, request: web.Request) -> web.StreamResponse:
-        body = (await self._begin_call(request))["create_request"]
-        key, start_revision = _decode_text(body["key"]), int(body.get("start_revision", 0))
+        requests = [body["create_request"] for body in await self._begin_watch(request)]
+        watches = [_Watch(self.state, self._removals, options) for options in requests]
         response = web.StreamResponse()
         await response.prepare(request)
         await response.write(json.dumps({"result": {"created": True}}).encode() + b"\n")
         while True:
-            entry = self.state.get(key)
-            if entry is not None and entry.revision >= start_revision:
-                event = {"type": "PUT", "kv": _encode_entry(key, entry)}
-                line = json.dumps({"result": {"events": [event]}}).encode() + b"\n"
-                await response.write(line)
-                start_revision = entry.revision + 1
+            for watch in watches:
+                events = watch.take_events()
+                if events:
+                    line = json.dumps({"result": {"events": events}}).encode() + b"\n"
+                    await response.write(line)
             await self.state.wait_for_write()
 
+    async def _begin_watch(self, request: web.Request) -> list[dict[str, Any]]:
+        """Returns the requests of a watch, one JSON object a line."""
+        first, *others = (await request.read()).splitlines()
+        return [await self._begin_call(request, first), *map(json.loads, others)]
+
     async def _list_vms(self, request: web.Request) -> web.Response:
         vms = [{"vm": vm, "state": state} for vm, state in self.vms.items()]
         return web.json_response({"serial": self.vm_list_serial, "vms": vms})
--- a/packages/standins/laburnumpier_standins/memory_fleet.py
+++ b/packages/standins/laburnumpier_standins/memory_fleet.py
@@ -162,6 +162,7 @@
             services=self.backends,
             vm_list=self.vm_list if self._make_forwarding is None else None,
             forwarding=self._make_forwarding(store) if self._make_forwarding else None,
+            evacuations=store if hasattr(store, "set_evacuation_listener") else None,
         )
         seeds = [router.address for router in self.routers.values() if router.alive]
         application = RouterApplication(
--- a/packages/standins/laburnumpier_standins/memory_store.py
+++ b/packages/standins/laburnumpier_standins/memory_store.py
@@ -102,6 +102,13 @@
         await self._finish_call(era=position.era, writes=True)
         return CommitOutcome(committed=committed, position=position, found=found)
 
+    async def remove(self, key: str) -> None:
+        """Removes a key, if it exists."""
+        await self._begin_call()
+        era = self._control.state.era
+        self._control.state.remove(key)
+        await self._finish_call(era=era, writes=True)
+
     async def grant_lease(self, ttl_seconds: float) -> int:
         """Creates a lease and returns its id."""
         await self._begin_call()
--- a/packages/standins/laburnumpier_standins/store_state.py
+++ b/packages/standins/laburnumpier_standins/store_state.py
@@ -122,6 +122,16 @@
         self._notify_watchers()
         return True
 
+    def remove(self, key: str) -> bool:
+        """Removes a key; returns whether it existed."""
+        if key not in self._entries:
+            return False
+        self._add_undo_step([key])
+        del self._entries[key]
+        self._revision += 1
+        self._notify_watchers()
+        return True
+
     def grant_lease(self, ttl_seconds: float, now: float) -> int:
         """Creates a lease and returns its id."""
         lease_id = self._next_lease
