Evacuations and cold servers: bounds, reports and Retry-After

Cause: a kept evacuation ended without a log line; a stale first list could be taken while a start had not asked the store yet; refusals for cold servers were told up to 30 s although the servers are warm in seconds. Change: reports compare with the last report; the store counts as reached until the start has asked it; the Retry-After ends with the cold time and up to half of it more; lists have up to 256 names.

--- a/features/cold/cold_servers.feature
+++ b/features/cold/cold_servers.feature
@@ -77,7 +77,8 @@
     When an answer says 3 s, and two routers tell each other every 0.1 s with a delay of 0.05 s
     Then no router treats the server as cold after 3.5 s
 
-  # Guards against a path of requests that needs no permit, and against waiting callers.
+  # Guards against a path of requests that needs no permit, against waiting callers, and against a Retry-After of 30 s
+  # for servers that are warm in 6 s (callers are spread over half of that more).
   Scenario Outline: Requests go to warm servers beside cold ones, and are refused where all are cold
     Given 9 routers before 4 servers
     And <kind>
@@ -85,7 +86,7 @@
     When <rate> requests a second come for 5 seconds in which servers are cold
     Then no cold server gets more than 15.65 requests in any one second
     And at least <served> of the requests are served
-    And the others are refused as not run within 0.6 s with a Retry-After
+    And the others are refused as not run within 0.6 s with a Retry-After of at most 9 s
 
     Examples:
       | kind        | cold | rate | served |
--- a/features/evacuation/evacuation.feature
+++ b/features/evacuation/evacuation.feature
@@ -82,7 +82,7 @@
       | nothing                         | 0       |
       | an empty list at position 1/4   | 0       |
       | a list with an age of -1 ms     | 1       |
-      | a list of 65 data centres       | 1       |
+      | a list of 257 data centres      | 1       |
       | a list with a name of 201 signs | 1       |
       | a list with an empty name       | 1       |
 
--- a/features/evacuation/operator_keys.feature
+++ b/features/evacuation/operator_keys.feature
@@ -23,6 +23,7 @@
       | {} and then no JSON is written for dc-0                       | dc-0      |
       | {} is written for an empty name                               | nothing   |
       | {} is written for dc-0 and the watch history is lost          | dc-0      |
+      | {} is written for dc-0 and the store comes back from a copy   | dc-0      |
       | {} is written for dc-0 while watches are reset                | dc-0      |
       | {} is written for dc-0 and no JSON while the history is lost  | dc-0      |
 
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -443,7 +443,7 @@
     "an empty list at position 1/4": ((1, 4), 0, []),
     "an empty list at position 2/3": ((2, 3), 0, []),
     "a list with an age of -1 ms": ((1, 9), -1, []),
-    "a list of 65 data centres": ((1, 9), 0, [f"dc-{number}" for number in range(1, 66)]),
+    "a list of 257 data centres": ((1, 9), 0, [f"dc-{number}" for number in range(1, 258)]),
     "a list with a name of 201 signs": ((1, 9), 0, ["x" * 201]),
     "a list with an empty name": ((1, 9), 0, [""]),
 }
--- a/features/steps/operator_key_steps.py
+++ b/features/steps/operator_key_steps.py
@@ -80,6 +80,8 @@
         put(context, "dc-0", second or "no JSON")
     if "removed" in rest:
         context.control.remove("op/evacuate/dc-0")
+    if "comes back" in rest:
+        context.control.rewind(writes=1)
     if "history is lost" in rest:
         context.control.compact_history()
 
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -205,6 +205,7 @@
         self._random = random.Random(seed)
         self._tasks: list[asyncio.Task[None]] = []
         self._is_closed = False
+        self._has_tried_store = False
         self._purchased_tokens: dict[str, int] = {}
         self._peer_link = PeerLink(
             network=ports.network,
@@ -383,6 +384,7 @@
         """Opens the peer link, registers in the fleet and starts the background tasks."""
         await self._peer_link.start()
         await self._fleet.register()
+        self._has_tried_store = True
         if self.watches_store() or self._registry_relay is None:
             await self._read_first_configuration()
         self._keep_running(self._fleet.refresh_membership_periodically)
@@ -601,13 +603,19 @@
             clock=self._clock,
             metrics=self._metrics,
             is_required=source is not None,
-            reaches_store=lambda: self._fleet.is_registered and self._fleet.reaches_store(),
+            reaches_store=self._may_reach_store,
             on_change=self._announce_to_others,
         )
         self._fleet.get_evacuations = self._evacuated.make_told
         if source is not None:
             source.set_evacuation_listener(self._evacuated.hear_store)
 
+    def _may_reach_store(self) -> bool:
+        """Whether no failed call shows that the store is out of reach, from the start on."""
+        if not self._has_tried_store:
+            return True
+        return self._fleet.is_registered and self._fleet.reaches_store()
+
     def _announce_to_others(self) -> None:
         """Tells the routers that do not watch of a change at once, if this one is a watcher."""
         if self._registry_relay is not None:
--- a/packages/router/laburnumpier_router/cold/cold_servers.py
+++ b/packages/router/laburnumpier_router/cold/cold_servers.py
@@ -19,6 +19,8 @@
 MAX_COLD_SECONDS = 30.0
 """Longest cold time that is believed; servers are cold for some seconds."""
 MAX_KNOWN_SERVERS = 512
+MAX_ID_LENGTH = 200
+"""Characters in the id of a server that another router tells."""
 TOLD_TOLERANCE_SECONDS = 0.25
 """Time by which a told end has to be later than a known one. Each message adds its delay to the
 time that remains, and a statement must not be prolonged on its way through the fleet."""
@@ -68,6 +70,12 @@
             return False
         return self._clock.monotonic_seconds() < known.until_seconds
 
+    def find_remaining(self, server: RegisteredServer) -> float:
+        """Returns the seconds for which a server is still cold; 0 if it is not."""
+        if not self.is_cold(server):
+            return 0.0
+        return self._times[server.server_id].until_seconds - self._clock.monotonic_seconds()
+
     def note_entry(self, entry: RegisteredServer) -> None:
         """Takes over what a registry entry says.
 
@@ -91,7 +99,7 @@
         """Takes over what another router was told by servers."""
         now = self._clock.monotonic_seconds()
         for server in list(told)[:MAX_TOLD_COLD]:
-            if server.remaining_ms < 0:
+            if server.remaining_ms < 0 or len(server.server_id) > MAX_ID_LENGTH:
                 self._metrics.count("cold.invalid")
                 _log.warning("ignoring an invalid cold time", fields={"router": router})
                 continue
--- a/packages/router/laburnumpier_router/evacuation/evacuated.py
+++ b/packages/router/laburnumpier_router/evacuation/evacuated.py
@@ -46,6 +46,7 @@
         "_on_change",
         "_position",
         "_reaches_store",
+        "_reported",
         "_stale_since_seconds",
     )
 
@@ -77,6 +78,7 @@
         self._kept_until: dict[str, float] = {}
         self._confirmed_seconds = -math.inf
         self._stale_since_seconds: float | None = None
+        self._reported: list[str] = []
 
     @property
     def is_known(self) -> bool:
@@ -162,11 +164,11 @@
             if evacuations.position == self._position
             else confirmed_seconds
         )
-        before, is_first = self.names, self._position is None
+        is_first = self._position is None
         self._keep_lost(evacuations)
         self._position = evacuations.position
         self._data_centres = evacuations.data_centres
-        self._report(before, source, is_first=is_first)
+        self._report(source, is_first=is_first)
 
     def _keep_lost(self, evacuations: Evacuations) -> None:
         """Keeps evacuations in force for a while that are missing in a new era of the store."""
@@ -177,9 +179,10 @@
             lost = self._data_centres - evacuations.data_centres
             self._kept_until.update(dict.fromkeys(lost, now + ERA_KEEP_SECONDS))
 
-    def _report(self, before: list[str], source: str, *, is_first: bool) -> None:
-        """Logs and counts what has changed."""
-        names = self.names
+    def _report(self, source: str, *, is_first: bool) -> None:
+        """Logs and counts what has changed since the last report."""
+        before, names = self._reported, self.names
+        self._reported = names
         if is_first:
             _log.info("evacuations known", fields={"data_centres": names, "source": source})
         self._metrics.set_gauge("evacuation.data_centres", len(names))
--- a/packages/router/laburnumpier_router/evacuation/messages.py
+++ b/packages/router/laburnumpier_router/evacuation/messages.py
@@ -4,7 +4,7 @@
 
 from ..ports.store_era import StorePosition
 
-MAX_DATA_CENTRES = 64
+MAX_DATA_CENTRES = 256
 """Evacuated data centres that a router keeps and tells; more are counted as invalid."""
 MAX_NAME_LENGTH = 200
 """Characters in the name of a data centre."""
--- a/packages/router/laburnumpier_router/evacuation/operator_keys.py
+++ b/packages/router/laburnumpier_router/evacuation/operator_keys.py
@@ -13,7 +13,7 @@
 from ..ports.evacuations import Evacuations
 from ..ports.key_value_service import StoredValue
 from ..ports.store_era import StorePosition
-from .messages import MAX_NAME_LENGTH
+from .messages import MAX_DATA_CENTRES, MAX_NAME_LENGTH
 
 EVACUATION_PREFIX = "op/evacuate/"
 """Prefix of the keys of evacuated data centres in the product's own interface."""
@@ -113,7 +113,11 @@
 
     def _record(self, position: StorePosition) -> None:
         self._position = position
-        data_centres = frozenset(self._data_centres)
+        names = sorted(self._data_centres)
+        if len(names) > MAX_DATA_CENTRES:
+            self._metrics.count("evacuation.invalid")
+            _log.warning("ignoring evacuations beyond the limit", fields={"count": len(names)})
+        data_centres = frozenset(names[:MAX_DATA_CENTRES])
         if self._listener is not None:
             self._listener(Evacuations(position=position, data_centres=data_centres))
 
--- a/packages/router/laburnumpier_router/forward/request_limiter.py
+++ b/packages/router/laburnumpier_router/forward/request_limiter.py
@@ -142,6 +142,7 @@
             servers: The servers with a limit that could have run the request.
         """
         now = self._clock.monotonic_seconds()
+        servers = list(servers)
         rates = {server.server_id: self._find_rate(server) for server in servers}
         denials = [self._denials[name] for name in rates if name in self._denials]
         earliest_seconds = min((denial.until_seconds for denial in denials), default=now)
@@ -150,7 +151,8 @@
         return_seconds = max(now, earliest_seconds, last_seconds)
         if share_per_second:
             return_seconds += 1.0 / share_per_second
-        return_seconds = min(return_seconds, now + MAX_RETRY_AFTER_SECONDS)
+        longest_seconds = min(MAX_RETRY_AFTER_SECONDS, self._find_warm_delay(servers))
+        return_seconds = min(return_seconds, now + longest_seconds)
         self._return_seconds[service] = return_seconds
         return return_seconds - now
 
@@ -219,6 +221,18 @@
         hold_off_seconds = min(schedule.find_wait(now, 0.0), SILENT_HOME_SECONDS)
         return PermitAnswered(wait_ms=None, hold_off_ms=math.ceil(hold_off_seconds * 1000))
 
+    def _find_warm_delay(self, servers: list[RegisteredServer]) -> float:
+        """Returns the seconds until the first server is warm again and has no other limit.
+
+        Callers are spread over half of that time more, as all of them wait for the same moment.
+        """
+        delays = [
+            self._cold.servers.find_remaining(server)
+            for server in servers
+            if self._is_cold(server) and self._limits.find(server) is None
+        ]
+        return min(delays, default=math.inf) * self._random.uniform(1.0, 1.5)
+
     def _is_cold(self, server: RegisteredServer) -> bool:
         return self._cold is not None and self._cold.is_needed(server)
 
