--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -36,6 +36,7 @@
 from .configuration.peer_sources import ConfigurationFetched, FetchConfiguration
 from .configuration.record import RecordFormat
 from .configuration.service import ConfigurationService
+from .evacuation.administration import EvacuationAdministration
 from .evacuation.evacuated import EvacuatedDataCentres
 from .fleet.broadcast import Broadcaster
 from .fleet.departures import DepartureMonitor
@@ -143,13 +144,11 @@
         dialect: Converts the platform's headers.
         registry: Registry in which servers register themselves.
         client: Sends requests to servers.
-        evacuations: Tells which data centres are evacuated; None if the platform names none.
     """
 
     dialect: Dialect
     registry: ServerRegistry
     client: ServerClient
-    evacuations: EvacuationSource | None = None
 
 
 class Ports(msgspec.Struct, kw_only=True):
@@ -163,6 +162,7 @@
         network: Transports messages between routers.
         engines: Client of model engines.
         services: Client of plain services.
+        evacuations: Tells which data centres are evacuated; None if the platform names none.
     """
 
     store: KeyValueService
@@ -172,6 +172,7 @@
     vm_list: VmList | None = None
     forwarding: ForwardingPorts | None = None
     record_format: RecordFormat | None = None
+    evacuations: EvacuationSource | None = None
 
 
 class RouterApplication:
@@ -212,6 +213,7 @@
         self._random = random.Random(seed)
         self._tasks: list[asyncio.Task[None]] = []
         self._is_closed = False
+        self._has_tried_store = False
         self._purchased_tokens: dict[str, int] = {}
         self._peer_link = PeerLink(
             network=ports.network,
@@ -258,6 +260,7 @@
         )
         self._fleet.list_preferred_partners = self._watchers.list_preferred_partners
         self._build_budget()
+        self._build_evacuation()
         self._build_backend(policy or ExpectedWait())
         self._origin_archive = OriginArchive(
             fleet=self._fleet,
@@ -270,7 +273,6 @@
             fleet=self._fleet, clock=clock, metrics=metrics, archive=self._origin_archive
         )
         self._build_requests()
-        self._build_evacuation()
         self._build_forwarding()
         self._build_controller()
         self._reports = OperatorReports(
@@ -308,7 +310,10 @@
             max_body_bytes=settings.max_body_bytes,
         )
         self._operator_frontend = OperatorFrontend(
-            configuration=self._configuration, reports=self._reports, token=operator_token
+            configuration=self._configuration,
+            reports=self._reports,
+            evacuations=EvacuationAdministration(store=ports.store),
+            token=operator_token,
         )
         self._register_handlers()
 
@@ -395,6 +400,7 @@
         """Opens the peer link, registers in the fleet and starts the background tasks."""
         await self._peer_link.start()
         await self._fleet.register()
+        self._has_tried_store = True
         if self.watches_store() or self._registry_relay is None:
             await self._read_first_configuration()
         self._keep_running(self._fleet.refresh_membership_periodically)
@@ -576,6 +582,7 @@
             random_source=self._random,
             probe_seconds=self._settings.probe_seconds,
             freshness_seconds=self._settings.probe_freshness_seconds,
+            is_evacuated=self._evacuated.excludes_data_centre,
         )
         self._dispatcher = Dispatcher(
             directory=self._backend_directory,
@@ -618,18 +625,24 @@
         )
 
     def _build_evacuation(self) -> None:
-        source = self._ports.forwarding.evacuations if self._ports.forwarding else None
+        source = self._ports.evacuations
         self._evacuated = EvacuatedDataCentres(
             clock=self._clock,
             metrics=self._metrics,
             is_required=source is not None,
-            reaches_store=lambda: self._fleet.is_registered and self._fleet.reaches_store(),
+            reaches_store=self._may_reach_store,
             on_change=self._announce_to_others,
         )
         self._fleet.get_evacuations = self._evacuated.make_told
         if source is not None:
             source.set_evacuation_listener(self._evacuated.hear_store)
 
+    def _may_reach_store(self) -> bool:
+        """Whether no failed call shows that the store is out of reach, from the start on."""
+        if not self._has_tried_store:
+            return True
+        return self._fleet.is_registered and self._fleet.reaches_store()
+
     def _announce_to_others(self) -> None:
         """Tells the routers that do not watch of a change at once, if this one is a watcher."""
         if self._registry_relay is not None:
