--- a/features/steps/brittle_world.py
+++ b/features/steps/brittle_world.py
@@ -34,6 +34,7 @@
 from laburnumpier_router.forward.service import build_forward_service
 from laburnumpier_router.forward.stream_versions import StreamVersions
 from laburnumpier_router.forward.time_limits import TimeLimits
+from laburnumpier_router.notices.server_notices import ServerNotices
 from laburnumpier_router.places.place_keeper import build_place_keeper
 from laburnumpier_router.places.place_messages import AskPlace, HoldPlaces, ReturnPlaces
 from laburnumpier_router.ports.server_registry import RegisteredServer
@@ -351,6 +352,7 @@
                 random_source=random.Random(seed),
             ),
             places=self.places,
+            notices=ServerNotices(clock=clock, metrics=metrics),
             time_limits=TimeLimits(),
             clock=clock,
             metrics=metrics,
--- a/features/steps/cut_off_world.py
+++ b/features/steps/cut_off_world.py
@@ -33,6 +33,8 @@
 from laburnumpier_router.forward.service import build_forward_service
 from laburnumpier_router.forward.stream_versions import StreamVersions
 from laburnumpier_router.forward.time_limits import TimeLimits
+from laburnumpier_router.notices.server_notices import ServerNotices
+from laburnumpier_router.places.place_keeper import build_place_keeper
 from laburnumpier_router.ports.server_registry import RegisteredServer
 from laburnumpier_router.relay.feature import RelayFeature
 from laburnumpier_router.relay.messages import MESSAGE_TYPES
@@ -317,6 +319,10 @@
                 metrics=metrics,
                 random_source=random.Random(2),
             ),
+            notices=ServerNotices(clock=clock, metrics=metrics),
+            places=build_place_keeper(
+                fleet=self.fleet, clock=clock, metrics=metrics, random_source=random.Random(3)
+            ),
             time_limits=TimeLimits(),
             clock=clock,
             metrics=metrics,
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -297,8 +297,7 @@
             self._reports.add_dump("places", self._places.describe)
         if self._ingress is not None:
             self._reports.add_dump("ingress", self._ingress.dump_state)
-        if self._relay is not None:
-            self._reports.add_dump("relay", self._relay.describe)
+        self._reports.add_dump("relay", self._describe_relay)
         self._caller_frontend = CallerFrontend(
             configuration=self._configuration,
             chats=self._chats,
@@ -777,6 +776,9 @@
         self._fleet.make_server_reach = self._relay.monitor.make_reach
         return self._relay.client
 
+    def _describe_relay(self) -> dict[str, Any] | None:
+        return self._relay.describe() if self._relay is not None else None
+
     def _build_cold_permits(self) -> None:
         self._cold_permits = ColdPermits(
             fleet=self._fleet,
