Keep one writer of a shard in store outages; return idle loans without writes

Cause, traced with 16 routers: in an outage of the store each router tried the home, two more writers and its own, each with store calls; after it, routers that still skipped the home, or had not heard that it reaches the store, used other writers, whose writes conflicted with the home's. In a large fleet each borrower wrote its idle tokens back to the account after a minute and borrowed them again. Change: two writers that the store does not answer end the attempt; then the home alone is tried for 0.2 s at a time and is not skipped, and routers count as usable writers while nobody reaches the store. A writer pauses 0.25 s after a failure instead of 0.5 s, as the home is the one that finds the end. Borrowers give excess back to the lender.

--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -492,7 +492,7 @@
             gather_seconds=settings.gather_seconds,
         )
         self._fleet.get_store_era = lambda: self._ports.store.era.current
-        self._fleet.reaches_store = lambda: self._submitter.store_reachability.is_reachable
+        self._fleet.reaches_store = lambda: self._submitter.is_usable_writer
         self._budget = BudgetService(
             submitter=self._submitter,
             era=self._ports.store.era,
--- a/packages/router/laburnumpier_router/budget/service.py
+++ b/packages/router/laburnumpier_router/budget/service.py
@@ -481,10 +481,13 @@
         if self._is_stopping:
             return
         threshold = EXCESS_FACTOR * self._compute_target_tokens(workspace, state)
-        is_blocked = state.pool.waiting_tokens or not self._submitter.succeeded_recently
+        is_borrower = self._find_lender(workspace) is not None
+        # Returns to a lender need no store.
+        is_store_needed = not is_borrower and not self._submitter.succeeded_recently
+        is_blocked = state.pool.waiting_tokens or is_store_needed
         if self._settings.grant_floor_share > 0 and state.pool.free > threshold and not is_blocked:
             keep = self._compute_target_tokens(workspace, state)
-            if self._find_lender(workspace) is not None:
+            if is_borrower:
                 self._lending.return_borrowed_tokens(workspace, state, keep)
                 return
             self._background.start(self._return_tokens(workspace, state, keep=keep))
@@ -512,7 +515,10 @@
             return None
         idle_seconds = now_seconds - state.demand.last_use_seconds
         keep = 4 * self._compute_target_tokens(workspace, state)
-        if idle_seconds > IDLE_TIMEOUT_SECONDS:
+        if self._find_lender(workspace) is not None:
+            # A borrower returns its excess to the lender, which costs no write of the account.
+            keep = state.pool.free
+        elif idle_seconds > IDLE_TIMEOUT_SECONDS:
             keep = 0
         has_unconfirmed_returns = any(
             grant.returned_total > grant.confirmed_returned_total
--- a/packages/router/laburnumpier_router/budget/shard_writer.py
+++ b/packages/router/laburnumpier_router/budget/shard_writer.py
@@ -47,7 +47,10 @@
 MAX_COMMIT_ATTEMPTS = 12
 """Attempts to commit one batch, through conflicts and lost responses, before its changes fail."""
 MAX_CACHED_SLOTS = 2000
-FAILURE_PAUSE_SECONDS = 0.5
+FAILURE_PAUSE_SECONDS = 0.25
+"""Mean time without a write after a failed store call. In an outage the home is the writer that
+finds its end: with 0.5 s, as when all routers tried, 9.7 of 100 requests after it were refused
+instead of 8.5."""
 CONFLICT_PAUSE_SECONDS = 0.004
 
 _log = get_part_logger("budget")
--- a/packages/router/laburnumpier_router/budget/submitter.py
+++ b/packages/router/laburnumpier_router/budget/submitter.py
@@ -23,6 +23,12 @@
 WRITER_SKIP_SECONDS = 3.0
 """Time for which a failed writer is skipped: three heartbeats of 1 s, which state whether it
 reaches the store."""
+OUTAGE_WRITERS = 2
+"""Writers in a row that the store does not answer, after which no further one is tried. In an
+outage of the store each further one only makes one more store call."""
+OUTAGE_RETRY_SECONDS = 0.2
+"""Time for which only the first writer is tried then. After it, the next writer that is not
+skipped is tried as well, since the store may answer some routers only."""
 RECENT_FAILURE_SECONDS = 5.0
 """Time for which `failed_recently` holds after a submission that no writer could store."""
 
@@ -40,13 +46,16 @@
         "_clock",
         "_fleet",
         "_gather_seconds",
+        "_is_outage",
         "_last_failure_seconds",
         "_last_success_seconds",
         "_metrics",
+        "_outage_until_seconds",
         "_pacer",
         "_random",
         "_recall",
         "_shard_count",
+        "_silent_writers",
         "_skipped_until_seconds",
         "_store",
         "_store_reachability",
@@ -90,6 +99,9 @@
         self._gather_seconds = gather_seconds
         self._last_failure_seconds = float("-inf")
         self._last_success_seconds = float("-inf")
+        self._is_outage = False
+        self._outage_until_seconds = float("-inf")
+        self._silent_writers: set[str] = set()
         self._skipped_until_seconds: dict[str, float] = {}
         self._store_reachability = StoreReachability(clock=clock)
         self._background = BackgroundTasks(part="budget", metrics=metrics)
@@ -105,6 +117,16 @@
         """Tracks whether this process reaches the store."""
         return self._store_reachability
 
+    @property
+    def is_usable_writer(self) -> bool:
+        """Whether others should have this process write: it reaches the store, or nobody does.
+
+        In an outage of the store the home stays the writer of a shard. Each router learns at
+        another time that the home reaches the store again, and would use another one until then.
+        """
+        since_outage = self._clock.monotonic_seconds() - self._outage_until_seconds
+        return self._store_reachability.is_reachable or since_outage < WRITER_SKIP_SECONDS
+
     async def submit(self, workspace: str, changes: list[Change]) -> list[ChangeResult]:
         """Submits changes to the shard of a workspace.
 
@@ -118,15 +140,48 @@
         shard = choose_shard(workspace, self._shard_count)
         self._probe_if_due()
         results: list[ChangeResult] = [ChangeFailed(reason="not tried") for _ in changes]
-        for writer in self._list_writers(shard):
+        writers = self._list_writers(shard)
+        is_retry_due = self._clock.monotonic_seconds() >= self._outage_until_seconds
+        if self._is_outage and not is_retry_due:
+            writers = writers[:1]
+        failed_writers = 0
+        for writer in writers:
             results = await self._submit_remaining_changes(writer, shard, changes, results)
             if not any(isinstance(result, ChangeFailed) for result in results):
-                self._last_failure_seconds = float("-inf")
-                self._last_success_seconds = self._clock.monotonic_seconds()
+                self._record_success()
                 return results
-        self._last_failure_seconds = self._clock.monotonic_seconds()
+            failed_writers += writer not in self._silent_writers
+            if failed_writers == OUTAGE_WRITERS:
+                break
+        self._record_failure(writers[0], failed_writers)
         return results
 
+    def _record_success(self) -> None:
+        if self._is_outage:
+            _log.info("a shard writer reaches the store again")
+        self._is_outage = False
+        self._last_failure_seconds = float("-inf")
+        self._last_success_seconds = self._clock.monotonic_seconds()
+
+    def _record_failure(self, first_writer: str, failed_writers: int) -> None:
+        """Records that no writer stored the changes.
+
+        If the store answered none of several writers, the first one is not skipped, since none of
+        the others is better. With some routers that skip it and others that do not, a shard would
+        have several writers after the outage, and their writes would conflict.
+        """
+        now = self._clock.monotonic_seconds()
+        self._last_failure_seconds = now
+        if failed_writers >= OUTAGE_WRITERS:
+            if not self._is_outage:
+                _log.info("no shard writer reaches the store", fields={"tried": failed_writers})
+                self._metrics.count("budget.submitter.outages")
+            self._is_outage = True
+            self._outage_until_seconds = now + OUTAGE_RETRY_SECONDS
+        # A writer that is silent may be dead, and each call to it takes its whole time limit.
+        if self._is_outage and first_writer not in self._silent_writers:
+            self._skipped_until_seconds.pop(first_writer, None)
+
     def _list_writers(self, shard: int) -> list[str]:
         """Returns the writers to try, in order; usually the shard's home first."""
         own = self._fleet.self_name
@@ -137,10 +192,10 @@
             if now >= self._skipped_until_seconds.get(writer, float("-inf"))
         ]
         others = [writer for writer in writers if writer != own]
-        if writers[:1] == [own] and self._store_reachability.is_reachable:
+        if writers[:1] == [own] and self.is_usable_writer:
             return [own, *others]
         # A process that does not reach the store tries its own writer only if there is no other.
-        return [*others, own] if self._store_reachability.is_reachable or not others else others
+        return [*others, own] if self.is_usable_writer or not others else others
 
     async def _submit_remaining_changes(
         self, writer: str, shard: int, changes: list[Change], results: list[ChangeResult]
@@ -162,7 +217,9 @@
         message = SubmitChanges(shard=shard, changes=changes)
         try:
             reply = await self._fleet.call(writer, message, WRITER_TIMEOUT_SECONDS)
+            self._silent_writers.discard(writer)
         except PeerError as error:
+            self._silent_writers.add(writer)
             return self._skip_writer(writer, changes, str(error))
         if not isinstance(reply, ChangesSubmitted) or len(reply.results) != len(changes):
             return self._skip_writer(writer, changes, "no results")
@@ -179,9 +236,9 @@
         }
         self._skipped_until_seconds = {**skipped, writer: now + WRITER_SKIP_SECONDS}
         self._metrics.count("budget.submitter.home_silent")
-        _log.info(
-            "shard writer failed; trying the next one", fields={"silent": writer, "reason": reason}
-        )
+        if not self._is_outage:
+            fields = {"silent": writer, "reason": reason}
+            _log.info("shard writer failed; trying the next one", fields=fields)
         return [ChangeFailed(reason=reason) for _ in changes]
 
     def _probe_if_due(self) -> None:
--- a/packages/router/laburnumpier_router/operators/reports.py
+++ b/packages/router/laburnumpier_router/operators/reports.py
@@ -205,6 +205,8 @@
                 "free": state.pool.free,
                 "reserved": state.pool.reserved,
                 "waiting": state.pool.waiting_tokens,
+                "loans": len(state.loans),
+                "held_ahead": state.held_ahead.held_by_borrower,
                 "grants": {
                     grant.grant_id: {
                         "own": grant.own,
--- a/packages/standins/laburnumpier_standins/memory_store.py
+++ b/packages/standins/laburnumpier_standins/memory_store.py
@@ -23,6 +23,7 @@
 
     Attributes:
         fault: Fault that affects all clients.
+        client_timeout_seconds: Time after which a client gives up a call without a response.
         answer_loss_probability: Probability that a write takes effect and its response is lost.
         unreachable_clients: Names of clients whose calls fail at once.
         timed_out_clients: Names of clients whose calls get no response and time out.
@@ -30,6 +31,7 @@
 
     __slots__ = (
         "answer_loss_probability",
+        "client_timeout_seconds",
         "fault",
         "random",
         "state",
@@ -42,6 +44,7 @@
         self.state = StoreState()
         self.fault = StoreFault.NONE
         self.answer_loss_probability = 0.0
+        self.client_timeout_seconds = CLIENT_TIMEOUT_SECONDS
         self.unreachable_clients: set[str] = set()
         self.timed_out_clients: set[str] = set()
         self.random = random.Random(seed)
@@ -166,10 +169,10 @@
     async def _begin_call(self) -> None:
         self._control.state.call_count += 1
         if self._control.fault is StoreFault.SLOW:
-            await asyncio.sleep(CLIENT_TIMEOUT_SECONDS)
+            await asyncio.sleep(self._control.client_timeout_seconds)
             raise StoreUnavailableError("call timed out: the store is slow")
         if self._client in self._control.timed_out_clients:
-            await asyncio.sleep(CLIENT_TIMEOUT_SECONDS)
+            await asyncio.sleep(self._control.client_timeout_seconds)
             raise StoreUnavailableError("call timed out: no response from the store")
         await asyncio.sleep(ROUND_TRIP_SECONDS / 2)
         if self._is_unreachable():
