Refuse impossible figures in loan requests

Cause: an infinite rate reported by a borrower made the parts of all borrowers undefined and failed the loan. Change: figures that are negative or not finite are counted, logged and recorded nowhere; the loan covers the shortage.

--- a/features/budget/token_placement.feature
+++ b/features/budget/token_placement.feature
@@ -73,3 +73,17 @@
     And calls between routers take between 20 and 55 ms
     When one router gets 400 requests and each other one 25, while it and the lender are cut off and killed
     Then spent and held tokens are within the budget
+
+  # An infinite rate would make the parts of all borrowers undefined.
+  Scenario Outline: Impossible figures of a borrower change nothing
+    Given a budget of 1000000 tokens of which 1000000 are drawable, and 4 routers
+    When one router has all of the demand
+    And router r1 reports <free> free tokens and a rate of <rate>
+    Then the report is refused and no other router's room changes
+
+    Examples:
+      | free | rate |
+      | 0    | inf  |
+      | 0    | nan  |
+      | 0    | -1   |
+      | -5   | 1    |
--- a/features/steps/token_placement_steps.py
+++ b/features/steps/token_placement_steps.py
@@ -397,3 +397,22 @@
 def check_failed_calls(context, count):
     failures = count_all(context, "budget.writer.store_failures")
     assert failures <= count, failures
+
+
+def list_room(context):
+    return [
+        context.held_ahead.compute_room(f"r{number}", context.balance, 0.0)
+        for number in range(context.balance.routers)
+    ]
+
+
+@when("router {name} reports {free:d} free tokens and a rate of {rate}")
+def report_impossible(context, name, free, rate):
+    context.room_before = list_room(context)
+    context.is_recorded = context.held_ahead.record_report(name, free, float(rate), 0.0)
+
+
+@then("the report is refused and no other router's room changes")
+def check_report_refused(context):
+    assert context.is_recorded is False
+    assert list_room(context) == context.room_before
--- a/packages/router/laburnumpier_router/budget/held_ahead.py
+++ b/packages/router/laburnumpier_router/budget/held_ahead.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import math
 
 from .holding import EVENLY_HELD_SHARE, compute_fullness
 
@@ -83,13 +84,21 @@
 
     def record_report(
         self, name: str, held_tokens: int, tokens_per_second: float, now_seconds: float
-    ) -> None:
-        """Records what a borrower says that it holds and what its requests ask for."""
+    ) -> bool:
+        """Records what a borrower says that it holds and what its requests ask for.
+
+        Returns:
+            Whether the figures can be true; otherwise nothing is recorded.
+        """
+        is_rate = math.isfinite(tokens_per_second) and tokens_per_second >= 0
+        if held_tokens < 0 or not is_rate:
+            return False
         self._borrowers[name] = Borrower(
-            held_tokens=max(0, held_tokens),
-            tokens_per_second=max(0.0, tokens_per_second),
+            held_tokens=held_tokens,
+            tokens_per_second=tokens_per_second,
             reported_seconds=now_seconds,
         )
+        return True
 
     def record_loan(self, name: str, tokens: int) -> None:
         """Adds the part of a loan that no waiting request needs."""
--- a/packages/router/laburnumpier_router/budget/service.py
+++ b/packages/router/laburnumpier_router/budget/service.py
@@ -331,7 +331,11 @@
         now = self._clock.monotonic_seconds()
         ahead = state.held_ahead
         ahead.keep_only({*self._fleet.list_peers(), message.borrower})
-        ahead.record_report(message.borrower, message.free, message.tokens_per_second, now)
+        rate = message.tokens_per_second
+        if not ahead.record_report(message.borrower, message.free, rate, now):
+            self._metrics.count("budget.invalid_reports")
+            fields = {"borrower": message.borrower, "free": message.free, "rate": rate}
+            _log.warning("borrower reports impossible figures", fields=fields)
         balance = self._get_balance(message.workspace, state)
         room = ahead.compute_room(message.borrower, balance, now)
         self._metrics.set_gauge("budget.held_ahead", self._count_held_ahead())
