--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -32,6 +32,7 @@
 from .configuration.peer_sources import ConfigurationFetched, FetchConfiguration
 from .configuration.record import RecordFormat
 from .configuration.service import ConfigurationService
+from .estimates.estimate_placement import EstimatePlacement
 from .fleet.broadcast import Broadcaster
 from .fleet.departures import DepartureMonitor
 from .fleet.member import Heartbeat, Member
@@ -268,6 +269,7 @@
             stream_origins=self._stream_origins,
             fleet=self._fleet,
             metrics=metrics,
+            estimates=self._estimates,
         )
         self._caller_frontend = CallerFrontend(
             configuration=self._configuration,
@@ -583,6 +585,7 @@
         self._forward_frontend: ForwardFrontend | None = None
         self._registry_relay: RegistryRelay | None = None
         self._crash_guard: CrashGuard | None = None
+        self._estimates: EstimatePlacement | None = None
         self._broadcaster = Broadcaster(fleet=self._fleet, metrics=self._metrics)
         if ports is None:
             return
@@ -635,6 +638,14 @@
             metrics=self._metrics,
         )
         self._fleet.list_blocked_parts = self._crash_guard.list_blocked_parts
+        if settings.placement == "estimate":
+            self._estimates = EstimatePlacement(
+                clock=self._clock,
+                metrics=self._metrics,
+                random_source=self._random,
+                find_cache_tokens=self._find_cache_tokens,
+                count_routers=lambda: 1 + len(self._fleet.view.live),
+            )
         time_limits = TimeLimits()
         self._forward_frontend = ForwardFrontend(
             service=build_forward_service(
@@ -658,6 +669,7 @@
                 metrics=self._metrics,
                 random_source=self._random,
                 data_centre=settings.data_centre,
+                estimates=self._estimates,
             ),
             dialect=ports.dialect,
             time_limits=time_limits,
@@ -843,6 +855,11 @@
         """Whether this router has to read its first configuration itself."""
         return self._configuration.number == 0 and self.watches_store()
 
+    def _find_cache_tokens(self, service: str) -> int:
+        """Returns the cache size of a service's engines in tokens; 0 if unknown."""
+        entry = self._configuration.configuration.services.get(service)
+        return entry.engine.cache_tokens if entry is not None and entry.engine is not None else 0
+
     async def _log_store_calls_periodically(self) -> None:
         await log_store_calls_periodically(self._metrics)
 
--- /dev/null
+++ b/packages/router/laburnumpier_router/estimates/request_estimate.py
@@ -0,0 +1,168 @@
+"""The estimate of the time to the first event of one request at one server, and of its cost."""
+
+import dataclasses
+
+from ..forward.servers import ServerLoad
+from ..ports.dialect import PromptPart
+from .server_estimate import ServerEstimate
+from .service_speed import ServiceSpeed
+
+READ_COST_WEIGHT = 3.0
+"""Cost to others of a second of reading, in seconds to the first event: it delays the requests
+that come after it and all streams beside it. In the model of engines, 0 and 1 had long prompts
+read at more servers than affinity does, and 3 no more."""
+HOME_HELD_SHARE = 0.5
+"""Share of a prompt's shared parts that the home of the prompt is expected to hold because of
+other routers' requests, of which this router does not hear."""
+EVICTION_WEIGHT = 0.5
+"""Share of the evicted parts in repeated use that are expected to be read again."""
+PAUSE_COST_WEIGHT = 0.5
+"""Cost of a second by which a stream's pause passes its target, in seconds to the first event."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EstimateRequest:
+    """Properties of a request that its estimates depend on.
+
+    Attributes:
+        prompt_parts: Parts of the prompt; empty for plain calls.
+        prompt_tokens: Tokens of the whole prompt.
+        max_output_tokens: Upper limit of tokens in the response.
+        urgency: From 0, the most urgent, to 9.
+        target_gap_seconds: Target for pauses between events; 0 if there is none.
+    """
+
+    prompt_parts: tuple[PromptPart, ...] = ()
+    prompt_tokens: int = 0
+    max_output_tokens: int = 0
+    urgency: int = 5
+    target_gap_seconds: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class RequestEstimate:
+    """What a request would meet at one server.
+
+    Attributes:
+        server: The server.
+        estimate: What is known of it.
+        held_tokens: Tokens of the prompt that the server is assumed to hold.
+        read_tokens: Tokens of the prompt that it has to read.
+        load: Other requests expected there.
+        usual_seconds: Time to the first event if its work took as long as usual.
+        work_factor: How long work takes there, as a multiple of what is usual.
+        first_event_seconds: Expected time to the first event.
+        cost_seconds: That time, and what the choice costs other requests.
+    """
+
+    server: ServerLoad
+    estimate: ServerEstimate
+    held_tokens: int
+    read_tokens: int
+    load: float
+    usual_seconds: float
+    work_factor: float
+    first_event_seconds: float
+    cost_seconds: float = 0.0
+
+
+def estimate_request(
+    *,
+    server: ServerLoad,
+    estimate: ServerEstimate,
+    service: ServiceSpeed,
+    request: EstimateRequest,
+    cache_tokens: int,
+    now_seconds: float,
+) -> RequestEstimate:
+    """Estimates the time to the first event: wait for a slot, then reading what is not held.
+
+    Answers the loads of prompts with shared parts beside busy and unequal servers. The requests
+    that this router has sent count at once; those of others as the server last reported.
+    """
+    if server.reported_seconds != estimate.reported_seconds:
+        estimate.take_report(server, service)
+    held_tokens = 0
+    if request.prompt_parts and not estimate.held.is_empty:
+        held_tokens = estimate.held.count_held(request.prompt_parts, now_seconds)
+    read_tokens = max(0, request.prompt_tokens - held_tokens)
+    load = server.in_flight + estimate.estimate_others(service, now_seconds)
+    usual_seconds = service.first_event.predict(estimate.pending_tokens + read_tokens, load)
+    slots = count_places(server, service, cache_tokens)
+    if load >= slots:
+        usual_seconds += (load - slots + 1.0) / slots * service.estimate_run(now_seconds)
+    work_factor = estimate.estimate_work(now_seconds) * estimate.estimate_slowness(
+        service, now_seconds
+    )
+    first_event_seconds = usual_seconds * work_factor
+    return RequestEstimate(
+        server=server,
+        estimate=estimate,
+        held_tokens=held_tokens,
+        read_tokens=read_tokens,
+        load=load,
+        usual_seconds=usual_seconds,
+        work_factor=work_factor,
+        first_event_seconds=first_event_seconds,
+        cost_seconds=first_event_seconds
+        + READ_COST_WEIGHT * read_tokens * service.first_event.seconds_per_token * work_factor,
+    )
+
+
+def credit_home(found: RequestEstimate, service: ServiceSpeed, request: EstimateRequest) -> None:
+    """Lowers the cost at the home of a prompt, which rendezvous hashing names.
+
+    Answers the load of several routers with the same new prompts: they do not hear of each other's
+    sends, so without a common preference each would have the prompt read at another server.
+    """
+    shared_tokens = sum(part.tokens for part in request.prompt_parts[:-1])
+    unknown_tokens = max(0, shared_tokens - found.held_tokens)
+    token_seconds = service.first_event.seconds_per_token * found.work_factor
+    saved_seconds = HOME_HELD_SHARE * unknown_tokens * token_seconds
+    found.cost_seconds -= (1.0 + READ_COST_WEIGHT) * saved_seconds
+
+
+def count_places(server: ServerLoad, service: ServiceSpeed, cache_tokens: int) -> float:
+    """Returns how many requests run at once: the slots, or as many as the memory has room for."""
+    slots = max(1, server.entry.slots)
+    request_tokens = service.request_tokens.value
+    if not cache_tokens or not request_tokens:
+        return slots
+    return max(1.0, min(slots, cache_tokens / request_tokens))
+
+
+def add_side_costs(
+    found: RequestEstimate, service: ServiceSpeed, request: EstimateRequest, now_seconds: float
+) -> None:
+    """Adds what the request costs others there: evicted parts, and pauses of running streams.
+
+    Answers the loads of long prompts beside short urgent ones, and of caches that are full.
+    """
+    estimate = found.estimate
+    token_seconds = service.first_event.seconds_per_token * found.work_factor
+    new_tokens = found.read_tokens + request.max_output_tokens
+    evicted_tokens = estimate.held.count_evicted(new_tokens)
+    found.cost_seconds += EVICTION_WEIGHT * evicted_tokens * token_seconds
+    target_seconds = service.tightest_gap_seconds
+    if not target_seconds:
+        return
+    pause_seconds = estimate.estimate_pause(service, now_seconds) + (
+        (found.read_tokens + estimate.pending_tokens) * token_seconds
+    )
+    if pause_seconds <= target_seconds:
+        return
+    streams = count_urgent_streams(found, request.urgency)
+    found.cost_seconds += PAUSE_COST_WEIGHT * streams * (pause_seconds - target_seconds)
+
+
+def count_urgent_streams(found: RequestEstimate, urgency: int) -> float:
+    """Returns the expected streams at a server that are at least as urgent as a request.
+
+    The urgency of other routers' streams is unknown; their mix is taken to be that of own ones.
+    """
+    counts = found.estimate.stream_counts
+    own = sum(counts.values())
+    if not own:
+        return found.load
+    urgent = sum(count for level, count in counts.items() if level <= urgency)
+    return urgent / own * max(own, found.load)
--- a/packages/router/laburnumpier_router/forward/placement.py
+++ b/packages/router/laburnumpier_router/forward/placement.py
@@ -60,7 +60,7 @@
         random_source: Breaks ties.
     """
     untried = [server for server in servers if server.entry.server_id not in request.exclude]
-    candidates = _prefer_healthy(untried, now_seconds)
+    candidates = prefer_healthy(untried, now_seconds)
     if not candidates:
         return None
     affinity_key = get_affinity_key(request.prompt_parts)
@@ -101,7 +101,7 @@
     return parts[-2].part_id if len(parts) > 1 else parts[0].part_id
 
 
-def _prefer_healthy(servers: list[ServerLoad], now_seconds: float) -> list[ServerLoad]:
+def prefer_healthy(servers: list[ServerLoad], now_seconds: float) -> list[ServerLoad]:
     """Removes failing and unreachable servers, unless no others are left."""
     reachable = [server for server in servers if now_seconds >= server.backoff_until_seconds]
     healthy = [server for server in reachable if server.failure_share < UNHEALTHY_FAILURE_SHARE]
--- a/packages/router/laburnumpier_router/forward/request_progress.py
+++ b/packages/router/laburnumpier_router/forward/request_progress.py
@@ -5,6 +5,7 @@
 from multidict import CIMultiDict
 
 from ..configuration.document import Route, RouteKind
+from ..estimates.observation import UNOBSERVED, SendObserver
 from ..ports.server_registry import RegisteredServer
 from .crash_messages import MAX_PART_ID_LENGTH
 from .event_stream import EventSplitter
@@ -51,6 +52,8 @@
         is_trial: Whether a blocked part of its prompt is tried, at one server.
         run: The request at the server to which it was last sent.
         lost_count: Number of servers that lost it before its answer had begun.
+        observer: Learns from what becomes of it at the server to which it was last sent.
+        choice_reason: Why the last server was chosen, in short; empty if the placement keeps none.
     """
 
     request: ForwardRequest
@@ -79,6 +82,8 @@
     is_trial: bool = False
     run: WatchedRun | None = None
     lost_count: int = 0
+    observer: SendObserver = UNOBSERVED
+    choice_reason: str = ""
     _fingerprint: str = ""
 
     @property
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -20,6 +20,7 @@
 from ..budget.service import BudgetService
 from ..configuration.document import Configuration, Route
 from ..configuration.service import ConfigurationService
+from ..estimates.estimate_placement import EstimatePlacement
 from ..ports.dialect import Dialect
 from ..selection.selector import ServerSelector
 from ..sending.attempt_error import ServerAttemptError
@@ -437,6 +438,8 @@
             fields["waited_ms"] = progress.waited_ms
             fields["started"] = is_started
             fields["version"] = progress.software_version
+            if progress.choice_reason:
+                fields["chosen"] = progress.choice_reason
             if progress.is_trial:
                 fields["trial"] = True
         if refusal is not None:
@@ -473,6 +476,7 @@
     metrics: Metrics,
     random_source: random.Random,
     data_centre: str,
+    estimates: EstimatePlacement | None = None,
 ) -> ForwardService:
     """Returns a service with its selector and its sender.
 
@@ -492,6 +496,8 @@
         metrics: Counters.
         random_source: Selects among equally loaded servers.
         data_centre: Data centre of this router.
+        estimates: Chooses servers by the expected time to the first event; None for placement by
+            prompt affinity.
     """
     selector = ServerSelector(
         configuration=configuration,
@@ -500,6 +506,7 @@
         clock=clock,
         random_source=random_source,
         data_centre=data_centre,
+        estimates=estimates,
     )
     sender = RequestSender(
         client=client,
--- a/packages/router/laburnumpier_router/operators/reports.py
+++ b/packages/router/laburnumpier_router/operators/reports.py
@@ -17,6 +17,7 @@
 from ..budget.slot import Bill, Slot, format_slot_key, format_slot_prefix
 from ..budget.submitter import ChangeSubmitter
 from ..configuration.service import ConfigurationService
+from ..estimates.estimate_placement import EstimatePlacement
 from ..fleet.service import FleetService
 from ..forward.stream_origins import StreamOrigins
 from ..ports.key_value_service import KeyValueService
@@ -37,6 +38,7 @@
         "_chats",
         "_configuration",
         "_dispatcher",
+        "_estimates",
         "_fleet",
         "_metrics",
         "_request_directory",
@@ -60,6 +62,7 @@
         stream_origins: StreamOrigins,
         fleet: FleetService,
         metrics: Metrics,
+        estimates: EstimatePlacement | None = None,
     ):
         """Creates the reports from the parts of one router process."""
         self._store = store
@@ -74,6 +77,7 @@
         self._stream_origins = stream_origins
         self._fleet = fleet
         self._metrics = metrics
+        self._estimates = estimates
 
     async def show_budget(self, workspace: str) -> dict[str, Any] | None:
         """Returns the stored account of a workspace, or None if the workspace does not exist.
@@ -241,6 +245,7 @@
             "requests_at_home": self._request_directory.entry_count,
             "stream_origins": self._stream_origins.kept_count,
             "stream_origins_untold": self._stream_origins.untold_count,
+            "estimates": self._estimates.describe() if self._estimates else None,
             "counters": self._metrics.counters,
             "gauges": self._metrics.gauges,
         }
--- a/packages/router/laburnumpier_router/selection/selector.py
+++ b/packages/router/laburnumpier_router/selection/selector.py
@@ -5,7 +5,15 @@
 from laburnumpier_core.clock import Clock
 
 from ..configuration.service import ConfigurationService
-from ..forward.placement import PlacementRequest, choose_server, prefer_certain_versions
+from ..estimates.estimate_placement import EstimatePlacement
+from ..estimates.observation import UNOBSERVED, SendObserver
+from ..estimates.request_estimate import EstimateRequest
+from ..forward.placement import (
+    PlacementRequest,
+    choose_server,
+    prefer_certain_versions,
+    prefer_healthy,
+)
 from ..forward.request_limiter import RequestLimiter
 from ..forward.request_progress import RequestProgress
 from ..forward.servers import ServerLoad, ServerTable
@@ -21,7 +29,15 @@
 class ServerSelector:
     """Selects servers among those that accept new requests."""
 
-    __slots__ = ("_clock", "_configuration", "_data_centre", "_limiter", "_random", "_table")
+    __slots__ = (
+        "_clock",
+        "_configuration",
+        "_data_centre",
+        "_estimates",
+        "_limiter",
+        "_random",
+        "_table",
+    )
 
     def __init__(
         self,
@@ -32,6 +48,7 @@
         clock: Clock,
         random_source: random.Random,
         data_centre: str,
+        estimates: EstimatePlacement | None = None,
     ):
         """Creates the selector.
 
@@ -42,6 +59,8 @@
             clock: Source of time.
             random_source: Selects among equally loaded servers.
             data_centre: Data centre of this router.
+            estimates: Chooses by the expected time to the first event; None for placement by
+                prompt affinity and counts of requests.
         """
         self._configuration = configuration
         self._table = table
@@ -49,6 +68,7 @@
         self._clock = clock
         self._random = random_source
         self._data_centre = data_centre
+        self._estimates = estimates
 
     async def find_server(self, progress: RequestProgress) -> ServerLoad | None:
         """Returns a server that the request may be sent to now; None if there is none.
@@ -117,7 +137,32 @@
         now = self._clock.monotonic_seconds()
         if progress.software_version is not None:
             usable = prefer_certain_versions(usable, request, now)
-        return choose_server(usable, request, now, self._random)
+        if self._estimates is None:
+            return choose_server(usable, request, now, self._random)
+        untried = [server for server in usable if server.entry.server_id not in request.exclude]
+        candidates = prefer_healthy(untried, now)
+        return self._estimates.choose(candidates, self._make_estimate_request(progress))
+
+    def observe_send(self, progress: RequestProgress, server: ServerLoad) -> SendObserver:
+        """Starts to observe a request that is sent to a server now.
+
+        Args:
+            progress: The request.
+            server: The server; its load does not count the request yet.
+        """
+        if self._estimates is None:
+            return UNOBSERVED
+        return self._estimates.begin(server, self._make_estimate_request(progress))
+
+    def _make_estimate_request(self, progress: RequestProgress) -> EstimateRequest:
+        head = progress.request.head
+        return EstimateRequest(
+            prompt_parts=() if progress.is_trial else head.prompt_parts,
+            prompt_tokens=head.prompt_tokens,
+            max_output_tokens=head.max_output_tokens,
+            urgency=self.get_urgency(progress),
+            target_gap_seconds=progress.route.target_gap_seconds,
+        )
 
     def has_other_server(self, progress: RequestProgress) -> bool:
         """Whether the request could go on at a server other than the current one."""
--- a/packages/router/laburnumpier_router/sending/sender.py
+++ b/packages/router/laburnumpier_router/sending/sender.py
@@ -104,6 +104,8 @@
         progress.sent_to = server.entry
         progress.attempt_log.append(server.entry.server_id)
         prompt_tokens = progress.request.head.prompt_tokens
+        observer = progress.observer = self._selector.observe_send(progress, server)
+        progress.choice_reason = observer.reason
         server.record_start(prompt_tokens)
         exchange = None
         may_have_run_before = progress.may_have_run
@@ -128,6 +130,7 @@
             now = self._clock.monotonic_seconds()
             server.record_unreachable(now)
             server.record_connection_lost(now)
+            observer.record_not_run()
             progress.may_have_run = may_have_run_before
             raise ServerAttemptError("unreached", Ran.NO) from error
         except ServerConnectionLostError as error:
@@ -151,11 +154,13 @@
             raise ServerAttemptError("silent", Ran.UNKNOWN) from error
         except ServerAttemptError as failure:
             if failure.ran is Ran.NO:
+                observer.record_not_run()
                 progress.may_have_run = may_have_run_before
             if failure.reason == OPEN_END:
                 server.record_connection_lost(self._clock.monotonic_seconds())
             raise
         finally:
+            observer.close()
             server.record_prompt_processed(prompt_tokens)
             server.record_finish()
 
@@ -257,6 +262,7 @@
         if head.running is not None:
             server.record_report(head.running, head.waiting, self._clock.monotonic_seconds())
         self._check_response(progress, server, exchange, head)
+        progress.observer.record_head(head)
         media_type = exchange.headers.get("Content-Type", "").partition(";")[0].strip()
         if exchange.status < 300 and media_type == EVENT_STREAM:
             await self._relay_stream(progress, exchange, sink)
@@ -268,6 +274,7 @@
             server.record_failure()
             raise ServerAttemptError(f"status_{exchange.status}", Ran.UNKNOWN)
         body = await exchange.read()
+        progress.observer.record_progress()
         headers = self._dialect.make_caller_headers(exchange.headers)
         if exchange.status >= 500:
             server.record_failure()
@@ -333,6 +340,7 @@
         async with read_patiently(exchange.iterate_chunks()) as reader:
             while (events := await self._read_next_events(progress, reader, sink)) is not None:
                 is_same_end = False
+                progress.observer.record_progress()
                 self._crash_guard.record_piece(progress.run)
                 self._record_version(progress)
                 await self._start_stream(progress, exchange, sink)
