--- a/packages/router/laburnumpier_router/estimates/estimate_placement.py
+++ b/packages/router/laburnumpier_router/estimates/estimate_placement.py
@@ -35,7 +35,7 @@
 MAX_SERVICES = 256
 MAX_HOMES = 4096
 """Prompts whose preferred server is kept; it is found again when they are forgotten."""
-NEAR_EQUAL_SHARE = 0.1
+NEAR_EQUAL_SHARE = 0.05
 """Costs up to this share above the least one are near equal. Routers that have read the same
 report spread over such servers."""
 REFINED_CHOICES = 6
--- a/packages/router/laburnumpier_router/estimates/request_estimate.py
+++ b/packages/router/laburnumpier_router/estimates/request_estimate.py
@@ -7,10 +7,10 @@
 from .server_estimate import ServerEstimate
 from .service_speed import ServiceSpeed
 
-READ_COST_WEIGHT = 3.0
+READ_COST_WEIGHT = 6.0
 """Cost to others of a second of reading, in seconds to the first event: it delays the requests
-that come after it and all streams beside it. In the model of engines, 0 and 1 had long prompts
-read at more servers than affinity does, and 3 no more."""
+that come after it and all streams beside it. In the model of engines, lower weights had long
+prompts read at more servers than affinity does."""
 HOME_HELD_SHARE = 0.5
 """Share of a prompt's shared parts that the home of the prompt is expected to hold because of
 other routers' requests, of which this router does not hear."""
