Estimates: learn from the sender; failures count as slow answers

Cause: a server that fails or rejects at once looked fast, and a server that was no longer chosen was not logged.

--- a/features/steps/estimate_steps.py
+++ b/features/steps/estimate_steps.py
@@ -403,7 +403,7 @@
         observer = router.begin(load, router.make_request())
         router.clock.seconds += 0.002
         load.record_report(load.entry.slots, 1, router.clock.seconds)
-        observer.record_not_run()
+        observer.record_failure()
         observer.close()
         load.record_finish()
 
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -203,6 +203,7 @@
             metrics=metrics,
             random_source=random.Random(1),
             data_centre="near",
+            estimates=getattr(context, "estimates", None),
         ),
         dialect=PlatformDialect(),
         time_limits=time_limits,
--- a/packages/router/laburnumpier_router/estimates/estimate_placement.py
+++ b/packages/router/laburnumpier_router/estimates/estimate_placement.py
@@ -114,6 +114,9 @@
         basis = self._make_basis(servers[0].entry.service, request)
         get_estimate = self._get_estimate
         found = [estimate_request(server, get_estimate(server.entry), basis) for server in servers]
+        for estimate in found:
+            if (estimate.slowness > SLOW_FACTOR) is not estimate.estimate.is_slow:
+                self._note_slowness(estimate)
         if not request.prompt_parts:
             return sorted(found, key=_get_cost)
         credit_home(self._find_home(found, request), basis)
@@ -136,7 +139,6 @@
         estimate = self._get_estimate(server.entry)
         self._estimates.move_to_end(server.entry.server_id)
         found = estimate_request(server, estimate, basis)
-        self._note_slowness(found)
         service.first_sent_seconds = min(service.first_sent_seconds, now)
         service.note_gap_target(request.target_gap_seconds)
         service.new_tokens.add(found.read_tokens + request.max_output_tokens)
@@ -196,6 +198,7 @@
                 "share": round(estimate.own_share.value, 3),
                 "held_tokens": estimate.held.total_tokens,
                 "held_parts": estimate.held.part_count,
+                "pending": len(estimate.pending),
                 "pending_tokens": estimate.pending_tokens,
             }
             for server_id, estimate in self._estimates.items()
@@ -271,15 +274,16 @@
     def _note_slowness(self, found: RequestEstimate) -> None:
         """Logs when a server begins or ceases to be slow in the eyes of this router."""
         estimate, fields = found.estimate, {"server": found.server.entry.server_id}
-        if not estimate.is_slow and found.work_factor > SLOW_FACTOR:
-            estimate.is_slow = True
-            fields["work"] = round(found.work_factor, 1)
-            _log.info("server slower than others", fields=fields)
-        elif estimate.is_slow and found.work_factor < RECOVERED_FACTOR:
-            estimate.is_slow = False
+        if found.slowness > SLOW_FACTOR:
+            _log.info(
+                "server slower than usual",
+                fields={**fields, "slowness": round(found.slowness, 1), "load": found.load},
+            )
+        elif found.slowness < RECOVERED_FACTOR:
             _log.info("server no longer slow", fields=fields)
         else:
             return
+        estimate.is_slow = found.slowness > SLOW_FACTOR
         slow_count = sum(known.is_slow for known in self._estimates.values())
         self._metrics.set_gauge("estimates.slow_servers", slow_count)
 
--- a/packages/router/laburnumpier_router/estimates/observation.py
+++ b/packages/router/laburnumpier_router/estimates/observation.py
@@ -18,8 +18,8 @@
     def record_progress(self) -> None:
         """Events of a stream, or a whole response, have arrived."""
 
-    def record_not_run(self) -> None:
-        """The server was not reached, or has rejected the request."""
+    def record_failure(self) -> None:
+        """The server was not reached, rejected the request, or failed with it."""
 
     def close(self) -> None:
         """The request is no longer at the server."""
@@ -41,7 +41,7 @@
     def record_progress(self) -> None:
         """Does nothing."""
 
-    def record_not_run(self) -> None:
+    def record_failure(self) -> None:
         """Does nothing."""
 
     def close(self) -> None:
--- a/packages/router/laburnumpier_router/estimates/request_estimate.py
+++ b/packages/router/laburnumpier_router/estimates/request_estimate.py
@@ -53,7 +53,8 @@
         read_tokens: Tokens of the prompt that it has to read.
         load: Other requests expected there.
         usual_seconds: Time to the first event if its work took as long as usual.
-        work_factor: How long work takes there, as a multiple of what is usual.
+        slowness: How much longer work took there lately, as a multiple of what is usual.
+        work_factor: How long work takes there now, also by the server's own word.
         first_event_seconds: Expected time to the first event.
         cost_seconds: That time, and what the choice costs other requests.
     """
@@ -64,6 +65,7 @@
     read_tokens: int
     load: float
     usual_seconds: float
+    slowness: float
     work_factor: float
     first_event_seconds: float
     cost_seconds: float
@@ -158,9 +160,8 @@
         usual_seconds += (load - places + 1.0) / places * basis.run_seconds
     if usual_seconds < MIN_ANSWER_SECONDS:
         usual_seconds = MIN_ANSWER_SECONDS
-    work_factor = estimate.estimate_work(now_seconds) * estimate.estimate_slowness(
-        basis.pause_seconds, now_seconds
-    )
+    slowness = estimate.estimate_slowness(basis.pause_seconds, now_seconds)
+    work_factor = slowness * estimate.estimate_work(now_seconds)
     read_cost_seconds = READ_COST_WEIGHT * read_tokens * basis.token_seconds
     return RequestEstimate(
         server,
@@ -169,6 +170,7 @@
         read_tokens,
         load,
         usual_seconds,
+        slowness,
         work_factor,
         usual_seconds * work_factor,
         (usual_seconds + read_cost_seconds) * work_factor,
--- a/packages/router/laburnumpier_router/estimates/send_observation.py
+++ b/packages/router/laburnumpier_router/estimates/send_observation.py
@@ -17,6 +17,7 @@
         "_clock",
         "_estimate",
         "_expects_slot",
+        "_has_failed",
         "_is_closed",
         "_last_event_seconds",
         "_load",
@@ -26,7 +27,6 @@
         "_server",
         "_service",
         "_urgency",
-        "_was_run",
         "_work_factor",
     )
 
@@ -68,7 +68,7 @@
         self._expects_slot = load < max(1, server.entry.slots)
         self._work_factor = 1.0
         self._last_event_seconds = float("-inf")
-        self._was_run = True
+        self._has_failed = False
         self._is_closed = False
         estimate.record_sent(pending)
         estimate.stream_counts[urgency] = estimate.stream_counts.get(urgency, 0) + 1
@@ -97,9 +97,14 @@
             self._service.pause_seconds.add(pause_seconds)
         self._last_event_seconds = now
 
-    def record_not_run(self) -> None:
-        """Records a rejection as an answer that took as long as any counts."""
-        self._was_run = False
+    def record_failure(self) -> None:
+        """Records a failure as an answer that took as long as any counts.
+
+        A server that rejects requests or fails with them at once may not look fast.
+        """
+        if self._last_event_seconds != float("-inf"):
+            return
+        self._has_failed = True
         self._estimate.record_ratio(MAX_SPEED_RATIO, self._clock.monotonic_seconds())
 
     def close(self) -> None:
@@ -119,7 +124,7 @@
 
     def _is_late_without_event(self, waited_seconds: float) -> bool:
         is_late = waited_seconds > self._pending.usual_seconds
-        return self._was_run and self._pending.is_measured and is_late
+        return not self._has_failed and self._pending.is_measured and is_late
 
     def _learn_first_event(self, now_seconds: float) -> None:
         self._estimate.record_answered(self._pending)
--- a/packages/router/laburnumpier_router/sending/sender.py
+++ b/packages/router/laburnumpier_router/sending/sender.py
@@ -130,11 +130,12 @@
             now = self._clock.monotonic_seconds()
             server.record_unreachable(now)
             server.record_connection_lost(now)
-            observer.record_not_run()
+            observer.record_failure()
             progress.may_have_run = may_have_run_before
             raise ServerAttemptError("unreached", Ran.NO) from error
         except ServerConnectionLostError as error:
             progress.send_count += exchange is None
+            observer.record_failure()
             server.record_failure()
             server.record_connection_lost(self._clock.monotonic_seconds())
             progress.splitter.discard_partial_event()
@@ -154,7 +155,7 @@
             raise ServerAttemptError("silent", Ran.UNKNOWN) from error
         except ServerAttemptError as failure:
             if failure.ran is Ran.NO:
-                observer.record_not_run()
+                observer.record_failure()
                 progress.may_have_run = may_have_run_before
             if failure.reason == OPEN_END:
                 server.record_connection_lost(self._clock.monotonic_seconds())
@@ -274,9 +275,9 @@
             server.record_failure()
             raise ServerAttemptError(f"status_{exchange.status}", Ran.UNKNOWN)
         body = await exchange.read()
-        progress.observer.record_progress()
         headers = self._dialect.make_caller_headers(exchange.headers)
         if exchange.status >= 500:
+            progress.observer.record_failure()
             server.record_failure()
             reason = f"status_{exchange.status}"
             if progress.is_retryable:
@@ -289,6 +290,7 @@
                 raise ServerAttemptError(reason, Ran.YES)
             progress.attempt_log[-1] += f":{reason}"
         else:
+            progress.observer.record_progress()
             self._crash_guard.record_begun(progress.run)
             server.record_success()
         progress.response_status = exchange.status
