--- a/packages/operator/laburnumpier_operator/commands.py
+++ b/packages/operator/laburnumpier_operator/commands.py
@@ -7,6 +7,7 @@
 import json
 import pathlib
 import secrets
+import urllib.parse
 import uuid
 from collections.abc import Callable
 from typing import Any
@@ -115,6 +116,14 @@
     )
 
 
+def _make_placement_call(arguments: list[str], options: Options) -> OperatorCall:
+    target, *rest = arguments
+    names = ("parts", "output_tokens")
+    query = urllib.parse.urlencode(dict(zip(names, rest, strict=False)))
+    path = f"/placement/{urllib.parse.quote(target, safe='')}"
+    return OperatorCall(method="GET", path=f"{path}?{query}" if query else path)
+
+
 def _make_list_rows(list_name: str, *columns: str) -> Callable[[dict[str, Any]], list[Row]]:
     def make(response: dict[str, Any]) -> list[Row]:
         return [{column: row.get(column) for column in columns} for row in response[list_name]]
@@ -215,6 +224,23 @@
         make_call=_make_get_call("/requests/{0}/{1}"),
         make_rows=_make_field_rows,
     ),
+    Command(
+        name="placement explain",
+        arguments=("ROUTE_OR_SERVICE", "PARTS?", "OUTPUT_TOKENS?"),
+        help="Prints where a request with prompt parts ID:TOKENS,... would go now, and why.",
+        make_call=_make_placement_call,
+        make_rows=_make_list_rows(
+            "servers",
+            "service",
+            "server",
+            "cost_ms",
+            "first_event_ms",
+            "held",
+            "read",
+            "load",
+            "work",
+        ),
+    ),
     Command(
         name="fleet show",
         arguments=(),
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -33,6 +33,7 @@
 from .configuration.record import RecordFormat
 from .configuration.service import ConfigurationService
 from .estimates.estimate_placement import EstimatePlacement
+from .estimates.placement_report import PlacementReport
 from .fleet.broadcast import Broadcaster
 from .fleet.departures import DepartureMonitor
 from .fleet.member import Heartbeat, Member
@@ -270,6 +271,7 @@
             fleet=self._fleet,
             metrics=metrics,
             estimates=self._estimates,
+            placement_report=self._placement_report,
         )
         self._caller_frontend = CallerFrontend(
             configuration=self._configuration,
@@ -586,6 +588,7 @@
         self._registry_relay: RegistryRelay | None = None
         self._crash_guard: CrashGuard | None = None
         self._estimates: EstimatePlacement | None = None
+        self._placement_report: PlacementReport | None = None
         self._broadcaster = Broadcaster(fleet=self._fleet, metrics=self._metrics)
         if ports is None:
             return
@@ -646,6 +649,11 @@
                 find_cache_tokens=self._find_cache_tokens,
                 count_routers=lambda: 1 + len(self._fleet.view.live),
             )
+            self._placement_report = PlacementReport(
+                configuration=self._configuration,
+                table=self._server_table,
+                estimates=self._estimates,
+            )
         time_limits = TimeLimits()
         self._forward_frontend = ForwardFrontend(
             service=build_forward_service(
--- a/packages/router/laburnumpier_router/operators/frontend.py
+++ b/packages/router/laburnumpier_router/operators/frontend.py
@@ -1,5 +1,6 @@
 """HTTP frontend for operators: configuration, budgets, bills, fleet and state."""
 
+import asyncio
 import hmac
 import json
 import uuid
@@ -70,6 +71,7 @@
         add_route(
             "GET", "/requests/{workspace}/{request_id}", self._wrap_handler(self._explain_request)
         )
+        add_route("GET", "/placement/{target}", self._wrap_handler(self._explain_placement))
         add_route("GET", "/fleet", self._wrap_handler(self._show_fleet))
         add_route("POST", "/fleet/declare-dead", self._wrap_handler(self._declare_dead))
         add_route("GET", "/state", self._wrap_handler(self._dump_state))
@@ -184,6 +186,18 @@
         )
         return web.json_response(report)
 
+    async def _explain_placement(self, request: web.Request) -> web.Response:
+        output_tokens = request.query.get("output_tokens", "0")
+        if not output_tokens.isascii() or not output_tokens.isdecimal():
+            raise RequestError(ResultCode.INVALID_FIELD, detail="output_tokens: must be a number")
+        report = self._reports.explain_placement(
+            request.match_info["target"],
+            request.query.get("parts", ""),
+            int(output_tokens[:9]),
+            asyncio.get_running_loop().time(),
+        )
+        return web.json_response(report)
+
     async def _show_fleet(self, request: web.Request) -> web.Response:
         return web.json_response(await self._reports.show_fleet())
 
--- a/packages/router/laburnumpier_router/operators/reports.py
+++ b/packages/router/laburnumpier_router/operators/reports.py
@@ -18,6 +18,7 @@
 from ..budget.submitter import ChangeSubmitter
 from ..configuration.service import ConfigurationService
 from ..estimates.estimate_placement import EstimatePlacement
+from ..estimates.placement_report import PlacementReport, parse_prompt_parts
 from ..fleet.service import FleetService
 from ..forward.stream_origins import StreamOrigins
 from ..ports.key_value_service import KeyValueService
@@ -41,6 +42,7 @@
         "_estimates",
         "_fleet",
         "_metrics",
+        "_placement_report",
         "_request_directory",
         "_store",
         "_stream_origins",
@@ -63,6 +65,7 @@
         fleet: FleetService,
         metrics: Metrics,
         estimates: EstimatePlacement | None = None,
+        placement_report: PlacementReport | None = None,
     ):
         """Creates the reports from the parts of one router process."""
         self._store = store
@@ -78,6 +81,7 @@
         self._fleet = fleet
         self._metrics = metrics
         self._estimates = estimates
+        self._placement_report = placement_report
 
     async def show_budget(self, workspace: str) -> dict[str, Any] | None:
         """Returns the stored account of a workspace, or None if the workspace does not exist.
@@ -160,6 +164,28 @@
             }
         return report
 
+    def explain_placement(
+        self, target: str, parts: str, output_tokens: int, now_seconds: float
+    ) -> dict[str, Any]:
+        """Returns where a request to a route or service would go now, without sending it.
+
+        Args:
+            target: Name of a route or a service.
+            parts: Parts of the prompt, `ID:TOKENS,ID:TOKENS`; empty for a plain call.
+            output_tokens: Upper limit of tokens in the response.
+            now_seconds: Current monotonic time.
+
+        Raises:
+            RequestError: If the question cannot be answered.
+        """
+        if self._placement_report is None:
+            raise RequestError(
+                ResultCode.NOT_FOUND, detail="this router does not place requests by estimates"
+            )
+        return self._placement_report.explain(
+            target, parse_prompt_parts(parts), output_tokens, now_seconds
+        )
+
     async def show_fleet(self) -> dict[str, Any]:
         """Returns the fleet's members as seen by this router."""
         view = self._fleet.view
