--- a/packages/router/laburnumpier_router/estimates/estimate_placement.py
+++ b/packages/router/laburnumpier_router/estimates/estimate_placement.py
@@ -20,6 +20,7 @@
 from ..ports.server_registry import RegisteredServer
 from .observation import SendObserver
 from .request_estimate import (
+    HOMES,
     EstimateBasis,
     EstimateRequest,
     RequestEstimate,
@@ -35,7 +36,10 @@
 """Server processes whose estimates are kept; the least recently chosen are forgotten first."""
 MAX_SERVICES = 256
 MAX_HOMES = 4096
-"""Prompts whose preferred server is kept; it is found again when they are forgotten."""
+"""Prompts whose preferred servers are kept; they are found again when all are forgotten."""
+HOMES_KEPT_SECONDS = 5.0
+"""Time for which they are kept, so that all routers agree again soon after a server has joined, or
+has been passed over for a while."""
 NEAR_EQUAL_SHARE = 0.05
 """Costs up to this share above the least one are near equal. Routers that have read the same
 report spread over such servers."""
@@ -57,6 +61,7 @@
         "_estimates",
         "_find_cache_tokens",
         "_homes",
+        "_homes_until_seconds",
         "_metrics",
         "_random",
         "_services",
@@ -86,7 +91,8 @@
         self._find_cache_tokens = find_cache_tokens
         self._count_routers = count_routers
         self._estimates: collections.OrderedDict[str, ServerEstimate] = collections.OrderedDict()
-        self._homes: dict[str, str] = {}
+        self._homes_until_seconds = float("-inf")
+        self._homes: dict[str, list[str]] = {}
         self._services: dict[str, ServiceSpeed] = {}
 
     def choose(self, servers: list[ServerLoad], request: EstimateRequest) -> ServerLoad | None:
@@ -119,7 +125,9 @@
                 self._note_slowness(estimate)
         if not request.prompt_parts:
             return sorted(found, key=_get_cost)
-        credit_home(self._find_home(found, request), basis)
+        router_count = self._count_routers()
+        for rank, home in enumerate(self._find_homes(found, request)):
+            credit_home(home, basis, rank, router_count)
         found.sort(key=_get_cost)
         refined = found[:REFINED_CHOICES]
         for estimate in refined:
@@ -213,19 +221,21 @@
             now_seconds=self._clock.monotonic_seconds(),
         )
 
-    def _find_home(
+    def _find_homes(
         self, found: list[RequestEstimate], request: EstimateRequest
-    ) -> RequestEstimate:
-        """Returns the estimate of the server that all routers prefer for a prompt's parts."""
+    ) -> list[RequestEstimate]:
+        """Returns the estimates of the servers that all routers prefer for a prompt's parts."""
         key = get_affinity_key(request.prompt_parts)
         by_id = {estimate.server.entry.server_id: estimate for estimate in found}
-        home = self._homes.get(key)
-        if home not in by_id:
-            home = rank_by_rendezvous(key, by_id)[0]
-            if len(self._homes) >= MAX_HOMES:
-                self._homes.clear()
-            self._homes[key] = home
-        return by_id[home]
+        now = self._clock.monotonic_seconds()
+        if now >= self._homes_until_seconds or len(self._homes) >= MAX_HOMES:
+            self._homes.clear()
+            self._homes_until_seconds = now + HOMES_KEPT_SECONDS
+        homes = self._homes.get(key)
+        if homes is None or any(home not in by_id for home in homes):
+            homes = rank_by_rendezvous(key, by_id)[:HOMES]
+            self._homes.setdefault(key, homes)
+        return [by_id[home] for home in homes]
 
     def _get_busyness(self, found: RequestEstimate) -> tuple[float, float]:
         return (found.load / max(1, found.server.entry.slots), self._random.random())
--- a/packages/router/laburnumpier_router/estimates/request_estimate.py
+++ b/packages/router/laburnumpier_router/estimates/request_estimate.py
@@ -12,9 +12,8 @@
 """Cost to others of a second of reading, in seconds to the first event: it delays the requests
 that come after it and all streams beside it. In the model of engines, lower weights had long
 prompts read at more servers than affinity does."""
-HOME_HELD_SHARE = 0.5
-"""Share of a prompt's shared parts that the home of the prompt is expected to hold because of
-other routers' requests, of which this router does not hear."""
+HOMES = 2
+"""Servers that all routers prefer for a prompt, the second one when the first is busy."""
 EVICTION_WEIGHT = 0.5
 """Share of the evicted parts in repeated use that are expected to be read again."""
 PAUSE_COST_WEIGHT = 0.5
@@ -198,16 +197,26 @@
     found.cost_seconds += PAUSE_COST_WEIGHT * streams * (pause_seconds - target_seconds)
 
 
-def credit_home(found: RequestEstimate, basis: EstimateBasis) -> None:
-    """Lowers the cost at the home of a prompt, which rendezvous hashing names.
+def credit_home(
+    found: RequestEstimate, basis: EstimateBasis, rank: int, router_count: int
+) -> None:
+    """Lowers the cost at a home of a prompt, which rendezvous hashing names.
 
     Answers the load of several routers with the same new prompts: they do not hear of each other's
-    sends, so without a common preference each would have the prompt read at another server.
+    sends, so without a common preference each would have the prompt read at another server. The
+    more routers there are, the likelier one of them has sent the shared parts to the home.
+
+    Args:
+        found: The estimate at the home.
+        basis: What the estimates have in common.
+        rank: 0 for the first home.
+        router_count: Number of routers.
     """
+    held_share = (1.0 - 1.0 / (1.0 + router_count)) ** (rank + 1)
     shared_tokens = sum(part.tokens for part in basis.request.prompt_parts[:-1])
     unknown_tokens = max(0, shared_tokens - found.held_tokens)
     token_seconds = basis.token_seconds * found.work_factor
-    saved_seconds = HOME_HELD_SHARE * unknown_tokens * token_seconds
+    saved_seconds = held_share * unknown_tokens * token_seconds
     found.cost_seconds -= (1.0 + READ_COST_WEIGHT) * saved_seconds
 
 
