--- a/features/estimates/sending.feature
+++ b/features/estimates/sending.feature
@@ -32,3 +32,14 @@
     And 2 servers of which the first fails
     When a caller sends 20 idempotent requests one after the other
     Then the first server received at most 5 of them
+
+  Scenario Outline: The setting selects the placement, and affinity is the default
+    Given a router that forwards requests, started with <settings>
+    Then its state dump has <estimates>
+    And the question of an operator where a request would go is <outcome>
+
+    Examples:
+      | settings                     | estimates    | outcome  |
+      | no settings                  | no estimates | refused  |
+      | backend.placement = affinity | no estimates | refused  |
+      | backend.placement = estimate | estimates    | answered |
