--- a/features/estimates/estimates.feature
+++ b/features/estimates/estimates.feature
@@ -78,3 +78,13 @@
   Scenario: Of near equals the one in the router's data centre is preferred
     Given 2 idle servers of a plain service with 6 slots, one of them in another data centre
     Then calls go to the near one until it has 1 request more
+
+  Scenario Outline: Three late requests are enough to take a server for slow
+    Given 4 engines whose speed is learnt
+    When one of them <fault>
+    Then its estimate is at least 3 times that of another with the same requests
+
+    Examples:
+      | fault                                            |
+      | has had 3 requests without an answer for 1 second |
+      | has answered 3 requests 5 times later             |
--- a/features/steps/estimate_steps.py
+++ b/features/steps/estimate_steps.py
@@ -433,3 +433,28 @@
     assert all(router.choose(EstimateRequest()) is near for _ in range(20))
     near.record_start(0)
     assert all(router.choose(EstimateRequest()) is far for _ in range(20))
+
+
+@when("one of them has had 3 requests without an answer for 1 second")
+def leave_unanswered(context):
+    router = context.router
+    for load in router.loads[:2]:
+        # The second engine gets as many requests, but just now.
+        for _ in range(3):
+            router.begin(load, router.make_request())
+        router.clock.seconds += 1.0 if load is router.loads[0] else 0.0
+
+
+@when("one of them has answered 3 requests 5 times later")
+def answer_three_late(context):
+    router = context.router
+    for _ in range(3):
+        router.exchange(router.loads[0], router.make_request(), slowness=5.0)
+
+
+@then("its estimate is at least 3 times that of another with the same requests")
+def check_slow(context):
+    router = context.router
+    request = router.make_request()
+    slow, usual = (router.get_seconds(load, request) for load in router.loads[:2])
+    assert slow >= 3.0 * usual, (slow, usual)
