--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -36,6 +36,8 @@
 from .configuration.peer_sources import ConfigurationFetched, FetchConfiguration
 from .configuration.record import RecordFormat
 from .configuration.service import ConfigurationService
+from .estimates.estimate_placement import EstimatePlacement
+from .estimates.placement_report import PlacementReport
 from .evacuation.administration import EvacuationAdministration
 from .evacuation.evacuated import EvacuatedDataCentres
 from .fleet.broadcast import Broadcaster
@@ -288,6 +290,8 @@
             stream_origins=self._stream_origins,
             fleet=self._fleet,
             metrics=metrics,
+            estimates=self._estimates,
+            placement_report=self._placement_report,
         )
         self._reports.add_dump("evacuations", self._evacuated.describe)
         self._reports.add_dump("cold_servers", self._cold_servers.describe)
@@ -656,6 +660,8 @@
         self._ingress: IngressService | None = None
         self._relay: RelayFeature | None = None
         self._places: PlaceKeeper | None = None
+        self._estimates: EstimatePlacement | None = None
+        self._placement_report: PlacementReport | None = None
         self._broadcaster = Broadcaster(fleet=self._fleet, metrics=self._metrics)
         if ports is None:
             return
@@ -724,6 +730,20 @@
         )
         self._fleet.list_blocked_parts = self._crash_guard.list_blocked_parts
         self._build_ingress()
+        if settings.placement == "estimate":
+            self._estimates = EstimatePlacement(
+                clock=self._clock,
+                metrics=self._metrics,
+                random_source=self._random,
+                find_cache_tokens=self._find_cache_tokens,
+                count_routers=lambda: 1 + len(self._fleet.view.live),
+                data_centre=settings.data_centre,
+            )
+            self._placement_report = PlacementReport(
+                configuration=self._configuration,
+                table=self._server_table,
+                estimates=self._estimates,
+            )
         time_limits = TimeLimits()
         self._forward_frontend = ForwardFrontend(
             service=build_forward_service(
@@ -749,6 +769,7 @@
                 metrics=self._metrics,
                 random_source=self._random,
                 data_centre=settings.data_centre,
+                estimates=self._estimates,
             ),
             dialect=ports.dialect,
             time_limits=time_limits,
@@ -994,6 +1015,11 @@
         """Whether this router has to read its first configuration itself."""
         return self._configuration.number == 0 and self.watches_store()
 
+    def _find_cache_tokens(self, service: str) -> int:
+        """Returns the cache size of a service's engines in tokens; 0 if unknown."""
+        entry = self._configuration.configuration.services.get(service)
+        return entry.engine.cache_tokens if entry is not None and entry.engine is not None else 0
+
     async def _log_store_calls_periodically(self) -> None:
         await log_store_calls_periodically(self._metrics)
 
--- a/packages/router/laburnumpier_router/forward/request_progress.py
+++ b/packages/router/laburnumpier_router/forward/request_progress.py
@@ -5,6 +5,7 @@
 from multidict import CIMultiDict
 
 from ..configuration.document import Route, RouteKind
+from ..estimates.observation import UNOBSERVED, SendObserver
 from ..places.held_places import HeldPlace
 from ..ports.server_registry import RegisteredServer
 from .crash_messages import MAX_PART_ID_LENGTH
@@ -53,6 +54,8 @@
         run: The request at the server to which it was last sent.
         lost_count: Number of servers that lost it before its answer had begun.
         place: Its place at the server to which it is sent; None before.
+        observer: Learns from what becomes of it at the server to which it was last sent.
+        choice_reason: Why the last server was chosen, in short; empty if the placement keeps none.
     """
 
     request: ForwardRequest
@@ -82,6 +85,8 @@
     run: WatchedRun | None = None
     lost_count: int = 0
     place: HeldPlace | None = None
+    observer: SendObserver = UNOBSERVED
+    choice_reason: str = ""
     _fingerprint: str = ""
 
     @property
--- a/packages/router/laburnumpier_router/sending/sender.py
+++ b/packages/router/laburnumpier_router/sending/sender.py
@@ -114,6 +114,8 @@
         progress.sent_to = server.entry
         progress.attempt_log.append(server.entry.server_id)
         prompt_tokens = progress.request.head.prompt_tokens
+        observer = progress.observer = self._selector.observe_send(progress, server)
+        progress.choice_reason = observer.reason
         server.record_start(prompt_tokens)
         exchange = None
         may_have_run_before = progress.may_have_run
@@ -138,10 +140,12 @@
             now = self._clock.monotonic_seconds()
             server.record_unreachable(now)
             server.record_connection_lost(now)
+            observer.record_failure()
             progress.may_have_run = may_have_run_before
             raise ServerAttemptError("unreached", Ran.NO) from error
         except ServerConnectionLostError as error:
             progress.send_count += exchange is None
+            observer.record_failure()
             server.record_failure()
             server.record_connection_lost(self._clock.monotonic_seconds())
             progress.splitter.discard_partial_event()
@@ -161,11 +165,13 @@
             raise ServerAttemptError("silent", Ran.UNKNOWN) from error
         except ServerAttemptError as failure:
             if failure.ran is Ran.NO:
+                observer.record_failure()
                 progress.may_have_run = may_have_run_before
             if failure.reason == OPEN_END:
                 server.record_connection_lost(self._clock.monotonic_seconds())
             raise
         finally:
+            observer.close()
             server.record_prompt_processed(prompt_tokens)
             server.record_finish()
 
@@ -269,6 +275,7 @@
         if head.running is not None:
             server.record_report(head.running, head.waiting, self._clock.monotonic_seconds())
         self._check_response(progress, server, exchange, head)
+        progress.observer.record_head(head)
         media_type = exchange.headers.get("Content-Type", "").partition(";")[0].strip()
         if exchange.status < 300 and media_type == EVENT_STREAM:
             await self._relay_stream(progress, exchange, sink)
@@ -282,6 +289,7 @@
         body = await exchange.read()
         headers = self._dialect.make_caller_headers(exchange.headers)
         if exchange.status >= 500:
+            progress.observer.record_failure()
             server.record_failure()
             reason = f"status_{exchange.status}"
             if progress.is_retryable:
@@ -294,6 +302,7 @@
                 raise ServerAttemptError(reason, Ran.YES)
             progress.attempt_log[-1] += f":{reason}"
         else:
+            progress.observer.record_progress()
             self._crash_guard.record_begun(progress.run)
             server.record_success()
         progress.response_status = exchange.status
@@ -348,6 +357,7 @@
         async with read_patiently(exchange.iterate_chunks()) as reader:
             while (events := await self._read_next_events(progress, reader, sink)) is not None:
                 is_same_end = False
+                progress.observer.record_progress()
                 self._crash_guard.record_piece(progress.run)
                 self._record_version(progress)
                 await self._start_stream(progress, exchange, sink)
