Have refused callers come again soon while their tokens can be reached

Cause: a request whose tokens did not come in 0.1 s was told to return after 2 s, which is longer than its target, although the lender answered this router and others had tokens. Change: 0.3 s while the store or the lender has answered within the last second, else 2 s.

--- a/packages/router/laburnumpier_router/budget/refusal.py
+++ b/packages/router/laburnumpier_router/budget/refusal.py
@@ -10,6 +10,13 @@
 from .state import AcquisitionResult, BudgetState
 
 RETRY_AFTER_SECONDS = 2.0
+"""Retry-After while neither the store nor a lender has answered lately, as in a cut or an outage
+of several seconds."""
+SOON_SECONDS = 0.3
+"""Retry-After while they do answer. A retry reaches another router, which may have tokens, and a
+loan for this one is under way."""
+RECENT_ANSWER_SECONDS = 1.0
+"""Age up to which an answer about the account shows that its tokens can be reached."""
 
 
 def choose_refusal_code(result: AcquisitionResult, amount: int) -> ResultCode:
@@ -52,7 +59,22 @@
     if code is ResultCode.BUDGET_EXHAUSTED:
         detail = f"the request may cost {amount} tokens and {result.unspent} are left"
         return RequestError(code, detail=detail, facts=facts)
-    return RequestError(code, retry_after_seconds=RETRY_AFTER_SECONDS, facts=facts)
+    return RequestError(code, retry_after_seconds=plan_return(state, now_seconds), facts=facts)
+
+
+def plan_return(state: BudgetState, now_seconds: float) -> float:
+    """Returns the seconds after which a refused request should come again.
+
+    Load: callers that crowd at one router, whose budget is reached from the others.
+
+    Args:
+        state: The budget of the request.
+        now_seconds: Current monotonic time.
+    """
+    is_answered = state.account is not None
+    if is_answered and now_seconds - state.account_seconds <= RECENT_ANSWER_SECONDS:
+        return SOON_SECONDS
+    return RETRY_AFTER_SECONDS
 
 
 def describe_refusal(
