Borrowers may hold a small request's tokens however drained a budget is

Change: at least grant_minimum_tokens each, together at most a tenth of what is drawable, so 97% of a budget stay usable.

--- a/features/budget/token_placement.feature
+++ b/features/budget/token_placement.feature
@@ -68,6 +68,12 @@
       | 100000   | 10000  |
       | 0        | 0      |
 
+  # Guards against routers that hold less than a small request needs when a cut of all begins, though
+  # the budget is far from drained.
+  Scenario: Each router holds the tokens of a small request while a fifth of a budget is drawable
+    Given a budget of 10000000 tokens of which 2000000 are drawable, and 88 routers
+    Then each router may hold 2000 tokens before its demand is measured
+
   Scenario: Kills and cuts of the crowded router and the lender overspend nothing
     Given a lending fleet of 24 routers with the platform's settings and a budget of 2000000 tokens
     And calls between routers take between 20 and 55 ms
--- a/features/steps/token_placement_steps.py
+++ b/features/steps/token_placement_steps.py
@@ -7,7 +7,12 @@
 from fleet_steps import build_fleet, read_account, run
 from laburnumpier_core.errors import RequestError
 from laburnumpier_core.result_codes import ResultCode
-from laburnumpier_router.budget.held_ahead import HELD_AHEAD_SHARE, Balance, HeldAhead
+from laburnumpier_router.budget.held_ahead import (
+    HELD_AHEAD_SHARE,
+    Balance,
+    HeldAhead,
+    compute_even_tokens,
+)
 from laburnumpier_router.budget.service import LENDER_DRAINING_SHARE
 from lending_steps import find_lender, list_live_routers, start_refills
 
@@ -23,6 +28,7 @@
     "budget.admission_wait_seconds": "0.1",
 }
 PREFETCH_SECONDS = 5.0
+MINIMUM_TOKENS = int(PLATFORM_BUDGET_SETTINGS["budget.grant_minimum_tokens"])
 PROMPT_TOKENS = (9190, 2368, 715)
 """Prompt lengths of the platform's services."""
 MAX_ANSWER_TOKENS = 200
@@ -274,10 +280,19 @@
 @given("a budget of {tokens:d} tokens of which {drawable:d} are drawable, and {routers:d} routers")
 def make_balance(context, tokens, drawable, routers):
     context.balance = Balance(
-        purchased=tokens, drawable=drawable, held_share=HELD_AHEAD_SHARE, routers=routers
+        purchased=tokens,
+        drawable=drawable,
+        held_share=HELD_AHEAD_SHARE,
+        routers=routers,
+        minimum_tokens=MINIMUM_TOKENS,
     )
 
 
+@then("each router may hold {tokens:d} tokens before its demand is measured")
+def check_even_part(context, tokens):
+    assert compute_even_tokens(context.balance) >= tokens, compute_even_tokens(context.balance)
+
+
 @when("one router has all of the demand")
 def lend_all_room(context):
     context.held_ahead = HeldAhead()
--- a/packages/router/laburnumpier_router/budget/held_ahead.py
+++ b/packages/router/laburnumpier_router/budget/held_ahead.py
@@ -15,6 +15,10 @@
 HELD_AHEAD_SHARE = 0.2
 """Maximum share of the drawable tokens that all borrowers together hold, while a third of the
 budget is drawable. The lender holds as much; both are what the lender alone held before."""
+MAX_EVEN_SHARE = 0.1
+"""Maximum share of the drawable tokens that even parts take when they are raised to the minimum.
+Without a minimum, routers with few callers hold less than one request needs when a cut begins. At
+the last tenth of a budget this is 1% of it, so that 97% stay usable after a kill of all."""
 RATE_TRUST_SECONDS = 3.0
 """Age after which a borrower's reported rate counts as 0. A busy borrower reports it with each
 loan, several times a second."""
@@ -29,12 +33,14 @@
         drawable: Tokens that can still be granted or lent; None if not known yet.
         held_share: Maximum share of the drawable tokens that borrowers hold together.
         routers: Number of routers, which share the evenly held part.
+        minimum_tokens: Tokens that each router should hold for a small request at least.
     """
 
     purchased: int
     drawable: int | None
     held_share: float
     routers: int
+    minimum_tokens: int = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -54,13 +60,30 @@
 
 def compute_ahead_tokens(balance: Balance) -> int:
     """Returns how many tokens all borrowers together may hold ahead of their requests."""
-    drawable = balance.purchased if balance.drawable is None else balance.drawable
-    return int(drawable * balance.held_share * compute_fullness(drawable, balance.purchased))
+    return max(_compute_shared_tokens(balance), balance.routers * _compute_minimum(balance))
 
 
 def compute_even_tokens(balance: Balance) -> int:
     """Returns how many tokens each router may hold before any demand is measured."""
-    return int(compute_ahead_tokens(balance) * EVENLY_HELD_SHARE / max(1, balance.routers))
+    even_tokens = _compute_shared_tokens(balance) * EVENLY_HELD_SHARE / max(1, balance.routers)
+    return max(int(even_tokens), _compute_minimum(balance))
+
+
+def _compute_shared_tokens(balance: Balance) -> int:
+    drawable = _get_drawable(balance)
+    return int(drawable * balance.held_share * compute_fullness(drawable, balance.purchased))
+
+
+def _compute_minimum(balance: Balance) -> int:
+    """Returns the minimum of each router, as far as the budget allows it."""
+    drawable = _get_drawable(balance)
+    allowed = drawable * compute_fullness(drawable, balance.purchased)
+    even_limit = MAX_EVEN_SHARE * drawable / max(1, balance.routers)
+    return int(min(balance.minimum_tokens, allowed, even_limit))
+
+
+def _get_drawable(balance: Balance) -> int:
+    return balance.purchased if balance.drawable is None else balance.drawable
 
 
 class HeldAhead:
--- a/packages/router/laburnumpier_router/budget/service.py
+++ b/packages/router/laburnumpier_router/budget/service.py
@@ -355,6 +355,7 @@
             drawable=drawable,
             held_share=min(self._settings.held_share / 2, HELD_AHEAD_SHARE),
             routers=1 + len(self._fleet.list_peers()),
+            minimum_tokens=self._settings.grant_minimum_tokens,
         )
 
     def _start_recall_if_short(
