--- a/review/common/engine.py
+++ b/review/common/engine.py
@@ -33,6 +33,8 @@
         arrivals: Attempts of which at least the head was read, also at earlier starts.
         runs: All runs, also those of earlier starts.
         born_ms: Unix milliseconds of the present start.
+        slots: Requests that run at the same time; others are turned away.
+        silent_until_seconds: Time of the event loop up to which no event is sent.
     """
 
     def __init__(self, *, server_id: str, service: str, version: str, event_seconds: float):
@@ -52,6 +54,9 @@
         self.runs: list[Run] = []
         self.run_counts: collections.Counter[str] = collections.Counter()
         self.born_ms = 0
+        self.slots = 128
+        self._running = 0
+        self.silent_until_seconds = 0.0
         self.host, self.port = "127.0.0.1", 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -93,7 +98,7 @@
             "Address": self.address,
             "Zone": "here",
             "Version": self.version,
-            "Slots": 128,
+            "Slots": self.slots,
             "State": "ready",
             "ColdRemainingMs": 0,
             "Sequence": sequence,
@@ -128,6 +133,10 @@
             text = f"HTTP/1.1 421 Misdirected\r\nX-Attempt-Id: {attempt}\r\nX-Not-Executed: 1\r\n"
             writer.write(text.encode() + b"Content-Length: 0\r\n\r\n")
             return
+        if self._running >= self.slots:
+            text = f"HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: {attempt}\r\n"
+            writer.write(text.encode() + b"X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+            return
         prompt, _, output = head.headers.get("x-token-usage", "0,0").partition(",")
         run = Run(
             attempt=attempt,
@@ -141,12 +150,20 @@
         text = (
             f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\n"
             f"X-Server-Signature: {self.server_id}.{self.version}.{len(self.runs)}\r\n"
-            f"X-Server-Load: {len(self._tasks)},0,128\r\n"
+            f"X-Server-Load: {self._running},0,{self.slots}\r\n"
             "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         )
         writer.write(text.encode())
         first = int(head.headers.get("last-event-id", "-1")) + 1
-        for number in range(first, int(output) // TOKENS_PER_EVENT):
+        self._running += 1
+        try:
+            await self._stream(run, writer, range(first, int(output) // TOKENS_PER_EVENT))
+        finally:
+            self._running -= 1
+
+    async def _stream(self, run: Run, writer: asyncio.StreamWriter, numbers: range) -> None:
+        for number in numbers:
+            await self._wait_for_end_of_silence()
             event = f"id: {number}\ndata: {self.version} {number}\n\n"
             writer.write(wire.format_chunk(event.encode()))
             run.events_sent += 1
@@ -154,3 +171,8 @@
             await asyncio.sleep(self.event_seconds)
         writer.write(wire.format_chunk(b""))
         await writer.drain()
+
+    async def _wait_for_end_of_silence(self) -> None:
+        loop = asyncio.get_running_loop()
+        while loop.time() < self.silent_until_seconds:
+            await asyncio.sleep(self.silent_until_seconds - loop.time())
