One unreadable registry entry no longer keeps routers without servers

Cause: msgspec raises RecursionError for values nested in a field that the type does not name. decode_server expected the decoder's own errors only, so the error ended the task that follows the registry, which failed at the same entry after each restart. Eleven other decoders of bytes that another process wrote had the same list of expected errors.

Change: laburnumpier_core/decoding.py is the one place that calls decoders, and turns every failure into UnreadableDataError; a stored record of a router that cannot be read is a StoredValueError, a store error. An entry that cannot be taken, whatever it raises, is logged and left out where the list is decoded and where the table takes it, so that the others hold.

--- a/features/platform/registry.feature
+++ b/features/platform/registry.feature
@@ -29,6 +29,34 @@
       | [1,2]                                                              |
       | {"Service":"s","Address":"10.0.0.1:1","State":"ready","Version":7} |
 
+  # Guards against a list of servers that no router can read because of one entry of another writer: after a
+  # kill of all routers no request was served until somebody removed the entry.
+  Scenario Outline: An entry that cannot be read keeps no other entry from being taken
+    Given the platform key-value service
+    And 2 servers are registered
+    And a registry follower
+    When a registry entry <entry> is written
+    And a server registers
+    Then the registry returns 3 servers
+    And within 0.5 seconds 3 servers are usable
+
+    Examples:
+      | entry                                             |
+      | with 2000 opened arrays in an unknown field       |
+      | with 3000 nested arrays in an unknown field       |
+      | with 3000 nested objects in an unknown field      |
+      | of 100000 opened arrays                           |
+      | whose decoder raises an error of another kind     |
+
+  # Guards against a list that ends at an entry which a listener of the table cannot take.
+  Scenario: An entry that the table cannot take keeps no other entry from being taken
+    Given the platform key-value service
+    And 2 servers are registered
+    And a registry follower
+    When the table raises an error for the next entry
+    And two servers register
+    Then within 0.5 seconds 3 servers are usable
+
   Scenario Outline: A registry follower updates the server table
     Given the platform key-value service
     And 3 servers are registered
@@ -126,6 +154,7 @@
     And a configuration service that follows the platform's store
     When the configuration <value> is written
     Then configuration 7 is in force
+    And configuration 9 is in force soon after it is written
 
     Examples:
       | value                     |
@@ -133,3 +162,4 @@
       | {"Version":"8"}           |
       | {"Version":8,"Routes":{}} |
       | {"Version":3,"Routes":[]} |
+      | of deeply nested arrays   |
--- a/features/steps/registry_steps.py
+++ b/features/steps/registry_steps.py
@@ -8,13 +8,19 @@
 import asyncio
 import json
 import random
+from unittest import mock
 
 from behave import given, then, when
 from contract_steps import run
 from laburnumpier_core.clock import SystemClock
 from laburnumpier_core.errors import StoreUnavailableError
 from laburnumpier_core.metrics import Metrics
-from laburnumpier_platform.records import CONFIGURATION_KEY, PlatformRecordFormat
+from laburnumpier_platform import store as platform_store
+from laburnumpier_platform.records import (
+    CONFIGURATION_KEY,
+    PlatformRecordFormat,
+    decode_server,
+)
 from laburnumpier_router.configuration.document import RouteKind
 from laburnumpier_router.configuration.record import decode_document
 from laburnumpier_router.configuration.service import ConfigurationService
@@ -86,6 +92,62 @@
     context.control.put("servers/stranger", entry.encode())
 
 
+def make_nested(opened, closed):
+    """Returns a sound entry with an unknown field of another writer."""
+    entry = b'{"Service":"s","Address":"10.0.0.7:80","State":"ready","Owner":'
+    return entry + opened + closed + b"}"
+
+
+NESTED_CONFIGURATION = b'{"Version":8,"Owner":' + b"[" * 3000 + b"]" * 3000 + b"}"
+ODD_ENTRIES = {
+    "with 2000 opened arrays in an unknown field": make_nested(b"[" * 2000, b""),
+    "with 3000 nested arrays in an unknown field": make_nested(b"[" * 3000, b"]" * 3000),
+    "with 3000 nested objects in an unknown field": make_nested(
+        b'{"a":' * 3000, b"1" + b"}" * 3000
+    ),
+    "of 100000 opened arrays": b"[" * 100_000,
+}
+
+
+@when("a registry entry {kind} is written")
+def write_odd_entry(context, kind):
+    if kind == "whose decoder raises an error of another kind":
+        make_decoder_fail(context)
+    context.control.put("servers/stranger", ODD_ENTRIES.get(kind, b"{}"))
+
+
+def make_decoder_fail(context):
+    def decode_or_fail(stored):
+        if stored.key == "servers/stranger":
+            raise ZeroDivisionError("scripted error")
+        return decode_server(stored)
+
+    patch = mock.patch.object(platform_store, "decode_server", decode_or_fail)
+    patch.start()
+
+    async def stop():
+        patch.stop()
+
+    context.cleanups.append((context.real, stop))
+
+
+@when("the table raises an error for the next entry")
+def fail_next_entry(context):
+    failures = [ZeroDivisionError("scripted error")]
+
+    def fail_once(entry):
+        if failures:
+            raise failures.pop()
+
+    context.servers.add_listener(fail_once)
+
+
+@when("two servers register")
+def register_two_servers(context):
+    put_server(context, 8)
+    put_server(context, 9)
+
+
 @then("the registry returns {count:d} servers")
 def check_registered_servers(context, count):
     snapshot = run(context, context.store.read_servers())
@@ -371,10 +433,19 @@
 
 @when("the configuration {value} is written")
 def write_configuration(context, value):
-    context.control.put(CONFIGURATION_KEY, value.encode())
+    is_nested = value == "of deeply nested arrays"
+    context.control.put(CONFIGURATION_KEY, NESTED_CONFIGURATION if is_nested else value.encode())
     run(context, asyncio.sleep(0.4))
 
 
 @then("configuration {number:d} is in force")
 def check_configuration_in_force(context, number):
     assert context.configuration_service.number == number
+
+
+@then("configuration {number:d} is in force soon after it is written")
+def check_next_configuration(context, number):
+    value = json.dumps({**EXAMPLE_CONFIGURATION, "Version": number}).encode()
+    context.control.put(CONFIGURATION_KEY, value)
+    run(context, asyncio.sleep(0.4))
+    check_configuration_in_force(context, number)
--- a/packages/core/laburnumpier_core/errors.py
+++ b/packages/core/laburnumpier_core/errors.py
@@ -43,6 +43,10 @@
         self.facts = dict(facts or {})
 
 
+class UnreadableDataError(LaburnumpierError):
+    """Bytes that another process wrote cannot be decoded."""
+
+
 class StoreError(LaburnumpierError):
     """Base class of failures of the platform's key-value store."""
 
@@ -55,6 +59,10 @@
     """The response to a write is missing or invalid; the write may have been applied."""
 
 
+class StoredValueError(StoreError):
+    """A value was read, but cannot be decoded."""
+
+
 class PeerError(LaburnumpierError):
     """Base class of failures of calls between routers."""
 
--- a/packages/measure/laburnumpier_measure/audit.py
+++ b/packages/measure/laburnumpier_measure/audit.py
@@ -8,7 +8,7 @@
 import dataclasses
 import statistics
 
-import msgspec
+from laburnumpier_core.decoding import decode_msgpack
 from laburnumpier_core.result_codes import Ran, ResultCode
 from laburnumpier_router.budget.shard_writer import choose_newest_shards
 from laburnumpier_router.budget.slot import Bill, Slot
@@ -115,7 +115,7 @@
         accounts.update(shard.accounts)
     for key, entry in entries.items():
         if key.startswith("slot/"):
-            slot = msgspec.msgpack.decode(entry.value, type=Slot)
+            slot = decode_msgpack(entry.value, Slot)
             if slot.bill is not None:
                 bills.append(slot.bill)
     return accounts, bills
--- a/packages/measure/laburnumpier_measure/slopes.py
+++ b/packages/measure/laburnumpier_measure/slopes.py
@@ -14,6 +14,7 @@
 import tracemalloc
 
 import msgspec
+from laburnumpier_core.decoding import decode_msgpack
 from laburnumpier_router.budget.account import Account, Grant, Shard
 from laburnumpier_router.budget.slot import Bill, Charge, Slot
 from laburnumpier_standins.memory_backends import MemoryServer
@@ -182,7 +183,7 @@
     print_slope("store", "bill", len(msgspec.msgpack.encode(slot)), "bytes")
     started = time.process_time()
     for _ in range(20):
-        msgspec.msgpack.decode(msgspec.msgpack.encode(shard), type=Shard)
+        decode_msgpack(msgspec.msgpack.encode(shard), Shard)
     seconds = (time.process_time() - started) / 20 / ACCOUNT_COUNT
     print_slope("home", "account_in_written_shard", seconds * 1e6, "cpu_us")
 
--- a/packages/operator/laburnumpier_operator/request_timeline.py
+++ b/packages/operator/laburnumpier_operator/request_timeline.py
@@ -9,7 +9,8 @@
 from collections.abc import Iterable, Iterator
 from typing import Any
 
-import msgspec
+from laburnumpier_core.decoding import decode_json
+from laburnumpier_core.errors import UnreadableDataError
 
 ROUTER_STATE_EVENTS = frozenset(
     {
@@ -105,7 +106,7 @@
 
 def _parse_line(source: str, text: str) -> LogLine | None:
     try:
-        content = msgspec.json.decode(text.encode(), type=dict[str, Any])
+        content = decode_json(text.encode(), dict[str, Any])
         return LogLine(
             source=source,
             time=float(content.pop("time")),
@@ -113,5 +114,5 @@
             event=str(content.pop("event")),
             fields=content,
         )
-    except (msgspec.MsgspecError, KeyError, TypeError, ValueError):
+    except (UnreadableDataError, KeyError, TypeError, ValueError):
         return None
--- a/packages/router/laburnumpier_router/backend/http_clients.py
+++ b/packages/router/laburnumpier_router/backend/http_clients.py
@@ -5,11 +5,13 @@
 
 import aiohttp
 import msgspec
+from laburnumpier_core.decoding import decode_json
 from laburnumpier_core.errors import (
     ServerConnectionLostError,
     ServerRefusedError,
     ServerResponseLimitError,
     ServerUnreachableError,
+    UnreadableDataError,
 )
 
 from ..ports.bounded_http import (
@@ -84,14 +86,20 @@
                     yield event
         except aiohttp.ClientConnectorError as error:
             raise ServerUnreachableError(str(error)) from error
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            OSError,
+            ValueError,
+            UnreadableDataError,
+        ) as error:
             raise make_lost_error(error) from error
 
     async def cancel(self, url: str, run_id: str) -> None:
         """Requests cancellation of a run; failures are ignored."""
         try:
             await self._post(url + "/cancel", {"request_id": run_id})
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+        except (aiohttp.ClientError, TimeoutError, OSError, UnreadableDataError):
             return
 
     async def count_tokens(self, url: str, body: dict[str, Any]) -> int | None:
@@ -100,7 +108,15 @@
         try:
             response = await self._post(url + "/tokenize", request)
             return int(response["count"])
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError, TypeError):
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            OSError,
+            ValueError,
+            KeyError,
+            TypeError,
+            UnreadableDataError,
+        ):
             return None
 
     async def probe(self, url: str) -> LoadReport | None:
@@ -111,8 +127,8 @@
                 if response.status != 200:
                     return None
                 body = await read_body(response, MAX_CONTROL_BODY_BYTES)
-                return msgspec.json.decode(body, type=LoadReport)
-        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
+                return decode_json(body, LoadReport)
+        except (aiohttp.ClientError, TimeoutError, OSError, UnreadableDataError):
             return None
 
     async def order(self, url: str, order: EngineOrder, timeout_seconds: float) -> None:
@@ -151,7 +167,7 @@
         timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_SECONDS)
         async with self._get_session().post(url, json=body, timeout=timeout) as response:
             response.raise_for_status()
-            return msgspec.json.decode(await read_body(response, MAX_CONTROL_BODY_BYTES))
+            return decode_json(await read_body(response, MAX_CONTROL_BODY_BYTES))
 
 
 async def _read_error_text(response: aiohttp.ClientResponse) -> str:
@@ -194,7 +210,7 @@
                 event_count += 1
                 if event_count > max_events:
                     raise ServerResponseLimitError("too_many_events", f"more than {max_events}")
-                yield EngineEvent(event_id=event_id, data=msgspec.json.decode(data), raw=data)
+                yield EngineEvent(event_id=event_id, data=decode_json(data), raw=data)
     raise ServerConnectionLostError("stream ended without an end event")
 
 
--- a/packages/router/laburnumpier_router/budget/shard_writer.py
+++ b/packages/router/laburnumpier_router/budget/shard_writer.py
@@ -19,11 +19,17 @@
 import msgspec
 from laburnumpier_core.background_tasks import BackgroundTasks
 from laburnumpier_core.clock import Clock
+from laburnumpier_core.decoding import decode_msgpack
 from laburnumpier_core.errors import StoreError, WriteOutcomeUnknownError
 from laburnumpier_core.log import get_part_logger
 from laburnumpier_core.metrics import Metrics
 
-from ..ports.key_value_service import FoundValues, KeyValueService, Write
+from ..ports.key_value_service import (
+    FoundValues,
+    KeyValueService,
+    Write,
+    decode_record,
+)
 from ..ports.store_era import UNKNOWN_ERA, StorePosition
 from .account import (
     Change,
@@ -75,7 +81,7 @@
         number, _, era_text = rest.partition("/era-")
         era = int(era_text or UNKNOWN_ERA)
         if number not in newest or era > newest[number][0]:
-            newest[number] = (era, _decode_shard(value))
+            newest[number] = (era, decode_msgpack(value, Shard))
     return [shard for _, shard in newest.values()]
 
 
@@ -94,10 +100,6 @@
             return True
 
 
-def _decode_shard(value: bytes) -> Shard:
-    return msgspec.msgpack.decode(value, type=Shard)
-
-
 def _finish_draw(result: GrantOpened, era: int, is_known: bool) -> ChangeResult:
     if result.amount and not is_known:
         return ChangeFailed(reason="no other router knows of the draw")
@@ -365,7 +367,7 @@
         if stored is None or outcome.found.era != era:
             self._shard = None
             return False
-        self._cache_shard(_decode_shard(stored.value), stored.position)
+        self._cache_shard(decode_record(stored, Shard), stored.position)
         self._cache_slots(outcome.found, slot_keys)
         return False
 
@@ -380,7 +382,7 @@
             if key == format_shard_key(self._number, found.era):
                 break
         if key in found:
-            self._cache_shard(_decode_shard(found[key].value), found[key].position)
+            self._cache_shard(decode_record(found[key], Shard), found[key].position)
         elif found.era == UNKNOWN_ERA:
             self._shard, self._position = Shard(), found.get_position(key)
         else:
@@ -404,7 +406,7 @@
         stored = outcome.found.get(key)
         if stored is None:
             raise StoreError("a new era of the store began while a shard was rebuilt")
-        self._cache_shard(_decode_shard(stored.value), stored.position)
+        self._cache_shard(decode_record(stored, Shard), stored.position)
 
     async def _read_earlier_copies(self, era: int) -> list[ShardCopy]:
         """Returns the records of earlier eras that the store still has."""
@@ -412,11 +414,11 @@
         stored = await self._store.list_prefix(prefix)
         first = await self._store.read([first_key])
         copies = [
-            ShardCopy(era=int(value.key.removeprefix(prefix)), shard=_decode_shard(value.value))
+            ShardCopy(era=int(value.key.removeprefix(prefix)), shard=decode_record(value, Shard))
             for value in stored
         ]
         copies.extend(
-            ShardCopy(era=UNKNOWN_ERA, shard=_decode_shard(value.value))
+            ShardCopy(era=UNKNOWN_ERA, shard=decode_record(value, Shard))
             for value in first.values()
         )
         return [copy for copy in copies if copy.era < era]
@@ -431,7 +433,7 @@
             if stored_slot is None:
                 self._slots.pop(key, None)
             else:
-                slot = msgspec.msgpack.decode(stored_slot.value, type=Slot)
+                slot = decode_record(stored_slot, Slot)
                 self._cache_slot(key, slot, stored_slot.position)
 
     def _cache_slot(self, key: str, slot: Slot, position: StorePosition) -> None:
--- a/packages/router/laburnumpier_router/callers/responses.py
+++ b/packages/router/laburnumpier_router/callers/responses.py
@@ -10,6 +10,7 @@
 import msgspec
 from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
+from laburnumpier_core.decoding import decode_json
 from laburnumpier_core.errors import RequestError
 from laburnumpier_core.result_codes import RESULT_CODE_TABLE
 
@@ -132,7 +133,7 @@
         The server-sent event; empty for a usage event that was not requested. An omitted event
         keeps its id, so that all ids stay those of the engine.
     """
-    chunk = msgspec.json.decode(event.data)
+    chunk = decode_json(event.data)
     if is_usage_only(chunk):
         if not with_usage:
             return b""
@@ -159,7 +160,7 @@
     usage = None
     first_chunk: dict[str, Any] = {}
     for event in events:
-        chunk = msgspec.json.decode(event.data)
+        chunk = decode_json(event.data)
         first_chunk = first_chunk or chunk
         usage = chunk.get("usage") or usage
         for choice in chunk.get("choices") or []:
--- a/packages/router/laburnumpier_router/configuration/record.py
+++ b/packages/router/laburnumpier_router/configuration/record.py
@@ -3,6 +3,7 @@
 from typing import Any, Protocol
 
 import msgspec
+from laburnumpier_core.decoding import decode_json
 
 from .document import Configuration, ConfigurationProblem, check_configuration
 
@@ -54,7 +55,7 @@
         """Decodes a stored record.
 
         Raises:
-            msgspec.MsgspecError: If the value is invalid.
+            UnreadableDataError: If the value is invalid.
         """
 
 
@@ -72,9 +73,9 @@
         """Decodes a stored record.
 
         Raises:
-            msgspec.MsgspecError: If the value is invalid.
+            UnreadableDataError: If the value is invalid.
         """
-        return msgspec.json.decode(value, type=ConfigurationRecord)
+        return decode_json(value, ConfigurationRecord)
 
 
 def merge_patch(target: Any, patch: Any) -> Any:
--- a/packages/router/laburnumpier_router/configuration/service.py
+++ b/packages/router/laburnumpier_router/configuration/service.py
@@ -18,9 +18,12 @@
 import msgspec
 from laburnumpier_core.background_tasks import BackgroundTasks
 from laburnumpier_core.clock import Clock
+from laburnumpier_core.decoding import decode_json
 from laburnumpier_core.errors import (
     LaburnumpierError,
+    StoredValueError,
     StoreError,
+    UnreadableDataError,
     WriteOutcomeUnknownError,
 )
 from laburnumpier_core.log import get_part_logger
@@ -294,7 +297,12 @@
         """
         key = f"{HISTORY_PREFIX}{number:012d}"
         stored = (await self._store.read([key])).get(key)
-        return msgspec.json.decode(stored.value) if stored else None
+        if stored is None:
+            return None
+        try:
+            return decode_json(stored.value)
+        except UnreadableDataError as error:
+            raise StoredValueError(f"{key}: {error}") from error
 
     async def refresh_from_store(self) -> None:
         """Reads the stored record and activates it if it is newer.
@@ -433,7 +441,7 @@
         """Decodes a stored record; returns None, and keeps the active one, if it is invalid."""
         try:
             return self._format.decode(stored.value)
-        except msgspec.MsgspecError as error:
+        except UnreadableDataError as error:
             fields = {"position": stored.position, "error": error}
             _log.error("cannot decode the stored configuration", fields=fields)
             return None
--- a/packages/router/laburnumpier_router/evacuation/operator_keys.py
+++ b/packages/router/laburnumpier_router/evacuation/operator_keys.py
@@ -6,7 +6,8 @@
 
 from collections.abc import Callable
 
-import msgspec
+from laburnumpier_core.decoding import decode_json
+from laburnumpier_core.errors import UnreadableDataError
 from laburnumpier_core.log import get_part_logger
 from laburnumpier_core.metrics import Metrics
 
@@ -125,11 +126,11 @@
 def _is_evacuation(stored: StoredValue, data_centre: str) -> bool:
     """Whether a key evacuates the data centre that it names; its value has to be an object."""
     try:
-        msgspec.json.decode(stored.value, type=dict)
+        decode_json(stored.value, dict)
         if 0 < len(data_centre) <= MAX_NAME_LENGTH:
             return True
         error: object = "the name is empty or too long"
-    except (msgspec.MsgspecError, ValueError, RecursionError) as invalid:
+    except UnreadableDataError as invalid:
         error = invalid
     fields = {"key": stored.key[: 2 * MAX_NAME_LENGTH], "error": error}
     _log.warning("ignoring an invalid evacuation", fields=fields)
--- a/packages/router/laburnumpier_router/fleet/peer_link.py
+++ b/packages/router/laburnumpier_router/fleet/peer_link.py
@@ -10,7 +10,8 @@
 from typing import Any, Union
 
 import msgspec
-from laburnumpier_core.errors import PeerError, PeerUnreachableError
+from laburnumpier_core.decoding import MessagePackDecoder, decode_msgpack
+from laburnumpier_core.errors import PeerError, PeerUnreachableError, UnreadableDataError
 from laburnumpier_core.log import get_part_logger
 from laburnumpier_core.metrics import Metrics
 
@@ -80,7 +81,7 @@
         self._metrics = metrics
         self._handlers: dict[type, MessageHandler] = {}
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(Union[(*message_types, Refused)])
+        self._decoder = MessagePackDecoder(data_type=Union[(*message_types, Refused)])
 
     def register_handler(self, message_type: type, handler: MessageHandler) -> None:
         """Registers the handler of a request type; it receives the sender and the message."""
@@ -116,7 +117,7 @@
         reply = await self._network.call(address, request, timeout_seconds)
         try:
             decoded = self._decoder.decode(reply)
-        except msgspec.MsgspecError as error:
+        except UnreadableDataError as error:
             raise PeerUnreachableError(f"{target}: the reply could not be decoded") from error
         if isinstance(decoded, Refused):
             raise PeerUnreachableError(f"{target}: {decoded.reason}")
@@ -140,14 +141,14 @@
 
     async def _process_request(self, request: bytes) -> bytes:
         try:
-            envelope = msgspec.msgpack.decode(request, type=Envelope)
+            envelope = decode_msgpack(request, Envelope)
             if not hmac.compare_digest(envelope.token.encode(), self._token.encode()):
                 self._metrics.count("peer.unauthorized")
                 return self._encoder.encode(Refused(reason="the fleet token is wrong"))
             if envelope.target not in ("", self._self_name):
                 return self._encoder.encode(Refused(reason="another process listens here"))
             message = self._decoder.decode(envelope.body)
-        except msgspec.MsgspecError:
+        except UnreadableDataError:
             self._metrics.count("peer.unreadable")
             return self._encoder.encode(Refused(reason="the message is unreadable"))
         handler = self._handlers.get(type(message))
--- a/packages/router/laburnumpier_router/fleet/registry.py
+++ b/packages/router/laburnumpier_router/fleet/registry.py
@@ -7,10 +7,16 @@
 from collections.abc import Callable
 
 import msgspec
-from laburnumpier_core.errors import StoreError, WriteOutcomeUnknownError
+from laburnumpier_core.errors import StoredValueError, StoreError, WriteOutcomeUnknownError
 from laburnumpier_core.log import get_part_logger
 
-from ..ports.key_value_service import FoundValues, KeyValueService, StoredValue, Write
+from ..ports.key_value_service import (
+    FoundValues,
+    KeyValueService,
+    StoredValue,
+    Write,
+    decode_record,
+)
 from .member import Departure, Member, MemberRecord
 
 MEMBER_PREFIX = "members/"
@@ -183,7 +189,7 @@
 def _decode(stored: StoredValue) -> MemberRecord | None:
     """Returns a stored record; None if it is unreadable, and the next write replaces it."""
     try:
-        return msgspec.msgpack.decode(stored.value, type=MemberRecord)
-    except msgspec.MsgspecError as error:
+        return decode_record(stored, MemberRecord)
+    except StoredValueError as error:
         _log.error("cannot decode a member record", fields={"key": stored.key, "error": error})
         return None
--- a/packages/router/laburnumpier_router/forward/origin_archive.py
+++ b/packages/router/laburnumpier_router/forward/origin_archive.py
@@ -22,7 +22,8 @@
 import msgspec
 from laburnumpier_core.background_tasks import BackgroundTasks
 from laburnumpier_core.clock import Clock
-from laburnumpier_core.errors import PeerError, StoreError
+from laburnumpier_core.decoding import decode_msgpack
+from laburnumpier_core.errors import PeerError, StoreError, UnreadableDataError
 from laburnumpier_core.hashing import rank_by_rendezvous
 from laburnumpier_core.log import get_part_logger
 from laburnumpier_core.metrics import Metrics
@@ -243,8 +244,8 @@
     def _decode(self, key: str, value: bytes) -> list[_Record]:
         """Returns the records of a stored value; an unreadable one holds none."""
         try:
-            archived = msgspec.msgpack.decode(value, type=ArchivedOrigins)
-        except msgspec.MsgspecError as error:
+            archived = decode_msgpack(value, ArchivedOrigins)
+        except UnreadableDataError as error:
             _log.error("cannot decode stream origins", fields={"key": key, "error": error})
             return []
         return _list_records(archived.groups, self._clock)
--- a/packages/router/laburnumpier_router/forward/registry_follower.py
+++ b/packages/router/laburnumpier_router/forward/registry_follower.py
@@ -143,8 +143,12 @@
         self._position = snapshot.position
 
     def _add(self, entry: RegisteredServer) -> None:
+        """Takes an entry over; one that cannot be taken does not keep the others from it."""
         self._cancel_timer(entry.server_id)
-        self._table.upsert(entry)
+        try:
+            self._table.upsert(entry)
+        except Exception:
+            _log.exception("server entry not taken", fields={"server": entry.server_id})
 
     def _cancel_timer(self, server_id: str) -> None:
         timer = self._missing_timers.pop(server_id, None)
--- a/packages/router/laburnumpier_router/forward/version_history.py
+++ b/packages/router/laburnumpier_router/forward/version_history.py
@@ -16,7 +16,8 @@
 
 import msgspec
 from laburnumpier_core.clock import Clock
-from laburnumpier_core.errors import StoreError
+from laburnumpier_core.decoding import decode_json
+from laburnumpier_core.errors import StoreError, UnreadableDataError
 from laburnumpier_core.log import get_part_logger
 
 from ..ports.key_value_service import KeyValueService, StoredValue, Write
@@ -227,8 +228,8 @@
     if stored is None:
         return []
     try:
-        record = msgspec.json.decode(stored.value, type=VersionRecord)
-    except msgspec.MsgspecError as error:
+        record = decode_json(stored.value, VersionRecord)
+    except UnreadableDataError as error:
         _log.error("cannot decode the version record", fields={"error": error})
         return []
     return [
--- a/packages/router/laburnumpier_router/operators/reports.py
+++ b/packages/router/laburnumpier_router/operators/reports.py
@@ -22,7 +22,7 @@
 from ..estimates.placement_report import PlacementReport, parse_prompt_parts
 from ..fleet.service import FleetService
 from ..forward.stream_origins import StreamOrigins
-from ..ports.key_value_service import KeyValueService
+from ..ports.key_value_service import KeyValueService, decode_record
 from ..request.call_service import CallService
 from ..request.chat_service import ChatService
 from ..request.request_directory import RequestDirectory
@@ -119,7 +119,7 @@
         """
         stored_values = await self._store.list_prefix(format_slot_prefix(workspace))
         stored_values.sort(key=lambda value: value.position)
-        slots = [msgspec.msgpack.decode(value.value, type=Slot) for value in stored_values]
+        slots = [decode_record(value, Slot) for value in stored_values]
         return [_describe_bill(slot.bill) for slot in slots if slot.bill is not None]
 
     async def release_in_doubt(self, workspace: str) -> int:
@@ -150,7 +150,7 @@
         """
         key = format_slot_key(workspace, request_id)
         stored = (await self._store.read([key])).get(key)
-        slot = msgspec.msgpack.decode(stored.value, type=Slot) if stored else None
+        slot = decode_record(stored, Slot) if stored else None
         tracked = self._chats.requests.get((workspace, request_id))
         report: dict[str, Any] = {"workspace": workspace, "request_id": request_id}
         report["bill"] = _describe_bill(slot.bill) if slot and slot.bill else None
--- a/packages/router/laburnumpier_router/orders/lease.py
+++ b/packages/router/laburnumpier_router/orders/lease.py
@@ -12,7 +12,7 @@
 from laburnumpier_core.clock import Clock
 from laburnumpier_core.errors import StoreError, WriteOutcomeUnknownError
 
-from ..ports.key_value_service import KeyValueService, Write
+from ..ports.key_value_service import KeyValueService, Write, decode_record
 
 LEASE_SECONDS = 10.0
 EXPIRY_MARGIN_SECONDS = 3.0
@@ -106,7 +106,7 @@
         stored = found.get(record_key)
         number = 1
         if stored is not None:
-            record = msgspec.msgpack.decode(stored.value, type=ControllerRecord)
+            record = decode_record(stored, ControllerRecord)
             number = record.fencing_number + 1
         lease_id = await self._store.grant_lease(LEASE_SECONDS)
         record = ControllerRecord(holder=self._self_name, fencing_number=number)
--- a/packages/router/laburnumpier_router/ports/etcd_service.py
+++ b/packages/router/laburnumpier_router/ports/etcd_service.py
@@ -12,7 +12,12 @@
 import aiohttp
 import msgspec
 from aiohttp.http import HttpProcessingError
-from laburnumpier_core.errors import StoreUnavailableError, WriteOutcomeUnknownError
+from laburnumpier_core.decoding import decode_json
+from laburnumpier_core.errors import (
+    StoreUnavailableError,
+    UnreadableDataError,
+    WriteOutcomeUnknownError,
+)
 from laburnumpier_core.metrics import Metrics
 
 from ..configuration.record import CONFIGURATION_KEY
@@ -225,7 +230,13 @@
                 return await self._read_watch(body)
         except TimeoutError:
             return None
-        except (aiohttp.ClientError, HttpProcessingError, OSError, ValueError) as error:
+        except (
+            aiohttp.ClientError,
+            HttpProcessingError,
+            OSError,
+            ValueError,
+            UnreadableDataError,
+        ) as error:
             self._operator_keys.forget_position()
             raise StoreUnavailableError(f"watch failed: {error!r}") from error
 
@@ -266,7 +277,7 @@
                 received_bytes += len(line)
                 if received_bytes > MAX_WATCH_BYTES:
                     raise ResponseLimitError("body_too_large", MAX_WATCH_BYTES)
-                events = msgspec.json.decode(line).get("result", {}).get("events", [])
+                events = decode_json(line, dict[str, Any]).get("result", {}).get("events", [])
                 if events and _is_evacuation_event(events[0]):
                     self._take_evacuations(events)
                     return None
@@ -300,12 +311,14 @@
                 ) as response,
             ):
                 if response.status == 200:
-                    return msgspec.json.decode(await read_body(response, MAX_RESPONSE_BYTES))
+                    return decode_json(
+                        await read_body(response, MAX_RESPONSE_BYTES), dict[str, Any]
+                    )
                 text = (await read_body(response, MAX_CONTROL_BODY_BYTES)).decode()[:200]
                 raise StoreUnavailableError(f"{path}: status {response.status}: {text}")
         except aiohttp.ClientConnectorError as error:
             raise StoreUnavailableError(f"{path}: not connected") from error
-        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as error:
+        except (aiohttp.ClientError, TimeoutError, OSError, UnreadableDataError) as error:
             if writes:
                 raise WriteOutcomeUnknownError(f"{path}: {error!r}") from error
             raise StoreUnavailableError(f"{path}: {error!r}") from error
--- a/packages/router/laburnumpier_router/ports/key_value_service.py
+++ b/packages/router/laburnumpier_router/ports/key_value_service.py
@@ -10,10 +10,15 @@
 """
 
 import dataclasses
-from typing import Protocol
+from typing import Protocol, TypeVar
+
+from laburnumpier_core.decoding import decode_msgpack
+from laburnumpier_core.errors import StoredValueError, UnreadableDataError
 
 from .store_era import StoreEra, StorePosition
 
+T = TypeVar("T")
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StoredValue:
@@ -24,6 +29,18 @@
     position: StorePosition
 
 
+def decode_record(stored: StoredValue, record_type: type[T]) -> T:
+    """Returns a record that a router stored as MessagePack.
+
+    Raises:
+        StoredValueError: If it cannot be decoded.
+    """
+    try:
+        return decode_msgpack(stored.value, record_type)
+    except UnreadableDataError as error:
+        raise StoredValueError(f"{stored.key}: {error}") from error
+
+
 class FoundValues(dict[str, StoredValue]):
     """Those values that exist among the keys of one read.
 
--- a/packages/router/laburnumpier_router/ports/vm_list.py
+++ b/packages/router/laburnumpier_router/ports/vm_list.py
@@ -9,7 +9,8 @@
 
 import aiohttp
 import msgspec
-from laburnumpier_core.errors import StoreUnavailableError
+from laburnumpier_core.decoding import decode_json
+from laburnumpier_core.errors import StoreUnavailableError, UnreadableDataError
 
 from .bounded_http import make_session, read_body
 
@@ -70,8 +71,8 @@
         try:
             async with self._session.get(self._url, timeout=timeout) as response:
                 body = await read_body(response, MAX_LIST_BYTES)
-            document = msgspec.json.decode(body, type=_ListDocument)
-        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as error:
+            document = decode_json(body, _ListDocument)
+        except (aiohttp.ClientError, TimeoutError, OSError, UnreadableDataError) as error:
             raise StoreUnavailableError(f"VM list cannot be read: {error!r}") from error
         vms = {listed.vm: listed.state for listed in document.vms}
         return VmListing(serial=document.serial, vms=vms)
