Registry entries with impossible values name no server

Reported by an operator of a similar system: one odd entry of another writer, and the machines that read the list ended or stopped following it. Callers would have seen: requests that ended with an unknown error where a host has an empty or too long label or an id has a line break, and 502 for calls that were never sent where a host is an impossible IP address. Between routers, a number beyond 64 bits cannot be encoded: relays and heartbeats that repeat it raised OverflowError at their sender.

Cause: decode_server checked types only.

Change: server_entries.py says for each field what a server can have, and leaves out the rest. A server whose address no resolver takes was not reached. PeerLink.call raises PeerMessageError, a peer error, for a message that cannot be encoded, and logs it. The soak has a mix in which another writer writes odd entries.

Tests, which failed before: registry.feature, 23 of 28 impossible values and the generated entries; forwarding.feature, 3 of 3; peer_contract.feature, 2 of 2.

--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 
 # SOAK holds the flags of the soak, for example SOAK="--seed=7 --runs=3 --seconds=30 --routers=4".
 # Without --seed, the first seed is drawn at random. --noframing, --noversions, --noendless, --noconfiguration, --noparts,
-# --norequests and --nolimits leave a mix out.
+# --norequests, --nolimits and --noentries leave a mix out.
 SOAK ?= --runs=8 --seconds=15
 soak: setup
 	$(PY) -m laburnumpier_platform_standin.soak $(SOAK)
--- a/features/fleet/peer_contract.feature
+++ b/features/fleet/peer_contract.feature
@@ -23,6 +23,19 @@
       | pynng   | while its handler fails   | is unreachable |
       | memory  | while its handler fails   | is unreachable |
 
+  # Guards against a value of another process that ends all heartbeats, since it cannot be encoded.
+  Scenario Outline: A message that cannot be encoded fails like any other call, and later calls are answered
+    Given two routers linked by memory
+    When a message with <value> is sent to the second
+    Then the call is unreachable
+    When the first calls the second as usual
+    Then the call is answered
+
+    Examples:
+      | value                   |
+      | an integer of 400 digits |
+      | a lone surrogate         |
+
   Scenario: Concurrent calls each get their own reply
     Given two routers linked by pynng
     Then 200 calls at once each get their own reply
--- a/features/forward/forwarding.feature
+++ b/features/forward/forwarding.feature
@@ -29,6 +29,13 @@
       | is another server | non-idempotent | 1        | 503    | 0    |
       | does not listen   | non-idempotent | 1        | 200    | 1    |
 
+    # Guards against entries of other writers: requests to such hosts ended with an unknown error, or as ones that may have run.
+    Examples: Servers that no connection can be opened to
+      | behaviour                             | kind           | attempts | status | runs |
+      | has an empty label in its host        | non-idempotent | 1        | 200    | 1    |
+      | has a label of 64 letters in its host | non-idempotent | 1        | 200    | 1    |
+      | has an impossible IP address          | non-idempotent | 1        | 200    | 1    |
+
     Examples: Servers that may have run it
       | behaviour                         | kind           | attempts | status | runs |
       | fails                             | idempotent     | 2        | 200    | 2    |
--- a/features/platform/registry.feature
+++ b/features/platform/registry.feature
@@ -48,6 +48,68 @@
       | of 100000 opened arrays                           |
       | whose decoder raises an error of another kind     |
 
+  # Guards against entries of other writers whose values can be read and that no server can have. A number beyond 64
+  # bits stopped heartbeats and relays of the registry; a request to such a host or id ended with an unknown error.
+  Scenario Outline: An entry with an impossible value names no server
+    Given the platform key-value service
+    And 2 servers are registered
+    When an entry with <field> <value> is written
+    Then the registry returns 2 servers
+
+    Examples:
+      | field           | value                  |
+      | Slots           | of 400 digits          |
+      | Slots           | 18446744073709551616   |
+      | Slots           | 1000001                |
+      | Slots           | -5                     |
+      | born            | of 400 digits          |
+      | born            | 9223372036854775808    |
+      | born            | -9223372036854775809   |
+      | born            | -1                     |
+      | ColdRemainingMs | 1e308                  |
+      | ColdRemainingMs | 1e400                  |
+      | ColdRemainingMs | 86400001               |
+      | Version         | of 201 letters         |
+      | Zone            | of 201 letters         |
+      | Service         | of 201 letters         |
+      | Address         | "10.0.0.7:99999"       |
+      | Address         | "10.0.0.7:0"           |
+      | Address         | "a..b:80"              |
+      | Address         | "999.1.1.1:80"         |
+      | Address         | "1.2.3:80"             |
+      | Address         | "[::g]:80"             |
+      | Address         | ".:80"                 |
+      | Address         | "-a:80"                |
+      | Address         | of a label of 64 letters |
+      | Address         | of a host of 254 letters |
+      | Address         | of a port of 5000 digits |
+      | key             | of a line break        |
+      | key             | of a letter beyond ASCII |
+      | key             | of no letters          |
+
+  Scenario Outline: An entry at the end of what a server can have is taken
+    Given the platform key-value service
+    And 2 servers are registered
+    When an entry with <field> <value> is written
+    Then the registry returns 3 servers
+
+    Examples:
+      | field           | value             |
+      | Slots           | 0                 |
+      | Slots           | 1000000           |
+      | born            | 0                 |
+      | born            | 253402300799999   |
+      | ColdRemainingMs | -3.5              |
+      | ColdRemainingMs | 86400000          |
+      | Version         | of 200 letters    |
+      | Address         | "10.0.0.7:65535"  |
+      | Address         | "[::1]:80"        |
+      | Address         | "server-7.example:80" |
+
+  # Guards against an entry that is taken and ends a task or a request later on, at this router or at another one.
+  Scenario: Every entry that is taken can be relayed to routers and used by requests
+    Then 300 arbitrary entries are left out, or are relayed as they are and make request headers
+
   # Guards against a list that ends at an entry which a listener of the table cannot take.
   Scenario: An entry that the table cannot take keeps no other entry from being taken
     Given the platform key-value service
--- a/features/platform/soak.feature
+++ b/features/platform/soak.feature
@@ -8,7 +8,8 @@
   # Guards against answers that look complete though their server broke them off, in the seeds with framings, and
   # against routers on which an older configuration is in force, in the seed with configurations, and against
   # servers that crash one after the other on the same part of prompts, in the seed with parts, or on the same
-  # call, and servers that get more than the limits that they name, in the seed with requests and limits.
+  # call, and servers that get more than the limits that they name, in the seed with requests and limits, and against
+  # routers that end or learn of no server because of an entry of another writer, in the seed with entries.
   Scenario Outline: A soak with a fixed seed
     When a soak of <routers> routers with seed <seed> and <mixes> runs for <seconds> seconds
     Then callers were served and no guarantee was violated
@@ -22,6 +23,7 @@
       | 5       | 8200 | 20      | configuration    |
       | 5       | 8400 | 15      | parts            |
       | 4       | 3400 | 15      | requests, limits |
+      | 4       | 4800 | 15      | entries          |
 
   # Guards against routers that do not start because an outgoing connection has taken their port.
   Scenario: Routers listen on ports that no outgoing connection can take
--- a/features/steps/contract_steps.py
+++ b/features/steps/contract_steps.py
@@ -10,6 +10,7 @@
 from aiohttp.test_utils import TestServer
 from behave import given, then, when
 from laburnumpier_core.errors import (
+    PeerError,
     PeerUnreachableError,
     ServerError,
     StoreUnavailableError,
@@ -654,6 +655,19 @@
         context.reply = None
 
 
+UNENCODABLE_VALUES = {"an integer of 400 digits": 10**400 - 1, "a lone surrogate": "\ud800"}
+
+
+@when("a message with {value} is sent to the second")
+def call_with_value(context, value):
+    message = ConfigurationFetched(record=UNENCODABLE_VALUES[value])
+    context.reply = None
+    try:
+        context.reply = run(context, context.first.call(context.address, "b@2", message, 1.0))
+    except PeerError:
+        return
+
+
 @then("the call is answered")
 def check_answered(context):
     assert context.reply.record.number == 7
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -142,6 +142,13 @@
         self._records.append(record)
 
 
+IMPOSSIBLE_ADDRESSES = {
+    "has an empty label in its host": "a..b:80",
+    "has a label of 64 letters in its host": "a" * 64 + ".example:80",
+    "has an impossible IP address": "999.1.1.1:80",
+}
+
+
 def set_route(context, kind, max_attempts=1, limit_seconds=4.0):
     route_kind, resumable = KINDS[kind]
     route = Route(
@@ -229,11 +236,12 @@
     async def start():
         for number, server in enumerate(context.servers):
             await server.start()
+            address = IMPOSSIBLE_ADDRESSES.get(server.behaviour, server.address)
             # The second server is in another data centre, so that the first one is preferred.
             entry = RegisteredServer(
                 server_id=f"i-{number}",
                 service="s",
-                address=server.address,
+                address=address,
                 data_centre="far" if number else "near",
             )
             table.upsert(entry)
--- a/features/steps/registry_steps.py
+++ b/features/steps/registry_steps.py
@@ -8,25 +8,29 @@
 import asyncio
 import json
 import random
+import re
 from unittest import mock
 
+import msgspec
 from behave import given, then, when
 from contract_steps import run
+from fuzz_steps import check_property
+from hypothesis import strategies
 from laburnumpier_core.clock import SystemClock
+from laburnumpier_core.decoding import decode_msgpack
 from laburnumpier_core.errors import StoreUnavailableError
 from laburnumpier_core.metrics import Metrics
 from laburnumpier_platform import store as platform_store
-from laburnumpier_platform.records import (
-    CONFIGURATION_KEY,
-    PlatformRecordFormat,
-    decode_server,
-)
+from laburnumpier_platform.records import CONFIGURATION_KEY, PlatformRecordFormat
+from laburnumpier_platform.server_entries import decode_server
 from laburnumpier_router.configuration.document import RouteKind
 from laburnumpier_router.configuration.record import decode_document
 from laburnumpier_router.configuration.service import ConfigurationService
 from laburnumpier_router.forward.registry_follower import RegistryFollower
+from laburnumpier_router.forward.registry_relay import RegistryRelayed
 from laburnumpier_router.forward.routes import RouteTable
 from laburnumpier_router.forward.servers import ServerTable
+from laburnumpier_router.ports.key_value_service import StoredValue
 from laburnumpier_router.ports.server_registry import (
     RegisteredServer,
     RegistryChanges,
@@ -131,6 +135,78 @@
     context.cleanups.append((context.real, stop))
 
 
+SAMPLE_ENTRY = {"Service": "s", "Address": "10.0.0.7:80", "State": "ready", "Zone": "z"}
+WORDED_VALUES = {
+    "of 400 digits": "9" * 400,
+    "of 200 letters": json.dumps("v" * 200),
+    "of 201 letters": json.dumps("v" * 201),
+    "of a label of 64 letters": json.dumps("a" * 64 + ".example:80"),
+    "of a host of 254 letters": json.dumps("a." * 126 + "ab:80"),
+    "of a port of 5000 digits": json.dumps("10.0.0.7:" + "8" * 5000),
+    "of a line break": "i-7\r\nX-Tenant: other",
+    "of a letter beyond ASCII": "i-\u00e9",
+    "of no letters": "",
+}
+
+
+@when("an entry with {field} {value} is written")
+def write_entry_with_value(context, field, value):
+    value = WORDED_VALUES.get(value, value)
+    server_id = value if field == "key" else "stranger"
+    members = {name: json.dumps(member) for name, member in SAMPLE_ENTRY.items()}
+    if field != "key":
+        members[field] = value
+    text = ",".join(f'"{name}":{member}' for name, member in members.items())
+    context.control.put(f"servers/{server_id}", f"{{{text}}}".encode())
+
+
+ODD_NUMBERS = strategies.one_of(
+    strategies.integers(),
+    strategies.integers(min_value=-(10**400), max_value=10**400),
+    strategies.floats(),
+)
+ODD_TEXTS = strategies.one_of(
+    strategies.text(max_size=300),
+    strategies.sampled_from(("10.0.0.7:80", "a.b:1", "ready", "draining")),
+)
+ODD_VALUES = strategies.one_of(ODD_NUMBERS, ODD_TEXTS, strategies.none())
+ARBITRARY_ENTRIES = strategies.fixed_dictionaries(
+    {name: strategies.just(value) | ODD_TEXTS for name, value in SAMPLE_ENTRY.items()},
+    optional=dict.fromkeys(("Slots", "Version", "ColdRemainingMs", "born"), ODD_VALUES),
+)
+
+
+def check_entry(server_id, entry):
+    """Checks that an entry is left out, or is one that the whole router can use."""
+    stored = StoredValue(
+        key=f"servers/{server_id}",
+        value=json.dumps(entry).encode(),
+        position=StorePosition(era=1, revision=1),
+    )
+    server = decode_server(stored)
+    if server is None:
+        return
+    message = RegistryRelayed(after=stored.position, position=stored.position, written=[server])
+    relayed = decode_msgpack(msgspec.msgpack.encode(message), RegistryRelayed)
+    assert relayed.written == [server], server
+    assert re.fullmatch("[!-~]+", server.server_id), server
+    host, _, port = server.address.rpartition(":")
+    assert 0 < int(port) < 65536
+    assert host.strip("[]").encode("idna")
+    ServerTable().upsert(server)
+
+
+@then(
+    "{count:d} arbitrary entries are left out, or are relayed as they are and make request headers"
+)
+def check_arbitrary_entries(context, count):
+    def check(pair):
+        check_entry(*pair)
+
+    server_ids = strategies.one_of(strategies.just("i-7"), strategies.text(max_size=20))
+    check_property(count, strategies.tuples(server_ids, ARBITRARY_ENTRIES), check)
+
+
 @when("the table raises an error for the next entry")
 def fail_next_entry(context):
     failures = [ZeroDivisionError("scripted error")]
--- a/packages/core/laburnumpier_core/errors.py
+++ b/packages/core/laburnumpier_core/errors.py
@@ -71,6 +71,10 @@
     """The peer did not reply before the timeout; it may have processed the message."""
 
 
+class PeerMessageError(PeerError):
+    """The message cannot be encoded, and was not sent."""
+
+
 class SettingsError(LaburnumpierError):
     """The settings file is invalid; lists every problem found."""
 
--- a/packages/router/laburnumpier_router/fleet/peer_link.py
+++ b/packages/router/laburnumpier_router/fleet/peer_link.py
@@ -11,7 +11,12 @@
 
 import msgspec
 from laburnumpier_core.decoding import MessagePackDecoder, decode_msgpack
-from laburnumpier_core.errors import PeerError, PeerUnreachableError, UnreadableDataError
+from laburnumpier_core.errors import (
+    PeerError,
+    PeerMessageError,
+    PeerUnreachableError,
+    UnreadableDataError,
+)
 from laburnumpier_core.log import get_part_logger
 from laburnumpier_core.metrics import Metrics
 
@@ -110,9 +115,16 @@
         Raises:
             PeerUnreachableError: If there is no reply in time, the reply cannot be decoded, or the
                 peer refuses the message, as when another process listens at the address.
+            PeerMessageError: If the message cannot be encoded; nothing was sent.
         """
         self._metrics.count("peer.messages_sent")
-        request = self._encode_envelope(message, target)
+        try:
+            request = self._encode_envelope(message, target)
+        except (ValueError, OverflowError, TypeError) as error:
+            self._metrics.count("peer.unencodable")
+            name = type(message).__name__
+            _log.exception("message cannot be encoded", fields={"message": name})
+            raise PeerMessageError(f"{name}: {error}") from error
         self._metrics.count("peer.bytes_sent", len(request))
         reply = await self._network.call(address, request, timeout_seconds)
         try:
--- a/packages/router/laburnumpier_router/forward/http_client.py
+++ b/packages/router/laburnumpier_router/forward/http_client.py
@@ -118,7 +118,13 @@
                     total=None, sock_connect=call.connect_timeout_seconds
                 ),
             )
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+            # The address names no host, so that nothing was connected.
+            aiohttp.InvalidURL,
+            UnicodeError,
+        ) as error:
             raise ServerUnreachableError(repr(error)) from error
         except (aiohttp.ClientError, OSError) as error:
             raise make_lost_error(error) from error
