The refusal of an earlier request no longer decides about this one

Reported by an operator of a similar system. Callers saw 503, 'not run, try again', for requests that a server had run: two faulty servers that write an earlier refusal before the true answer, 40 of 40 requests of a non-idempotent route, each of which had run at both servers.

Cause: the check of a response asked whether it states that the request did not run before it asked whether it is a response to this request, and took over its load report as well.

Change: the identity of a response is checked first. A stray one leaves the outcome unknown: 502 where a request must not run twice, another try elsewhere, and nothing noted of the server but a failure. Refusals without an id are believed as before, since the platform's examples of them have none, and each request has a connection of its own.

Tests, which failed before: forwarding.feature, five of six examples of servers that repeat an earlier refusal, and that it says nothing of the server. Relays, tokens and places: a late reply is no reply to a later call, shown by a test that passed at once (peer_contract.feature).

--- a/features/fleet/peer_contract.feature
+++ b/features/fleet/peer_contract.feature
@@ -36,6 +36,17 @@
       | an integer of 400 digits |
       | a lone surrogate         |
 
+  # Shows that the refusal of an earlier message, for a place, for tokens or to relay, is never taken for that of a later one.
+  Scenario Outline: A reply to a call that was given up is no reply to a later call
+    Given two routers linked by <network>
+    When a call is given up before its reply, and further calls follow at once
+    Then each further call gets its own reply
+
+    Examples:
+      | network |
+      | pynng   |
+      | memory  |
+
   Scenario: Concurrent calls each get their own reply
     Given two routers linked by pynng
     Then 200 calls at once each get their own reply
--- a/features/forward/forwarding.feature
+++ b/features/forward/forwarding.feature
@@ -29,6 +29,22 @@
       | is another server | non-idempotent | 1        | 503    | 0    |
       | does not listen   | non-idempotent | 1        | 200    | 1    |
 
+    Examples: Servers that refuse this very request
+      | behaviour                          | kind           | attempts | status | runs |
+      | refuses the named request as full  | non-idempotent | 2        | 200    | 1    |
+      | refuses the named request as full  | non-idempotent | 1        | 503    | 0    |
+
+    # Guards against a refusal of an earlier request that is taken for that of this one: the request ran at a second
+    # server as well, or its caller was told that it had not run.
+    Examples: Servers that have run it and repeat an earlier refusal
+      | behaviour                                           | kind           | attempts | status | runs |
+      | runs it and repeats an earlier refusal              | non-idempotent | 2        | 502    | 1    |
+      | runs it and repeats an earlier refusal              | non-idempotent | 1        | 502    | 1    |
+      | runs it and repeats an earlier refusal              | idempotent     | 2        | 200    | 2    |
+      | runs it and repeats an earlier refusal as busy      | non-idempotent | 2        | 502    | 1    |
+      | runs it and repeats an earlier refusal of an address | non-idempotent | 2        | 502    | 1    |
+      | runs it and repeats an earlier refusal of an address | non-idempotent | 1        | 502    | 1    |
+
     # Guards against entries of other writers: requests to such hosts ended with an unknown error, or as ones that may have run.
     Examples: Servers that no connection can be opened to
       | behaviour                             | kind           | attempts | status | runs |
@@ -57,6 +73,20 @@
       | is silent                         | idempotent     | 2        | 200    | 2    |
       | is silent                         | non-idempotent | 2        | 504    | 1    |
 
+  # A refusal without an id is believed, as servers that shed send none. It can be no earlier one, because each request
+  # has a connection of its own.
+  Scenario: Each request to a server has a connection of its own
+    Given 2 servers of which the first answers
+    When a caller sends 3 idempotent requests on one connection
+    Then the first server was connected to 3 times
+
+  # Guards against what an answer to another request says of its server: a limit, a load and a time to hold off.
+  Scenario: A refusal of an earlier request says nothing of the server
+    Given 2 servers of which the first runs it and repeats an earlier refusal
+    When a caller sends a non-idempotent request with at most 1 attempts
+    Then the response status is 502
+    And nothing is noted of the first server but a failure
+
   Scenario Outline: Interrupted streams resume at another server after the last complete event
     Given 2 servers of which the first <behaviour>
     When a caller sends a <kind> request with at most <attempts> attempts
--- a/features/relay/answers.feature
+++ b/features/relay/answers.feature
@@ -17,6 +17,8 @@
       | breaks off in a chunk                       |
       | fails                                       |
       | refuses as full                             |
+      | refuses the named request as full           |
+      | runs it and repeats an earlier refusal      |
       | streams slowly                              |
       | streams without a length                    |
       | breaks off after 2 events and a half        |
--- a/features/steps/contract_steps.py
+++ b/features/steps/contract_steps.py
@@ -585,6 +585,11 @@
     assert len(context.orders.bookings) == runs
 
 
+SLOW_NUMBER = 1000
+"""Number of the sender whose calls are answered late."""
+SLOW_REPLY_SECONDS = 0.2
+
+
 def make_link(network, name, token="fleet"):
     return PeerLink(
         network=network,
@@ -611,6 +616,8 @@
         if context.failing:
             raise ValueError("handler failure")
         number = int(sender.split("@")[1])
+        if number == SLOW_NUMBER:
+            await asyncio.sleep(SLOW_REPLY_SECONDS)
         return ConfigurationFetched(record=ConfigurationRecord(number=number))
 
     async def start():
@@ -678,6 +685,36 @@
     assert context.reply is None
 
 
+@when("a call is given up before its reply, and further calls follow at once")
+def give_up_call(context):
+    async def call(number, timeout_seconds):
+        link = make_link(context.first_network, f"a@{number}")
+        reply = await link.call(context.address, "b@2", FetchConfiguration(), timeout_seconds)
+        return reply.record.number
+
+    async def play():
+        try:
+            await call(SLOW_NUMBER, SLOW_REPLY_SECONDS / 2)
+        except PeerUnreachableError:
+            context.was_given_up = True
+        # Calls go on until the late reply has arrived.
+        end_seconds = asyncio.get_running_loop().time() + 2 * SLOW_REPLY_SECONDS
+        context.replies = []
+        while asyncio.get_running_loop().time() < end_seconds:
+            number = len(context.replies)
+            context.replies.append((number, await call(number, 20.0)))
+
+    context.was_given_up = False
+    run(context, play())
+
+
+@then("each further call gets its own reply")
+def check_own_replies(context):
+    assert context.was_given_up
+    assert len(context.replies) > 5
+    assert all(sent == received for sent, received in context.replies), context.replies
+
+
 @then("{count:d} calls at once each get their own reply")
 def check_many(context, count):
     async def call(number):
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -184,7 +184,7 @@
     metrics = Metrics()
     time_limits = TimeLimits()
     context.retry_budget = RetryBudget(ratio=0.2, extra=20, window_seconds=10)
-    limits = ServerRateLimits(clock=clock, metrics=metrics)
+    context.rate_limits = limits = ServerRateLimits(clock=clock, metrics=metrics)
     notices = ServerNotices(clock=clock, metrics=metrics)
     table.add_exclusion(notices.is_excluded)
     context.frontend = ForwardFrontend(
@@ -323,6 +323,30 @@
         logger.removeHandler(handler)
 
 
+@when("a caller sends {count:d} idempotent requests on one connection")
+def send_several(context, count):
+    async def send_in_turn():
+        for _ in range(count):
+            await send(context, make_headers())
+            assert context.status == 200, context.status
+
+    run(context, send_in_turn())
+
+
+@then("the first server was connected to {count:d} times")
+def check_connection_count(context, count):
+    assert context.servers[0].connection_count == count, context.servers[0].connection_count
+
+
+@then("nothing is noted of the first server but a failure")
+def check_nothing_noted(context):
+    server = context.server_table.servers["i-0"]
+    assert context.server_table.is_usable(server.entry)
+    assert context.rate_limits.find_latest("i-0") is None
+    assert server.reported_seconds == float("-inf"), server
+    assert server.failure_share > 0
+
+
 @when("a caller with the last event id {event_id:d} sends a resumable stream request")
 def send_resumed(context, event_id):
     set_route(context, "resumable stream", 2)
--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -19,6 +19,10 @@
 LARGE_BODY_BYTES = 4 * 1024 * 1024
 ENDLESS_PAUSE_SECONDS = 0.001
 SEND_BUFFER_BYTES = 65536
+REFUSAL = (
+    b"HTTP/1.1 %b X\r\nX-Not-Executed: 1\r\nX-Attempt-Id: %b\r\nServer-Limit: 0.01\r\n"
+    b"X-Server-Load: 9,9,1\r\nRetry-After: 5\r\nContent-Length: 0\r\n\r\n"
+)
 STREAM_HEAD = RESPONSE_HEAD + b"Content-Type: text/event-stream\r\n"
 
 
@@ -28,6 +32,7 @@
     Attributes:
         behaviour: Name of the behaviour.
         version: Software version that its events tell; empty for events that tell none.
+        connection_count: Number of connections that were opened to it.
         runs: Number of requests that it executed, not counting refused ones.
         requests: Head and body of each request, as received.
         client_closed: Set when a client closed its connection while it waited for the answer.
@@ -41,6 +46,7 @@
         self.behaviour = behaviour
         self.version = version
         self.runs = 0
+        self.connection_count = 0
         self.requests: list[tuple[bytes, bytes]] = []
         self.client_closed = asyncio.Event()
         self._told_to_break_off = asyncio.Event()
@@ -68,6 +74,7 @@
         self._told_to_break_off.set()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connection_count += 1
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             head = await reader.readuntil(b"\r\n\r\n")
             lines = head.split(b"\r\n")
@@ -94,6 +101,10 @@
                 refusal = b"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
                 await self._send(writer, refusal)
                 return
+            case "refuses the named request as full":
+                refusal = REFUSAL % (b"503", attempt_id)
+                await self._send(writer, refusal)
+                return
             case "is another server":
                 await self._send(writer, b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")
                 return
@@ -131,6 +142,12 @@
                 await self._send(
                     writer, RESPONSE_HEAD % b"other" + b"Content-Length: 5\r\n\r\nother"
                 )
+            case "runs it and repeats an earlier refusal":
+                await self._send(writer, REFUSAL % (b"503", b"other") + response)
+            case "runs it and repeats an earlier refusal as busy":
+                await self._send(writer, REFUSAL % (b"429", b"other") + response)
+            case "runs it and repeats an earlier refusal of an address":
+                await self._send(writer, REFUSAL % (b"421", b"other") + response)
             case "answers without naming a request":
                 await self._send(writer, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
             case "sends no HTTP":
--- a/packages/router/laburnumpier_router/sending/sender.py
+++ b/packages/router/laburnumpier_router/sending/sender.py
@@ -272,9 +272,9 @@
         """
         progress.server_end = exchange.end_marker.value
         head = self._dialect.read_response(exchange.status, exchange.headers)
-        if head.running is not None:
-            server.record_report(head.running, head.waiting, self._clock.monotonic_seconds())
-        self._check_response(progress, server, exchange, head)
+        self._check_identity(progress, server, exchange.status, head)
+        self._record_notices(progress, server, head)
+        self._check_executed(server, exchange.status, head)
         progress.observer.record_head(head)
         media_type = exchange.headers.get("Content-Type", "").partition(";")[0].strip()
         if exchange.status < 300 and media_type == EVENT_STREAM:
@@ -310,37 +310,51 @@
             exchange.status, headers, body, has_explicit_end=exchange.end_marker.is_explicit
         )
 
-    def _check_response(
-        self,
-        progress: RequestProgress,
-        server: ServerLoad,
-        exchange: ServerExchange,
-        head: ResponseHead,
+    def _check_identity(
+        self, progress: RequestProgress, server: ServerLoad, status: int, head: ResponseHead
     ) -> None:
-        """Checks that the request ran and that the response belongs to it.
+        """Checks that a response belongs to the request.
+
+        A response to another request says nothing about this one, nor about the server now, also
+        if it states that it did not run.
 
         Raises:
-            ServerAttemptError: If it did not run, or the response is to another request.
+            ServerAttemptError: If it is a response to another request.
         """
         # An error may come from something before the server, which does not know the request.
-        may_be_unnamed = exchange.status >= 300 or not progress.request.head.attempt_id
-        is_unnamed = not head.attempt_id and may_be_unnamed
-        is_stray = not is_unnamed and head.attempt_id != progress.request.head.attempt_id
-        if not is_stray:
-            self._rate_limits.record_answer(progress.sent_to, head)
-            self._notices.record_answer(progress.sent_to, head)
-            self._limiter.record_answer(progress.sent_to, head)
-            self._places.record_answer(progress.place, progress.sent_to, head)
-        if head.not_executed:
-            if exchange.status != 421:
-                server.record_report(server.entry.slots, 1, self._clock.monotonic_seconds())
-            else:
-                server.record_unreachable(self._clock.monotonic_seconds())
-            raise ServerAttemptError(f"refused_{exchange.status}", Ran.NO)
-        if is_stray:
+        may_be_unnamed = status >= 300 or not progress.request.head.attempt_id
+        if not head.attempt_id and may_be_unnamed:
+            return
+        if head.attempt_id != progress.request.head.attempt_id:
             server.record_failure()
             raise ServerAttemptError("stray_answer", Ran.UNKNOWN)
 
+    def _record_notices(
+        self, progress: RequestProgress, server: ServerLoad, head: ResponseHead
+    ) -> None:
+        """Records what the head of a response to the request says of its server."""
+        if head.running is not None:
+            server.record_report(head.running, head.waiting, self._clock.monotonic_seconds())
+        self._rate_limits.record_answer(progress.sent_to, head)
+        self._notices.record_answer(progress.sent_to, head)
+        self._limiter.record_answer(progress.sent_to, head)
+        self._places.record_answer(progress.place, progress.sent_to, head)
+
+    def _check_executed(self, server: ServerLoad, status: int, head: ResponseHead) -> None:
+        """Checks that the server did not refuse the request.
+
+        Raises:
+            ServerAttemptError: If it states that it did not run it.
+        """
+        if not head.not_executed:
+            return
+        now = self._clock.monotonic_seconds()
+        if head.is_misdirected:
+            server.record_unreachable(now)
+        else:
+            server.record_report(server.entry.slots, 1, now)
+        raise ServerAttemptError(f"refused_{status}", Ran.NO)
+
     async def _relay_stream(
         self, progress: RequestProgress, exchange: ServerExchange, sink: ResponseSink
     ) -> None:
