Streams of unknown origin go on only after a fresh look at what serves

Here: a router cut off from the store and the others for up to 1.5 s, a server of v1.2 joins, 12 callers come back from it: all 12 go on at v1.

Cause: a stream of unknown origin goes on where one version only can have begun it, and the router took its table and record of versions for current for as long as a watch without changes may take, 3 s. It cannot tell a quiet registry from a silent one.

Change: before that conclusion, registry and record are read by calls that begin after the request arrived, one reading for all that wait (versions/history_confirmation.py). A version that began a stream was registered before it began, so the reading shows it. Without an answer the stream is refused as not run, 5005.

Tests: router_out_of_step.feature, three examples failed before, 12 mixed streams each; those of routers that are connected again and of real processes that stood still passed before and stay. history_confirmation.feature for the new parts.

--- a/features/steps/brittle_world.py
+++ b/features/steps/brittle_world.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 import random
+from unittest.mock import AsyncMock
 
 from crash_world import (
     HOST,
@@ -338,6 +339,7 @@
             stream_versions=StreamVersions(
                 origins=WorldOrigins(),
                 history=OneVersionHistory(),
+                confirm_history=AsyncMock(return_value=True),
                 table=self.table,
                 metrics=metrics,
             ),
--- a/features/steps/crash_world.py
+++ b/features/steps/crash_world.py
@@ -5,6 +5,7 @@
 import dataclasses
 import itertools
 import random
+from unittest.mock import AsyncMock
 
 import msgspec
 from laburnumpier_core.errors import (
@@ -399,7 +400,11 @@
             client=client,
             crash_guard=self.guard,
             stream_versions=StreamVersions(
-                origins=WorldOrigins(), history=OneVersionHistory(), table=table, metrics=metrics
+                origins=WorldOrigins(),
+                history=OneVersionHistory(),
+                confirm_history=AsyncMock(return_value=True),
+                table=table,
+                metrics=metrics,
             ),
             dialect=PlatformDialect(),
             retry_budget=RetryBudget(ratio=0.2, extra=20, window_seconds=10),
--- a/features/steps/cut_off_world.py
+++ b/features/steps/cut_off_world.py
@@ -7,6 +7,7 @@
 import collections
 import contextlib
 import random
+from unittest.mock import AsyncMock
 
 import msgspec
 from crash_world import HOST, KEY, OneVersionHistory, WorldBudget, WorldConfiguration, WorldOrigins
@@ -307,7 +308,11 @@
             client=self.relay.client,
             crash_guard=self.guard,
             stream_versions=StreamVersions(
-                origins=WorldOrigins(), history=OneVersionHistory(), table=table, metrics=metrics
+                origins=WorldOrigins(),
+                history=OneVersionHistory(),
+                confirm_history=AsyncMock(return_value=True),
+                table=table,
+                metrics=metrics,
             ),
             dialect=PlatformDialect(),
             retry_budget=RetryBudget(ratio=0.2, extra=20, window_seconds=10),
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import random
+from unittest.mock import AsyncMock
 
 import aiohttp
 from aiohttp import web
@@ -197,7 +198,11 @@
                 fleet=FakeFleet(), table=table, client=client, clock=clock, metrics=metrics
             ),
             stream_versions=StreamVersions(
-                origins=FakeOrigins(), history=FakeHistory(), table=table, metrics=metrics
+                origins=FakeOrigins(),
+                history=FakeHistory(),
+                confirm_history=AsyncMock(return_value=True),
+                table=table,
+                metrics=metrics,
             ),
             dialect=PlatformDialect(),
             retry_budget=context.retry_budget,
--- a/features/steps/version_steps.py
+++ b/features/steps/version_steps.py
@@ -74,13 +74,14 @@
 class RouterInProcess:
     """A complete router in this process; `kill` leaves its peers and the store uninformed."""
 
-    def __init__(self, *, name, store_url):
-        """Creates a router; `start` makes it listen."""
+    def __init__(self, *, name, store_url, wrap_ports=lambda ports: ports):
+        """Creates a router, whose ports may be wrapped; `start` makes it listen."""
         ports = [find_free_port() for _ in range(4)]
         text = render_router_settings(name=name, ports=ports, store_url=store_url, grace_seconds=8)
         settings = parse_settings(text)
         metrics = Metrics()
-        self.application = make_application(settings, make_ports(settings, metrics), metrics)
+        wrapped = wrap_ports(make_ports(settings, metrics))
+        self.application = make_application(settings, wrapped, metrics)
         self.url = ""
         self._runner = None
 
@@ -164,8 +165,9 @@
                 await asyncio.sleep(0.02)
 
 
-async def start_router_in_process(context, number):
-    router = RouterInProcess(name=f"vm-{number}", store_url=context.store_url)
+async def start_router_in_process(context, number, *, store_url="", **options):
+    store_url = store_url or context.store_url
+    router = RouterInProcess(name=f"vm-{number}", store_url=store_url, **options)
     context.routers[number] = router
     await router.start()
 
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -91,6 +91,7 @@
 from .request.chat_runner import ChatRunner
 from .request.chat_service import ChatService
 from .request.request_directory import RequestDirectory
+from .versions.history_confirmation import HistoryConfirmation
 
 MAX_HOMES_PER_SHARD = 2
 """Maximum number of processes that consider themselves the home of one shard at the same time."""
@@ -721,6 +722,13 @@
             get_rank=self.get_rank,
             get_retention_seconds=self._get_version_retention,
         )
+        relay, follower = self._registry_relay, self._registry_follower
+        history_confirmation = HistoryConfirmation(
+            read_registry=lambda: follower.catch_up(relay.read_changes),
+            read_record=self._version_history.reload,
+            clock=self._clock,
+            metrics=self._metrics,
+        )
         self._crash_guard = CrashGuard(
             fleet=self._fleet,
             table=self._server_table,
@@ -755,6 +763,7 @@
                 stream_versions=StreamVersions(
                     origins=self._stream_origins,
                     history=self._version_history,
+                    confirm_history=history_confirmation.confirm,
                     table=self._server_table,
                     metrics=self._metrics,
                 ),
--- a/packages/router/laburnumpier_router/forward/registry_follower.py
+++ b/packages/router/laburnumpier_router/forward/registry_follower.py
@@ -8,13 +8,15 @@
 
 import asyncio
 import random
+from collections.abc import Awaitable, Callable
 
 from laburnumpier_core.clock import Clock
-from laburnumpier_core.errors import StoreError
+from laburnumpier_core.errors import StoreError, StoreUnavailableError
 from laburnumpier_core.log import get_part_logger
 
 from ..ports.server_registry import (
     RegisteredServer,
+    RegistryChanges,
     RegistryHistoryLostError,
     RegistrySnapshot,
     ServerRegistry,
@@ -123,6 +125,29 @@
             self._confirmed_seconds = self._clock.monotonic_seconds()
             return
         changes = await self._registry.wait_for_changes(self._position, self._watch_seconds)
+        self._apply_changes(changes)
+
+    async def catch_up(
+        self, read_changes: Callable[[StorePosition], Awaitable[RegistryChanges]]
+    ) -> None:
+        """Takes over all changes up to now, beside a watch that may be waiting.
+
+        Args:
+            read_changes: Returns the changes of the registry since a position without a wait.
+
+        Raises:
+            StoreError: If the registry does not answer, or its entries are being read anew.
+        """
+        if self._position is None:
+            raise StoreUnavailableError("the entries of the registry are being read")
+        self._apply_changes(await read_changes(self._position))
+        if self._position is None:
+            raise StoreUnavailableError("a watch of the registry has failed meanwhile")
+
+    def _apply_changes(self, changes: RegistryChanges) -> None:
+        """Takes over changes, unless later ones were taken over while they were on the way."""
+        if self._position is None or changes.position < self._position:
+            return
         for entry in changes.written:
             self._add(entry)
         for server_id in changes.removed:
--- a/packages/router/laburnumpier_router/forward/registry_relay.py
+++ b/packages/router/laburnumpier_router/forward/registry_relay.py
@@ -43,6 +43,8 @@
 """Time after its start in which a router watches nothing: it finds out how large the fleet is."""
 START_PATIENCE_SECONDS = 2.0
 """Time after its start in which a router of a large fleet waits for the first message."""
+NO_WAIT_SECONDS = 0.001
+"""Wait of a watch that only reports what has changed already."""
 MAX_QUEUED_MESSAGES = 64
 """Limit of messages queued while a router handles an earlier one; two watchers send only a few a
 second."""
@@ -208,6 +210,15 @@
         self._newest_position = max(self._newest_position, changes.position)
         return changes
 
+    async def read_changes(self, position: StorePosition) -> RegistryChanges:
+        """Returns the changes from a position up to now, from the registry itself.
+
+        Raises:
+            RegistryHistoryLostError: If changes were missed.
+            StoreError: If the registry does not answer.
+        """
+        return await self._registry.wait_for_changes(position, NO_WAIT_SECONDS)
+
     def receive(self, message: RegistryRelayed) -> None:
         """Queues a message from a watcher."""
         if not self.is_receiving:
--- a/packages/router/laburnumpier_router/forward/stream_versions.py
+++ b/packages/router/laburnumpier_router/forward/stream_versions.py
@@ -5,6 +5,7 @@
 before anything is reserved or sent.
 """
 
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 from laburnumpier_core.errors import RequestError
@@ -47,13 +48,14 @@
 class StreamVersions:
     """Records where streams begin, and finds it for those that callers take up."""
 
-    __slots__ = ("_history", "_metrics", "_origins", "_table")
+    __slots__ = ("_confirm_history", "_history", "_metrics", "_origins", "_table")
 
     def __init__(
         self,
         *,
         origins: OriginDirectory,
         history: VersionHistory,
+        confirm_history: Callable[[], Awaitable[bool]],
         table: ServerTable,
         metrics: Metrics,
     ):
@@ -62,9 +64,11 @@
         Args:
             origins: Remembers where streams began.
             history: Knows which versions may have begun a stream of unknown origin.
+            confirm_history: Brings the history up to date with the store; returns whether it is.
             table: Registered servers.
             metrics: Counters.
         """
+        self._confirm_history = confirm_history
         self._origins = origins
         self._history = history
         self._table = table
@@ -100,7 +104,7 @@
         if head.resumes_attempt_id:
             origin = await self._origins.find(head.resumes_attempt_id)
         if origin is None:
-            origin = self._find_only_origin(service, route)
+            origin = await self._find_only_origin(service, route)
         if origin is None and head.resumes_attempt_id:
             origin = await self._origins.find_archived(head.resumes_attempt_id)
         if origin is None:
@@ -119,9 +123,15 @@
         self._metrics.count("forward.taken_up")
         return origin
 
-    def _find_only_origin(self, service: str, route: Route) -> StreamOrigin | None:
+    async def _find_only_origin(self, service: str, route: Route) -> StreamOrigin | None:
         """Returns the origin of all streams that callers may hold, if all have the same one."""
-        version = self._history.find_only_version(service, get_keep_seconds(route))
+        keep_seconds = get_keep_seconds(route)
+        if self._history.find_only_version(service, keep_seconds) is None:
+            return None
+        # This router may not have heard yet of a version that serves at others.
+        if not await self._confirm_history():
+            return None
+        version = self._history.find_only_version(service, keep_seconds)
         if version is None:
             return None
         return StreamOrigin(service=service, software_version=version)
--- a/packages/router/laburnumpier_router/forward/version_history.py
+++ b/packages/router/laburnumpier_router/forward/version_history.py
@@ -167,9 +167,7 @@
         if not self._is_loaded and not self._is_needed and self._get_rank() >= MAX_UNASKED_READERS:
             return
         if not self._is_loaded:
-            found = await self._store.read([RECORD_KEY])
-            self._apply(found.get(RECORD_KEY), found.get_position(RECORD_KEY))
-            self._is_loaded = True
+            await self.reload()
         expected = self._make_record()
         if expected == self._recorded:
             self._needed_since_seconds = None
@@ -182,6 +180,16 @@
         if rank < MAX_WRITERS and waited_seconds >= rank * WRITER_DELAY_SECONDS:
             await self._write(expected)
 
+    async def reload(self) -> None:
+        """Reads the record, whether or not it was read before.
+
+        Raises:
+            StoreError: If the store does not answer.
+        """
+        found = await self._store.read([RECORD_KEY])
+        self._apply(found.get(RECORD_KEY), found.get_position(RECORD_KEY))
+        self._is_loaded = True
+
     async def _write(self, expected: frozenset[ServiceVersion]) -> None:
         services: dict[str, list[str]] = {}
         for service, version in sorted(expected):
