Headers of callers have a range that messages between routers can hold

Cause: the header was checked for whole numbers only. Token counts of prompt parts, event ids, a deadline of nan and ids with bytes that are no UTF-8 were taken alike; such an id shares a message with the origins of other callers' streams.

--- a/features/forward/forwarding.feature
+++ b/features/forward/forwarding.feature
@@ -182,6 +182,22 @@
       | two attempt ids         | 400    |
       | unreadable token counts | 400    |
 
+    # Guards against values of one caller that no message between routers can hold: a router that got one could draw no
+    # tokens for the workspace any more, and lost the origins of other callers' streams.
+    Examples: Values out of range
+      | fault                                       | status |
+      | X-Token-Usage 540,18446744073709551615      | 400    |
+      | X-Token-Usage 540,9007199254740993          | 400    |
+      | X-Token-Usage 9007199254740993,1            | 400    |
+      | X-Token-Usage of 5000 digits                | 400    |
+      | X-Prompt-Prefix ab:18446744073709551616     | 400    |
+      | X-Prompt-Prefix ab:-1                       | 400    |
+      | X-Prompt-Prefix \xff:10                     | 400    |
+      | Last-Event-Id 18446744073709551616          | 400    |
+      | X-Deadline-Ms nan                           | 400    |
+      | X-Attempt-Id a\xff                          | 400    |
+      | Resumes a\xff                               | 400    |
+
   Scenario: Before the first configuration is loaded, requests are refused as retryable
     Given 2 servers of which the first answers
     And no configuration in force
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -415,6 +415,10 @@
             headers = [*headers.items(), ("X-Attempt-Id", "a2")]
         case "unreadable token counts":
             headers["X-Token-Usage"] = "many,few"
+        case _:
+            name, _, value = fault.partition(" ")
+            value = value.replace("of 5000 digits", f"540,{'9' * 5000}")
+            headers[name] = value.encode().decode("unicode_escape")
     run(context, send(context, headers, path))
 
 
