A stream that is taken up goes on only at servers whose versions are confirmed

Callers came back from streams of v1 and went on at v1.2, 3 of 3 examples (cut off from the store, from all, and connected again at that moment), though it was known that the streams had begun at v1.

Cause: a stream of known origin went on at any server that the table lists with its version, however old that entry was.

Change: the confirmation of registry and record, so far for streams of unknown origin, is made for each stream that is taken up, beside the lookup of its origin; requests share a reading, one in 0.2 s at most. Without it the stream is refused as not run, 5005. A record of versions that was read before does not count as seeing its versions again, else they would never age.

Tests: router_out_of_step.feature, 'does not rely on the versions that it knew', three examples failed before; version_history.feature, a version that has gone ages, fails with the record taken over at each reading.

--- a/features/forward/router_out_of_step.feature
+++ b/features/forward/router_out_of_step.feature
@@ -6,7 +6,7 @@
   # Guards against streams that go on at another version because the router knows of one version only.
   Scenario Outline: A router that is cut off does not guess the version of a stream
     Given 3 routers that can be cut off and servers of the software versions v1 v1
-    When router 3 is cut off from <others>
+    When router 3 loses contact to <others>
     And <seconds> seconds pass for the routers
     And a server of v1.2 joins, and the others see it
     And callers at router 1 leave streams of v1.2 after 2 events
@@ -27,7 +27,7 @@
   # Guards against a router that is connected again and has not heard yet of what it missed.
   Scenario Outline: A router that is connected again does not guess the version of a stream
     Given 3 routers that can be cut off and servers of the software versions v1 v1
-    When router 3 is cut off from <others>
+    When router 3 loses contact to <others>
     And a server of v1.2 joins, and the others see it
     And callers at router 1 leave streams of v1.2 after 2 events
     And <event>
@@ -42,6 +42,30 @@
       | the store and the other routers | the server of v1.2 is gone without notice |
       | the store and the other routers | the other routers are killed             |
 
+  # Guards against a stream that goes on at a server which is back at another version under its id.
+  Scenario Outline: A router out of step does not rely on the versions that it knows of servers
+    Given 3 routers that can be cut off and servers of the software versions v1 v1
+    When callers at router 1 leave streams of v1 after 2 events
+    And 0.5 seconds pass for the routers
+    And router 3 loses contact to <others>
+    And all servers start again at v1.2 under their ids
+    And the callers come back at router 3
+    Then every caller has events of one version only
+
+    Examples:
+      | others                          |
+      | the store and the other routers |
+      | the store                       |
+
+  Scenario: A router that is connected again does not rely on the versions that it knew of servers
+    Given 3 routers that can be cut off and servers of the software versions v1 v1
+    When callers at router 1 leave streams of v1 after 2 events
+    And 0.5 seconds pass for the routers
+    And router 3 loses contact to the store and the other routers
+    And all servers start again at v1.2 under their ids
+    And router 3 is connected again while the callers come back there
+    Then every caller has events of one version only
+
   # Guards against a router that stood still, which finds its callers' requests and the news at the same time.
   Scenario Outline: A process that stood still does not guess the version of a stream
     Given 3 router processes and servers of the software versions v1 v1
--- a/features/forward/version_history.feature
+++ b/features/forward/version_history.feature
@@ -19,6 +19,15 @@
     When 2 seconds of watching pass
     Then every router finds v1 alone
 
+  # Guards against a version that never ages, because each reading of the record counts as seeing it.
+  Scenario: A version that has gone ages although the record is read for each stream
+    Given 2 routers that watch servers of v1
+    When a server of v1.2 serves for 10 seconds and 30 seconds of watching pass
+    And every router reads the record once a second for 29 seconds
+    Then no router finds a version alone
+    When every router reads the record once a second for 2 seconds
+    Then every router finds v1 alone
+
   # Guards against a router that takes what it has seen since its start for all that has served.
   Scenario: A router that starts counts the versions of the record
     Given 2 routers that watch servers of v1
--- a/features/steps/out_of_step_steps.py
+++ b/features/steps/out_of_step_steps.py
@@ -28,6 +28,8 @@
 )
 
 POLL_SECONDS = 0.02
+SEEN_SECONDS = 0.3
+"""Time in which routers that are connected see a change of the registry."""
 CUT_POLL_SECONDS = 0.01
 STORE_READS = ("/kv-key", "/kv-range", "/kv-watch")
 
@@ -96,7 +98,7 @@
     await start_router_in_process(context, number, store_url=proxy.url, wrap_ports=wrap_ports)
 
 
-@when("router {number:d} is cut off from {others}")
+@when("router {number:d} loses contact to {others}")
 def cut_router(context, number, others):
     context.networks[number].is_cut = "other routers" in others
     if "store" in others:
@@ -170,6 +172,16 @@
     run(context, end())
 
 
+@when("all servers start again at {version} under their ids")
+def restart_servers(context, version):
+    for number, server in enumerate(context.servers):
+        context.entry_versions[number] = version
+        context.starts[number] += 1000
+        server.version = version
+        register(context, number)
+    run(context, asyncio.sleep(SEEN_SECONDS))
+
+
 @when("the other routers are killed")
 def kill_others(context):
     async def kill():
--- a/features/steps/version_history_steps.py
+++ b/features/steps/version_history_steps.py
@@ -116,6 +116,17 @@
     run(context, serve())
 
 
+@when("every router reads the record once a second for {seconds:d} seconds")
+def read_record(context, seconds):
+    async def read():
+        for _ in range(seconds):
+            for router in context.watching:
+                await router.history.reload()
+            await asyncio.sleep(1.0)
+
+    run(context, read())
+
+
 @when("all routers end and another one starts")
 def replace_routers(context):
     async def replace():
--- a/packages/router/laburnumpier_router/forward/stream_versions.py
+++ b/packages/router/laburnumpier_router/forward/stream_versions.py
@@ -1,10 +1,12 @@
 """Decides at which software version a stream that a caller takes up may go on.
 
 Servers do not check that a stream goes on at the version that began it, and what two versions
-write does not fit together. A version that is not known is never guessed: the request is refused
-before anything is reserved or sent.
+write does not fit together. A version that is not known is never guessed, neither the one that
+began the stream nor those of the servers now: the request is refused before anything is reserved
+or sent.
 """
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
@@ -98,16 +100,19 @@
             service: Service of a stream whose origin is unknown.
 
         Raises:
-            RequestError: If its version is unknown or has no server that takes requests.
+            RequestError: If its version is unknown or has no server that takes requests, or if the
+                store does not confirm which servers there are.
         """
-        origin = None
-        if head.resumes_attempt_id:
-            origin = await self._origins.find(head.resumes_attempt_id)
-        if origin is None:
-            origin = await self._find_only_origin(service, route)
+        # This router may not have heard yet of a version that has joined, or of a server that is
+        # back at another version under its id.
+        origin, is_confirmed = await asyncio.gather(
+            self._find_recorded(head), self._confirm_history()
+        )
+        if origin is None and is_confirmed:
+            origin = self._find_only_origin(service, route)
         if origin is None and head.resumes_attempt_id:
             origin = await self._origins.find_archived(head.resumes_attempt_id)
-        if origin is None:
+        if origin is None or not is_confirmed:
             self._metrics.count("forward.taken_up_unknown")
             raise RequestError(
                 ResultCode.STREAM_ORIGIN_UNKNOWN, retry_after_seconds=UNKNOWN_RETRY_AFTER_SECONDS
@@ -123,15 +128,15 @@
         self._metrics.count("forward.taken_up")
         return origin
 
-    async def _find_only_origin(self, service: str, route: Route) -> StreamOrigin | None:
-        """Returns the origin of all streams that callers may hold, if all have the same one."""
-        keep_seconds = get_keep_seconds(route)
-        if self._history.find_only_version(service, keep_seconds) is None:
-            return None
-        # This router may not have heard yet of a version that serves at others.
-        if not await self._confirm_history():
+    async def _find_recorded(self, head: RequestHead) -> StreamOrigin | None:
+        """Returns the origin that a router has recorded for the attempt that a caller names."""
+        if not head.resumes_attempt_id:
             return None
-        version = self._history.find_only_version(service, keep_seconds)
+        return await self._origins.find(head.resumes_attempt_id)
+
+    def _find_only_origin(self, service: str, route: Route) -> StreamOrigin | None:
+        """Returns the origin of all streams that callers may hold, if all have the same one."""
+        version = self._history.find_only_version(service, get_keep_seconds(route))
         if version is None:
             return None
         return StreamOrigin(service=service, software_version=version)
--- a/packages/router/laburnumpier_router/forward/version_history.py
+++ b/packages/router/laburnumpier_router/forward/version_history.py
@@ -187,7 +187,10 @@
             StoreError: If the store does not answer.
         """
         found = await self._store.read([RECORD_KEY])
-        self._apply(found.get(RECORD_KEY), found.get_position(RECORD_KEY))
+        position = found.get_position(RECORD_KEY)
+        # A record that was read before says nothing new, and its versions go on ageing.
+        if not self._is_loaded or position != self._position:
+            self._apply(found.get(RECORD_KEY), position)
         self._is_loaded = True
 
     async def _write(self, expected: frozenset[ServiceVersion]) -> None:
