--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -53,6 +53,7 @@
         self.sent_bytes = 0
         self.max_endless_bytes = MAX_ENDLESS_BYTES
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
         self.address = ""
 
     async def start(self) -> None:
@@ -69,12 +70,19 @@
             self._server.close()
             self._server = None
 
+    async def leave(self) -> None:
+        """Stops listening and resets all connections, as the exit of its process does."""
+        await self.stop()
+        for writer in list(self._writers):
+            _reset_connection(writer)
+
     def break_off(self) -> None:
         """Resets the connections of the behaviour `streams until told to break off`."""
         self._told_to_break_off.set()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connection_count += 1
+        self._writers.add(writer)
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             head = await reader.readuntil(b"\r\n\r\n")
             lines = head.split(b"\r\n")
@@ -87,6 +95,7 @@
             attempt_id = headers.get(b"x-attempt-id", b"")
             last_event_id = int(headers.get(b"last-event-id", 0))
             await self._run_behaviour(attempt_id, last_event_id, reader, writer)
+        self._writers.discard(writer)
         writer.close()
 
     async def _run_behaviour(self, attempt_id, last_event_id, reader, writer) -> None:
