--- a/features/forward/forwarding.feature
+++ b/features/forward/forwarding.feature
@@ -130,6 +130,24 @@
       | answers after a second                  | idempotent       | the second server cannot be reached | none      |
       | answers after a second                  | idempotent       | the retry budget is used up     | none      |
 
+  # Guards against a stream that is given up at a sound server before another one has taken it: a router
+  # broke streams off at a server that was silent for 1.6 seconds, as the other one was full (LOST).
+  Scenario Outline: A server that falls silent is kept until another one has taken the request
+    Given 2 servers of which the first <behaviour>
+    And <obstacle>
+    When a caller sends a <kind> request with at most 2 attempts
+    Then the response status is 200
+    And the caller receives the events <events>
+    And the response is complete
+
+    Examples:
+      | behaviour                               | kind             | obstacle                                    | events    |
+      | pauses for 2 seconds after 2 events     | resumable stream | the second server has no room               | 1 2 3 4 5 |
+      | pauses for 2 seconds after 2 events     | resumable stream | the second server fails                     | 1 2 3 4 5 |
+      | pauses for 2 seconds after 2 events     | resumable stream | the second server resets what it gets       | 1 2 3 4 5 |
+      | streams its first event after 2 seconds | resumable stream | the second server has no room               | 1 2 3 4 5 |
+      | answers after a second                  | idempotent       | the second server has no room               | none      |
+
   # Guards against a stalled server that looks alive because of single bytes.
   Scenario: A stream that brings bytes but no whole event goes on at another server
     Given 2 servers of which the first sends a byte now and then after 2 events
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -433,6 +433,16 @@
     context.server_table.servers["i-1"].record_unreachable(context.real.get_loop().time())
 
 
+@given("the second server {state}")
+def set_second_behaviour(context, state):
+    behaviours = {
+        "has no room": "refuses the named request as full",
+        "fails": "fails",
+        "resets what it gets": "resets",
+    }
+    context.servers[1].behaviour = behaviours[state]
+
+
 @given("the retry budget is used up")
 def use_up_retries(context):
     now = context.real.get_loop().time()
