A silent server is kept until another one has taken the request

Cause: the exchange with the silent server was ended once another server accepted a connection, which a full one does too; what was given up was gone before the request had been taken.

--- a/packages/router/laburnumpier_router/forward/request_progress.py
+++ b/packages/router/laburnumpier_router/forward/request_progress.py
@@ -8,6 +8,7 @@
 from ..estimates.observation import UNOBSERVED, SendObserver
 from ..places.held_places import HeldPlace
 from ..ports.server_registry import RegisteredServer
+from ..sending.handover import Handover
 from .crash_messages import MAX_PART_ID_LENGTH
 from .event_stream import EventSplitter
 from .exchange import ForwardRequest
@@ -56,6 +57,8 @@
         place: Its place at the server to which it is sent; None before.
         observer: Learns from what becomes of it at the server to which it was last sent.
         choice_reason: Why the last server was chosen, in short; empty if the placement keeps none.
+        handover: Attempt at a server that took it, or may take it, from a silent one.
+        is_taking_over: Whether the silent server is still kept, as the other one has not taken it.
     """
 
     request: ForwardRequest
@@ -87,6 +90,8 @@
     place: HeldPlace | None = None
     observer: SendObserver = UNOBSERVED
     choice_reason: str = ""
+    handover: Handover | None = None
+    is_taking_over: bool = False
     _fingerprint: str = ""
 
     @property
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -328,7 +328,8 @@
                 await self._sender.send(progress, server, sink)
                 return
             except ServerAttemptError as failure:
-                progress.attempt_log[-1] = f"{server.entry.server_id}:{failure.reason}"
+                # The request may have gone on at another server than the one that was found here.
+                progress.attempt_log[-1] = f"{progress.sent_to.server_id}:{failure.reason}"
                 if failure.reason == "unreached":
                     unreachable_count += 1
                 is_safe = await self._is_repeat_safe(progress, failure)
--- a/packages/router/laburnumpier_router/sending/sender.py
+++ b/packages/router/laburnumpier_router/sending/sender.py
@@ -1,5 +1,6 @@
 """Sends a forwarded request to one server and relays its response to the caller."""
 
+import asyncio
 import contextlib
 
 from laburnumpier_core.clock import Clock
@@ -27,6 +28,8 @@
 from ..ports.dialect import Dialect, ForwardedRequestInfo, ResponseHead
 from ..selection.selector import ServerSelector
 from .attempt_error import ServerAttemptError, ServerSilentError
+from .handover import TAKE_OVER_SECONDS, HandedOverError, Handover
+from .kept_attempt import KeptAttempt, keep_attempt
 
 FIRST_EVENT_TIMEOUT_FACTOR = 2.5
 """Timeout for the first event of a resumable stream, as a multiple of the target latency."""
@@ -107,9 +110,37 @@
     ) -> None:
         """Sends the request to a server and relays its response.
 
+        If the server falls silent and another one takes the request, the response of that one is
+        relayed.
+
         Raises:
             ServerAttemptError: If no response was delivered.
         """
+        try:
+            await self._send_to(progress, server, sink)
+        except HandedOverError:
+            await self._go_on_elsewhere(progress)
+        finally:
+            # The request may be cancelled while the silent server is left.
+            if progress.handover is not None:
+                await progress.handover.cancel()
+
+    async def _go_on_elsewhere(self, progress: RequestProgress) -> None:
+        """Follows a request to the servers that take it over, one from the other."""
+        while True:
+            with contextlib.suppress(HandedOverError):
+                await progress.handover.go_on()
+                return
+
+    async def _send_to(
+        self, progress: RequestProgress, server: ServerLoad, sink: ResponseSink
+    ) -> None:
+        """Sends the request to a server and relays its response; see `send`.
+
+        Raises:
+            ServerAttemptError: If no response was delivered.
+            HandedOverError: If another server has taken the request.
+        """
         progress.tried_server_ids.add(server.entry.server_id)
         progress.sent_to = server.entry
         progress.attempt_log.append(server.entry.server_id)
@@ -131,7 +162,7 @@
             async with contextlib.AsyncExitStack() as stack:
                 if not progress.is_trial:
                     await stack.enter_async_context(self._crash_guard.watch(run))
-                exchange = await self._open(progress, server, stack)
+                exchange = await self._open(progress, server, stack, sink)
                 progress.send_count += 1
                 server.record_prompt_processed(prompt_tokens)
                 prompt_tokens = 0
@@ -163,6 +194,11 @@
             server.record_unreachable(self._clock.monotonic_seconds())
             progress.splitter.discard_partial_event()
             raise ServerAttemptError("silent", Ran.UNKNOWN) from error
+        except HandedOverError:
+            progress.send_count += exchange is None
+            server.record_unreachable(self._clock.monotonic_seconds())
+            progress.splitter.discard_partial_event()
+            raise
         except ServerAttemptError as failure:
             if failure.ran is Ran.NO:
                 observer.record_failure()
@@ -176,21 +212,78 @@
             server.record_finish()
 
     async def _open(
-        self, progress: RequestProgress, server: ServerLoad, stack: contextlib.AsyncExitStack
+        self,
+        progress: RequestProgress,
+        server: ServerLoad,
+        stack: contextlib.AsyncExitStack,
+        sink: ResponseSink,
     ) -> ServerExchange:
         """Sends the request and waits for the response head.
 
         Raises:
-            ServerSilentError: If there is none in time and another server can take over.
+            HandedOverError: If there is none in time and another server has taken the request.
+            ServerSilentError: If there is none in time and the server is left without one.
         """
         opening = stack.enter_async_context(self._client.open(self._build_call(progress, server)))
-        timeout_seconds = self._get_silence_timeout(progress, sink_started=False)
         async with PatientWait(opening) as wait:
+            if progress.is_taking_over:
+                with contextlib.suppress(StillWaitingError):
+                    return await wait.get_result(TAKE_OVER_SECONDS)
+                await self._take_over(progress)
             while True:
+                timeout_seconds = self._get_silence_timeout(progress, sink_started=False)
                 with contextlib.suppress(StillWaitingError):
                     return await wait.get_result(timeout_seconds)
                 if await self._can_go_on_elsewhere(progress) and not wait.is_done:
-                    raise ServerSilentError
+                    await self._leave_if_taken(progress, sink)
+
+    async def _take_over(self, progress: RequestProgress) -> None:
+        """Makes this attempt the one that goes on, if the server before is still kept."""
+        if progress.is_taking_over:
+            progress.is_taking_over = False
+            await progress.handover.take_over()
+
+    async def _leave_if_taken(self, progress: RequestProgress, sink: ResponseSink) -> None:
+        """Tries another server while the silent one is kept, and returns if none took the request.
+
+        Raises:
+            HandedOverError: If another server has taken the request.
+            ServerSilentError: If the silent server is to be left without one.
+        """
+        if progress.is_end_asked:
+            raise ServerSilentError
+        with contextlib.ExitStack() as stack:
+            kept = keep_attempt(progress)
+            stack.callback(self._release_kept, kept)
+            if await self._is_taken_elsewhere(progress, sink):
+                progress.attempt_log[kept.log_index] += ":silent"
+                raise HandedOverError
+            self._selector.release_place(progress)
+            stack.pop_all()
+            kept.restore(progress)
+
+    async def _is_taken_elsewhere(self, progress: RequestProgress, sink: ResponseSink) -> bool:
+        """Begins an attempt at another server, and returns whether that has taken the request."""
+        server = await self._selector.find_server(progress)
+        now = self._clock.monotonic_seconds()
+        if server is None or not self._retry_budget.try_acquire(progress.service, now):
+            return False
+        progress.handover = handover = Handover()
+        progress.is_taking_over = True
+        handover.start(asyncio.create_task(self._send_to(progress, server, sink)))
+        if await handover.wait_until_taken():
+            return True
+        progress.handover, progress.is_taking_over = None, False
+        failure = handover.get_failure()
+        if not isinstance(failure, ServerAttemptError):
+            raise failure or RuntimeError("a server answered without taking the request over")
+        progress.attempt_log[-1] += f":{failure.reason}"
+        return False
+
+    def _release_kept(self, kept: KeptAttempt) -> None:
+        """Returns the place at a silent server that is left; the request may still run there."""
+        if kept.place is not None:
+            self._places.release(kept.place, is_broken_off=True)
 
     async def _can_go_on_elsewhere(self, progress: RequestProgress) -> bool:
         """Whether another server could take over from a silent one, which would be given up.
@@ -277,7 +370,10 @@
         self._check_executed(server, exchange.status, head)
         progress.observer.record_head(head)
         media_type = exchange.headers.get("Content-Type", "").partition(";")[0].strip()
-        if exchange.status < 300 and media_type == EVENT_STREAM:
+        is_stream = exchange.status < 300 and media_type == EVENT_STREAM
+        if is_stream or (exchange.status < 500 and not sink.started):
+            await self._take_over(progress)
+        if is_stream:
             await self._relay_stream(progress, exchange, sink)
             self._crash_guard.record_begun(progress.run)
             server.record_success()
@@ -362,7 +458,8 @@
 
         Raises:
             ServerConnectionLostError: If the stream ends early.
-            ServerSilentError: If a stream that can be resumed elsewhere is silent for too long.
+            HandedOverError: If it was silent for too long and another server has taken it.
+            ServerSilentError: If it was silent for too long and is left without one.
             ServerAttemptError: If it ended with its connection and can be resumed elsewhere.
         """
         splitter = progress.splitter
@@ -418,16 +515,17 @@
 
         Raises:
             ServerConnectionLostError: If the stream ends early or passes a limit.
-            ServerSilentError: If there are none in time and another server can take over.
+            HandedOverError: If there are none in time and another server has taken the request.
+            ServerSilentError: If there are none in time and the server is left without one.
         """
         silent_since_seconds = self._clock.monotonic_seconds()
         while True:
             timeout_seconds = self._get_event_timeout(progress, sink, silent_since_seconds)
             try:
                 chunk = await reader.read(timeout_seconds)
-            except StillWaitingError as error:
+            except StillWaitingError:
                 if await self._can_go_on_elsewhere(progress) and not reader.has_chunk:
-                    raise ServerSilentError from error
+                    await self._leave_if_taken(progress, sink)
                 silent_since_seconds = self._clock.monotonic_seconds()
                 continue
             if chunk is None:
