--- a/features/relay/relay.feature
+++ b/features/relay/relay.feature
@@ -38,6 +38,29 @@
     And no request runs twice
     And each refusal that says not run is true
 
+  # Guards against places at brittle servers that requests keep which no server took: routers that were cut
+  # off took those of the whole fleet, and nearly all requests at all routers were refused.
+  Scenario Outline: Requests are served while servers are brittle and routers are cut off
+    Given 8 routers that may relay before 8 servers
+    And <kind> requests to relay
+    And servers that are brittle and run 4 requests at a time, each for 0.1 s
+    And a cut of <cut> routers in which connections <mode>
+    When callers send 25 requests a second to each router before, in and after the cut
+    Then from 2 s on 0.95 of the requests at the cut routers are served as at the others
+    And from 2 s on 0.9 of all requests in the cut are served
+    And no server has to reject more than 4 requests in a second
+    And no request runs twice
+
+    Examples:
+      | cut | mode             | kind           |
+      | 3   | accept and hang  | idempotent     |
+      | 6   | accept and hang  | idempotent     |
+      | 6   | accept and hang  | non-idempotent |
+      | 6   | accept and hang  | stream         |
+      | 6   | hang             | non-idempotent |
+      | 6   | accept and reset | idempotent     |
+      | 6   | refuse new ones  | non-idempotent |
+
   # Guards against callers that leave before a silent connection counts as failed.
   Scenario: Callers that wait only for a short time
     Given 6 routers that may relay before 5 servers
--- a/features/steps/cut_off_steps.py
+++ b/features/steps/cut_off_steps.py
@@ -9,6 +9,7 @@
 import random
 import statistics
 
+import msgspec
 from behave import given, then, when
 from cut_off_world import EVENT_SECONDS, EVENTS, CutWorld
 from laburnumpier_core.result_codes import Ran
@@ -29,6 +30,8 @@
 """Time after which first attempts must be served."""
 REQUESTS_PER_SECOND = 4
 PLAY_SECONDS = 10
+BRITTLE_REJECTS = 4
+"""Requests that a brittle server may reject in a second."""
 LARGE_BODY_BYTES = 4 * 1024 * 1024
 KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
@@ -113,8 +116,26 @@
     context.world.servers[0].is_up = False
 
 
+@given("servers that are brittle and run {slots:d} requests at a time, each for {seconds:g} s")
+def make_servers_brittle(context, slots, seconds):
+    world = context.world
+    world.answer_seconds = seconds
+    world.event_seconds = 0.0
+    world.headers = [("Server-Brittle", str(BRITTLE_REJECTS))]
+    for server in world.servers:
+        server.slots = slots
+    for router in world.routers.values():
+        for server in list(router.table.servers.values()):
+            router.table.upsert(msgspec.structs.replace(server.entry, slots=slots))
+
+
+@when("callers send {rate:d} requests a second to each router before, in and after the cut")
+def play_cut_at_rate(context, rate):
+    play_cut(context, rate)
+
+
 @when("callers send requests to all routers before, in and after the cut")
-def play_cut(context):
+def play_cut(context, rate=REQUESTS_PER_SECOND):
     world = context.world
     context.began_seconds = context.virtual.get_loop().time()
 
@@ -126,7 +147,7 @@
             world.cuts.clear()
 
         changing = asyncio.create_task(change())
-        await world.send_requests(REQUESTS_PER_SECOND, PLAY_SECONDS)
+        await world.send_requests(rate, PLAY_SECONDS)
         await changing
 
     run(context, play())
@@ -153,6 +174,26 @@
     assert served >= share * others, (served, others)
 
 
+@then("from {seconds:g} s on {share:g} of all requests in the cut are served")
+def check_served_share(context, seconds, share):
+    to_seconds = PLAY_SECONDS - CUT_SECONDS
+    attempts = [
+        attempt
+        for is_cut in (True, False)
+        for attempt in list_attempts(context, CUT_SECONDS + seconds, to_seconds, is_cut)
+    ]
+    served = sum(attempt.is_served for attempt in attempts)
+    assert served >= share * len(attempts), (served, len(attempts))
+
+
+@then("no server has to reject more than {count:d} requests in a second")
+def check_rejections(context, count):
+    for server in context.world.servers:
+        for begin in server.rejected:
+            rejected = sum(begin <= seconds < begin + 1 for seconds in server.rejected)
+            assert rejected <= count, (server.server_id, begin, rejected)
+
+
 @then("the relayed requests take at most {milliseconds:d} ms longer at the median")
 def check_added_time(context, milliseconds):
     from_seconds = CUT_SECONDS + SERVED_FROM_SECONDS
--- a/features/steps/cut_off_world.py
+++ b/features/steps/cut_off_world.py
@@ -6,6 +6,7 @@
 import asyncio
 import collections
 import contextlib
+import math
 import random
 from unittest.mock import AsyncMock
 
@@ -35,6 +36,7 @@
 from laburnumpier_router.forward.stream_versions import StreamVersions
 from laburnumpier_router.forward.time_limits import TimeLimits
 from laburnumpier_router.notices.server_notices import ServerNotices
+from laburnumpier_router.places import place_messages
 from laburnumpier_router.places.place_keeper import build_place_keeper
 from laburnumpier_router.ports.server_registry import RegisteredServer
 from laburnumpier_router.relay.feature import RelayFeature
@@ -56,6 +58,9 @@
     """A server that records which requests it ran.
 
     Attributes:
+        slots: Requests that it runs at a time; it rejects others.
+        running: Requests that it runs now.
+        rejected: Times at which it rejected requests.
         arrivals: Time, router and attempt id of each request that it ran.
         left: Attempt ids of exchanges that were given up before their end.
     """
@@ -64,6 +69,9 @@
         self.server_id = f"i-{number}"
         self.address = f"10.0.0.{number}:80"
         self.is_up = True
+        self.slots = math.inf
+        self.running = 0
+        self.rejected = []
         self.arrivals = []
         self.bodies = []
         self.left = []
@@ -138,16 +146,24 @@
             server.probe_count += 1
             yield MisdirectedExchange()
             return
-        server.arrivals.append((asyncio.get_running_loop().time(), self._router, attempt_id))
+        now = asyncio.get_running_loop().time()
+        if server.running >= server.slots:
+            server.rejected.append(now)
+            yield FullExchange(world, attempt_id)
+            return
+        server.arrivals.append((now, self._router, attempt_id))
         server.bodies.append(call.body)
         world.calls.append(call)
         exchange = CutExchange(world, self._router, server, call, attempt_id)
+        server.running += 1
         try:
             await exchange.pass_cut(world.answer_seconds)
             yield exchange
         except (asyncio.CancelledError, GeneratorExit):
             server.left.append(attempt_id)
             raise
+        finally:
+            server.running -= 1
 
     async def is_refusing(self, address):
         """Returns whether connections are refused."""
@@ -174,6 +190,17 @@
     end_marker = EndMarker.LENGTH
 
 
+class FullExchange:
+    """The answer of a server that has no room for a request."""
+
+    status = 503
+    end_marker = EndMarker.LENGTH
+
+    def __init__(self, world, attempt_id):
+        headers = [("X-Attempt-Id", attempt_id), ("X-Not-Executed", "1"), *world.headers]
+        self.headers = CIMultiDictProxy(CIMultiDict(headers))
+
+
 class CutFleet:
     """The other routers as one router sees them, with faults in the messages to them.
 
@@ -202,6 +229,10 @@
         """Returns the number of routers."""
         return len(self._world.routers)
 
+    async def send_heartbeats(self):
+        """Exchanges heartbeats with the partners now."""
+        self._world.exchange_heartbeats_of(self.self_name)
+
     async def call(self, peer, message, timeout_seconds):
         """Sends a message, unless it or its reply is to be lost."""
         kind = type(message).__name__
@@ -277,7 +308,11 @@
             network=self.network,
             self_name=name,
             token="t",
-            message_types=(*MESSAGE_TYPES, *crash_messages.MESSAGE_TYPES),
+            message_types=(
+                *MESSAGE_TYPES,
+                *crash_messages.MESSAGE_TYPES,
+                *place_messages.MESSAGE_TYPES,
+            ),
             metrics=metrics,
         )
         self.fleet = CutFleet(world, name, self.link)
@@ -298,6 +333,13 @@
         )
         self.relay.register_handlers(self.link)
         limits = ServerRateLimits(clock=clock, metrics=metrics)
+        self.places = build_place_keeper(
+            fleet=self.fleet, clock=clock, metrics=metrics, random_source=random.Random(3)
+        )
+        home = self.places.home
+        self.link.register_handler(place_messages.AskPlace, home.handle_ask_place)
+        self.link.register_handler(place_messages.ReturnPlaces, home.handle_return_places)
+        self.link.register_handler(place_messages.HoldPlaces, home.handle_hold_places)
         self.guard = CrashGuard(
             fleet=self.fleet, table=table, client=self.relay.client, clock=clock, metrics=metrics
         )
@@ -325,9 +367,7 @@
                 random_source=random.Random(2),
             ),
             notices=ServerNotices(clock=clock, metrics=metrics),
-            places=build_place_keeper(
-                fleet=self.fleet, clock=clock, metrics=metrics, random_source=random.Random(3)
-            ),
+            places=self.places,
             time_limits=TimeLimits(),
             clock=clock,
             metrics=metrics,
@@ -417,6 +457,7 @@
         await asyncio.gather(self._heartbeats, return_exceptions=True)
         for router in [*self.routers.values(), *self.killed.values()]:
             await router.relay.close()
+            await router.places.close()
             await router.guard.close()
 
     def find_server(self, address):
@@ -448,13 +489,22 @@
         while True:
             await asyncio.sleep(HEARTBEAT_SECONDS)
             for name, router in list(self.routers.items()):
-                peers = rank_by_rendezvous(name, router.fleet.list_peers())
-                for peer in peers[: LOCAL_PARTNERS + REMOTE_PARTNERS]:
-                    if peer not in self.routers:
-                        continue
-                    other = self.routers[peer].relay.monitor
-                    other.adopt(name, router.relay.monitor.make_reach())
-                    router.relay.monitor.adopt(peer, other.make_reach())
+                self.exchange_heartbeats_of(name)
+                router.places.tell_held()
+                router.places.home.maintain()
+
+    def exchange_heartbeats_of(self, name):
+        """Exchanges heartbeats of a router with its partners."""
+        router = self.routers[name]
+        peers = rank_by_rendezvous(name, router.fleet.list_peers())
+        for peer in peers[: LOCAL_PARTNERS + REMOTE_PARTNERS]:
+            if peer not in self.routers:
+                continue
+            other = self.routers[peer]
+            other.relay.monitor.adopt(name, router.relay.monitor.make_reach())
+            router.relay.monitor.adopt(peer, other.relay.monitor.make_reach())
+            other.places.adopt(router.places.servers.list_told())
+            router.places.adopt(other.places.servers.list_told())
 
     async def send(self, name, body=None):
         """Sends a caller's request to a router, and returns what came of it.
