A handover that is left over ends with its request

Found in the reading of the handover: a request that ends while another server is tried, for example as its part of the prompt is blocked, kept the mark of a handover for its next attempt, which would have waited for a server that nobody leaves. The attempt is cancelled and the mark removed in one place. The state dump tells the requests that this router has at each server.

--- a/features/forward/forwarding.feature
+++ b/features/forward/forwarding.feature
@@ -148,6 +148,15 @@
       | streams its first event after 2 seconds | resumable stream | the second server has no room               | 1 2 3 4 5 |
       | answers after a second                  | idempotent       | the second server has no room               | none      |
 
+  # Guards against an attempt at another server that outlives its request, or a place that is never returned.
+  Scenario: A caller that leaves while another server is tried leaves both servers
+    Given 2 servers of which the first falls silent after 2 events
+    And the second server keeps what it gets
+    When a caller of a resumable stream request disconnects after 1.65 seconds
+    Then the server's connection is closed within 0.5 seconds
+    And the second server's connection is closed as well
+    And no request holds a place
+
   # Guards against a stalled server that looks alive because of single bytes.
   Scenario: A stream that brings bytes but no whole event goes on at another server
     Given 2 servers of which the first sends a byte now and then after 2 events
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -188,6 +188,9 @@
     context.rate_limits = limits = ServerRateLimits(clock=clock, metrics=metrics)
     notices = ServerNotices(clock=clock, metrics=metrics)
     table.add_exclusion(notices.is_excluded)
+    context.places = build_place_keeper(
+        fleet=FakeFleet(), clock=clock, metrics=metrics, random_source=random.Random(1)
+    )
     context.frontend = ForwardFrontend(
         service=build_forward_service(
             configuration=context.configuration,
@@ -215,12 +218,7 @@
                 random_source=random.Random(1),
             ),
             notices=notices,
-            places=build_place_keeper(
-                fleet=FakeFleet(),
-                clock=clock,
-                metrics=metrics,
-                random_source=random.Random(1),
-            ),
+            places=context.places,
             time_limits=time_limits,
             clock=clock,
             metrics=metrics,
@@ -439,6 +437,7 @@
         "has no room": "refuses the named request as full",
         "fails": "fails",
         "resets what it gets": "resets",
+        "keeps what it gets": "is silent",
     }
     context.servers[1].behaviour = behaviours[state]
 
@@ -505,6 +504,21 @@
     run(context, asyncio.sleep(0.05))
 
 
+@then("the second server's connection is closed as well")
+def check_second_closed(context):
+    assert context.servers[1].runs == 1, context.servers[1].runs
+    run(context, asyncio.wait_for(context.servers[1].client_closed.wait(), 0.5))
+
+
+@then("no request holds a place")
+def check_no_places(context):
+    async def describe():
+        return context.places.describe()["held"]
+
+    held = run(context, describe())
+    assert not held, held
+
+
 @then("the request took at most {seconds:f} seconds")
 def check_duration(context, seconds):
     assert context.duration_seconds <= seconds, context.duration_seconds
--- a/packages/router/laburnumpier_router/places/place_keeper.py
+++ b/packages/router/laburnumpier_router/places/place_keeper.py
@@ -310,7 +310,12 @@
         """Returns the state of the places, for the state dump."""
         now = self._clock.monotonic_seconds()
         silent = [home for home, until in self._silent_until.items() if until > now]
-        return {"home_of": self._home.describe(), "silent_homes": sorted(silent)}
+        held_ids = [server.server_id for server in self._held.list_servers()]
+        return {
+            "home_of": self._home.describe(),
+            "silent_homes": sorted(silent),
+            "held": {server_id: self._held.count(server_id) for server_id in held_ids},
+        }
 
     async def close(self) -> None:
         """Cancels the messages in progress."""
--- a/packages/router/laburnumpier_router/sending/sender.py
+++ b/packages/router/laburnumpier_router/sending/sender.py
@@ -122,9 +122,14 @@
         except HandedOverError:
             await self._go_on_elsewhere(progress)
         finally:
-            # The request may be cancelled while the silent server is left.
-            if progress.handover is not None:
-                await progress.handover.cancel()
+            await self._end_handover(progress)
+
+    async def _end_handover(self, progress: RequestProgress) -> None:
+        """Ends an attempt at another server that is left over, as the request has ended before."""
+        handover, progress.handover = progress.handover, None
+        progress.is_taking_over = False
+        if handover is not None:
+            await handover.cancel()
 
     async def _go_on_elsewhere(self, progress: RequestProgress) -> None:
         """Follows a request to the servers that take it over, one from the other."""
