A server that goes on within an event keeps its first half

Cause: a server that is silent within an event is kept while another one is tried. If the other one lost the request, its failure discarded the half event, which belongs to the silent server and whose rest still came.

Change: a server's half event is discarded where its stream is relayed, when that ends. An attempt that has relayed nothing has nothing to discard, and one that takes over begins to relay after the silent one has ended.

Test: the new example of forwarding.feature, a pause within the third event, failed before with 'events 1 2 4 5 and the block ta: piece 3' and passes; the feature's other 102 scenarios pass.

--- a/features/forward/forwarding.feature
+++ b/features/forward/forwarding.feature
@@ -145,6 +145,7 @@
       | pauses for 2 seconds after 2 events     | resumable stream | the second server has no room               | 1 2 3 4 5 |
       | pauses for 2 seconds after 2 events     | resumable stream | the second server fails                     | 1 2 3 4 5 |
       | pauses for 2 seconds after 2 events     | resumable stream | the second server resets what it gets       | 1 2 3 4 5 |
+      | pauses for 2 seconds within its third event | resumable stream | the second server resets what it gets   | 1 2 3 4 5 |
       | streams its first event after 2 seconds | resumable stream | the second server has no room               | 1 2 3 4 5 |
       | answers after a second                  | idempotent       | the second server has no room               | none      |
 
--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -196,6 +196,12 @@
                 await self._send(writer, stream_head + b"\r\n" + b"".join(events[:2]))
                 await asyncio.sleep(0.05)
                 _reset_connection(writer)
+            case "pauses for 2 seconds within its third event":
+                part = b"".join(events[:2]) + events[2][:8]
+                await self._send(writer, chunked_head + _encode_chunk(part))
+                await asyncio.sleep(2.0)
+                rest = events[2][8:] + b"".join(events[3:])
+                await self._send(writer, _encode_chunk(rest) + b"0\r\n\r\n")
             case "closes after 2 events and a half":
                 part = b"".join(events[:2]) + events[2][:8]
                 await self._send(writer, stream_head + b"\r\n" + part)
--- a/packages/router/laburnumpier_router/sending/sender.py
+++ b/packages/router/laburnumpier_router/sending/sender.py
@@ -180,7 +180,6 @@
             observer.record_failure()
             server.record_failure()
             server.record_connection_lost(self._clock.monotonic_seconds())
-            progress.splitter.discard_partial_event()
             crash_check = None
             if not run.has_begun and not isinstance(error, ServerResponseLimitError):
                 progress.lost_count += 1
@@ -188,17 +187,14 @@
             raise ServerAttemptError(error.reason, Ran.UNKNOWN, crash_check=crash_check) from error
         except PartBlockedError as error:
             progress.send_count += exchange is None
-            progress.splitter.discard_partial_event()
             raise ServerAttemptError(PART_BLOCKED, Ran.UNKNOWN) from error
         except ServerSilentError as error:
             progress.send_count += exchange is None
             server.record_unreachable(self._clock.monotonic_seconds())
-            progress.splitter.discard_partial_event()
             raise ServerAttemptError("silent", Ran.UNKNOWN) from error
         except HandedOverError:
             progress.send_count += exchange is None
             server.record_unreachable(self._clock.monotonic_seconds())
-            progress.splitter.discard_partial_event()
             raise
         except ServerAttemptError as failure:
             if failure.ran is Ran.NO:
@@ -457,7 +453,7 @@
     async def _relay_stream(
         self, progress: RequestProgress, exchange: ServerExchange, sink: ResponseSink
     ) -> None:
-        """Relays complete events as they arrive.
+        """Relays the stream of a server, and its end.
 
         Raises:
             ServerConnectionLostError: If the stream ends early.
@@ -465,19 +461,14 @@
             ServerSilentError: If it was silent for too long and is left without one.
             ServerAttemptError: If it ended with its connection and can be resumed elsewhere.
         """
-        splitter = progress.splitter
         # A server that was asked what follows and answers has not said yet that nothing does.
         is_same_end, progress.has_open_end = progress.has_open_end, False
-        async with read_patiently(exchange.iterate_chunks()) as reader:
-            while (events := await self._read_next_events(progress, reader, sink)) is not None:
+        try:
+            if await self._relay_events(progress, exchange, sink):
                 is_same_end = False
-                progress.observer.record_progress()
-                self._crash_guard.record_piece(progress.run)
-                self._record_version(progress)
-                await self._start_stream(progress, exchange, sink)
-                await sink.send_chunk(events)
-        if splitter.has_partial_event:
-            raise ServerConnectionLostError("the stream ended within an event")
+        finally:
+            # Half an event belongs to its server, also while another one is tried beside it.
+            progress.splitter.discard_partial_event()
         await self._start_stream(progress, exchange, sink)
         if exchange.end_marker.is_explicit:
             await sink.finish_stream()
@@ -489,6 +480,29 @@
         progress.is_end_asked = True
         raise ServerAttemptError(OPEN_END, Ran.UNKNOWN)
 
+    async def _relay_events(
+        self, progress: RequestProgress, exchange: ServerExchange, sink: ResponseSink
+    ) -> bool:
+        """Relays complete events as they arrive; returns whether there were any.
+
+        Raises:
+            ServerConnectionLostError: If the stream ends early.
+            HandedOverError: If it was silent for too long and another server has taken it.
+            ServerSilentError: If it was silent for too long and is left without one.
+        """
+        has_events = False
+        async with read_patiently(exchange.iterate_chunks()) as reader:
+            while (events := await self._read_next_events(progress, reader, sink)) is not None:
+                has_events = True
+                progress.observer.record_progress()
+                self._crash_guard.record_piece(progress.run)
+                self._record_version(progress)
+                await self._start_stream(progress, exchange, sink)
+                await sink.send_chunk(events)
+        if progress.splitter.has_partial_event:
+            raise ServerConnectionLostError("the stream ended within an event")
+        return has_events
+
     def _record_version(self, progress: RequestProgress) -> None:
         """Binds a stream to the version that sends its first event, at all routers."""
         if progress.is_version_recorded:
