A stream of which half an event was seen does not end with an empty answer

Cause: half an event was discarded with its server, and nothing remembered that more was known to follow. The end that the next server stated was believed.

Change: the splitter remembers that an event was begun until a server brings a new one. A resumable stream that ends before that is not passed on as ended: another server is asked, or the answer is broken off visibly. Half a comment or a text that is no field begins nothing. After whole events an empty whole answer is the end as before, as the rest of a resumed stream may be empty; so is the stream of the second run of an idempotent call, which is not joined to the first.

--- a/features/forward/open_ends.feature
+++ b/features/forward/open_ends.feature
@@ -114,3 +114,67 @@
     When a caller of HTTP/1.1 sends a idempotent request with at most 2 attempts
     Then the caller has the events 1 2
     And the caller sees an answer that is framed and incomplete
+
+  # Guards against the orderly end of a stream of which half an event was seen, at a server that says that nothing follows.
+  Scenario Outline: A stream that broke off ends as whole only if nothing more had begun
+    Given a server that <behaviour> and one that <next>
+    When a caller of HTTP/1.1 sends a resumable stream request with at most 2 attempts
+    Then the caller has the events 1 2
+    And the caller sees an answer that is <end>
+
+    Examples: Within an event, which the next answer contradicts
+      | behaviour                            | next                             | end                   |
+      | breaks off after 2 events and a half | streams nothing                  | framed and incomplete |
+      | breaks off after 2 events and a half | streams nothing in chunks        | framed and incomplete |
+      | breaks off after 2 events and a half | streams nothing without a length | framed and incomplete |
+      | breaks off after 2 events and a half | streams only a comment           | framed and incomplete |
+      | closes after 2 events and a half     | streams nothing                  | reset                 |
+      | closes after 2 events and a half     | streams nothing in chunks        | reset                 |
+      | closes after 2 events and a half     | streams nothing without a length | reset                 |
+      | closes after 2 events and a half     | streams only a comment           | reset                 |
+
+    Examples: After whole events, when a whole answer may say that nothing follows
+      | behaviour                                       | next                             | end                   |
+      | breaks off after 2 events                       | streams nothing                  | framed and complete   |
+      | breaks off after 2 events                       | streams nothing in chunks        | framed and complete   |
+      | breaks off after 2 events                       | streams nothing without a length | framed and incomplete |
+      | breaks off after 2 events and half a comment    | streams nothing                  | framed and complete   |
+      | breaks off after 2 events and a half text       | streams nothing                  | framed and complete   |
+      | resets a stream without a length after 2 events | streams nothing                  | closed                |
+      | resets a stream without a length after 2 events | streams nothing in chunks        | closed                |
+      | resets a stream without a length after 2 events | streams nothing without a length | closed                |
+
+  # Guards against the end of a stream at a server without its rest although another one has it.
+  Scenario Outline: Another server is asked for the rest of an event of which half was seen
+    Given a server that <behaviour> and one that <next>
+    And a third server that streams
+    When a caller of HTTP/1.1 sends a resumable stream request with at most 3 attempts
+    Then the caller has nothing but the events 1 2 3 4 5
+    And the caller sees an answer that is <end>
+
+    Examples:
+      | behaviour                                       | next                              | end                 |
+      | breaks off after 2 events and a half            | streams nothing                   | framed and complete |
+      | closes after 2 events and a half                | streams nothing in chunks         | closed              |
+      | closes after 2 events and a half                | streams nothing without a length  | closed              |
+      | closes a stream without a length after 2 events | breaks off within its first event | closed              |
+
+  # Guards against an orderly end at the second of two servers that hold nothing, after half an event at a third.
+  Scenario: A stream of which half an event was seen does not end with two servers that hold nothing
+    Given a server that closes after 2 events and a half and one that streams nothing without a length
+    And a third server that streams nothing without a length
+    When a caller of HTTP/1.1 sends a resumable stream request with at most 3 attempts
+    Then the caller has nothing but the events 1 2
+    And the caller sees an answer that is reset
+
+  # Guards against an empty stream as the whole answer although its first event had begun elsewhere.
+  Scenario: A stream whose first event had begun is not answered with an empty one
+    Given a server that breaks off within its first event and one that streams nothing
+    When a caller of HTTP/1.1 sends a resumable stream request with at most 2 attempts
+    Then the caller sees no answer that is complete
+
+  # Guards against a whole answer that is refused for the half event of another run, of which its caller has nothing.
+  Scenario: An idempotent call is answered with the stream of its second run, whatever the first had begun
+    Given a server that breaks off within its first event and one that streams nothing
+    When a caller of HTTP/1.1 sends a idempotent request with at most 2 attempts
+    Then the caller sees an answer that is framed and complete
--- a/features/steps/open_end_steps.py
+++ b/features/steps/open_end_steps.py
@@ -108,6 +108,12 @@
     assert context.sink.aborted
 
 
+@then("the caller has nothing but the events {numbers}")
+def check_only_events(context, numbers):
+    expected = b"".join(EVENTS[int(number)] for number in numbers.split())
+    assert context.answer.body == expected, context.answer
+
+
 @then("its events hold each piece once at most")
 def check_pieces(context):
     pieces = [line for line in context.answer.body.split(b"\n") if line.startswith(b"data: ")]
--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -24,6 +24,8 @@
     b"X-Server-Load: 9,9,1\r\nRetry-After: 5\r\nContent-Length: 0\r\n\r\n"
 )
 STREAM_HEAD = RESPONSE_HEAD + b"Content-Type: text/event-stream\r\n"
+ERROR_TEXT = b"out of memory\n\n"
+ERROR_WITH_HEAD = b"HTTP/1.1 500 X\nContent-Type: text/plain\n\n" + ERROR_TEXT
 
 
 class ScriptedServer:
@@ -196,6 +198,20 @@
                 await self._send(writer, stream_head + b"\r\n" + b"".join(events[:2]))
                 await asyncio.sleep(0.05)
                 _reset_connection(writer)
+            case "breaks off after 2 events":
+                await self._send(writer, chunked_head + _encode_chunk(b"".join(events[:2])))
+                await asyncio.sleep(0.05)
+                _reset_connection(writer)
+            case "breaks off after 2 events and half a comment":
+                part = b"".join(events[:2]) + b": wai"
+                await self._send(writer, chunked_head + _encode_chunk(part))
+                await asyncio.sleep(0.05)
+                _reset_connection(writer)
+            case "breaks off after 2 events and a half text":
+                part = b"".join(events[:2]) + ERROR_TEXT[:9]
+                await self._send(writer, chunked_head + _encode_chunk(part))
+                await asyncio.sleep(0.05)
+                _reset_connection(writer)
             case "pauses for 2 seconds within its third event":
                 part = b"".join(events[:2]) + events[2][:8]
                 await self._send(writer, chunked_head + _encode_chunk(part))
@@ -259,6 +275,8 @@
                 await self._send(writer, head + b"Content-Length: %d\r\n\r\n" % size)
                 await self._send(writer, b"x" * (size - ENDLESS_BLOCK_BYTES))
                 await self._wait_for_close(reader)
+            case other if answer := _make_answer_without_events(other, attempt_id):
+                await self._send(writer, answer)
             case other:
                 start, units = _make_endless_response(other, head, stream_head)
                 await self._send_without_end(reader, writer, start, units)
@@ -309,6 +327,47 @@
     return b"".join(event.partition(b"\n")[2] for event in events)
 
 
+def _make_answer_without_events(behaviour: str, attempt_id: bytes) -> bytes:
+    """Returns a whole answer that holds no event of a stream; empty for other behaviours."""
+    head, stream_head = RESPONSE_HEAD % attempt_id, STREAM_HEAD % attempt_id
+    text = b"Content-Type: text/plain\r\n"
+    match behaviour:
+        case "fails with a text":
+            start = head.replace(b"200 OK", b"500 X") + text
+            return start + _frame_by_length(ERROR_TEXT)
+        case "rejects it with a text":
+            start = head.replace(b"200 OK", b"404 X") + text
+            return start + _frame_by_length(ERROR_TEXT)
+        case "fails with a head in its text":
+            start = head.replace(b"200 OK", b"502 X") + text
+            return start + _frame_by_length(ERROR_WITH_HEAD)
+        case "fails with an event stream":
+            start = stream_head.replace(b"200 OK", b"500 X")
+            return start + _frame_by_length(b"id: 3\ndata: " + ERROR_TEXT)
+        case "answers with a text":
+            return head + text + _frame_by_length(ERROR_TEXT)
+        case "answers with a text without a type":
+            return head + _frame_by_length(ERROR_TEXT)
+        case "streams the text of an error":
+            return stream_head + _frame_by_length(ERROR_TEXT)
+        case "streams the head of an error":
+            return stream_head + _frame_by_length(ERROR_WITH_HEAD)
+        case "streams nothing":
+            return stream_head + _frame_by_length(b"")
+        case "streams nothing in chunks":
+            return stream_head + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+        case "streams nothing without a length":
+            return stream_head + b"\r\n"
+        case "streams only a comment":
+            return stream_head + _frame_by_length(b": waiting\n\n")
+        case _:
+            return b""
+
+
+def _frame_by_length(body: bytes) -> bytes:
+    return b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
 def _make_endless_response(
     behaviour: str, head: bytes, stream_head: bytes
 ) -> tuple[bytes, Iterator[bytes]]:
--- a/packages/router/laburnumpier_router/forward/event_stream.py
+++ b/packages/router/laburnumpier_router/forward/event_stream.py
@@ -4,8 +4,13 @@
 after the last complete one.
 """
 
+import re
+
 from .response_limits import MAX_EVENT_BYTES, StreamLimitError, StreamLimits
 
+_FIELD = re.compile(rb"[A-Za-z][A-Za-z0-9-]*(:.*)?")
+"""A line of an event, or its beginning."""
+
 
 class EventSplitter:
     """Buffers the bytes of a stream and returns complete events.
@@ -15,6 +20,8 @@
         event_count: Number of events with an id that were returned.
         has_unnumbered_event: Whether an event without an id was returned. The stream cannot be
             resumed then, because the next server would send that event again.
+        has_event_due: Whether a server had begun an event that none has completed, so that more
+            follows, whoever says that nothing does.
     """
 
     __slots__ = (
@@ -22,6 +29,7 @@
         "_limits",
         "_max_output_tokens",
         "event_count",
+        "has_event_due",
         "has_unnumbered_event",
         "last_event_id",
     )
@@ -39,6 +47,7 @@
         self.last_event_id = last_event_id
         self.event_count = 0
         self.has_unnumbered_event = False
+        self.has_event_due = False
 
     @property
     def has_partial_event(self) -> bool:
@@ -47,6 +56,7 @@
 
     def discard_partial_event(self) -> None:
         """Discards the incomplete event of an interrupted stream; another server may go on."""
+        self.has_event_due = self.has_event_due or _has_fields(self._buffer)
         self._buffer = b""
         self._limits = StreamLimits(max_output_tokens=self._max_output_tokens)
 
@@ -71,7 +81,7 @@
         id_count = sum(event_id is not None for event_id, _ in events)
         self._limits.count_events(id_count, len(events) - id_count)
         last_event_id, new_count, complete = self.last_event_id, 0, []
-        has_unnumbered_event = self.has_unnumbered_event
+        has_unnumbered_event, has_new_data = self.has_unnumbered_event, False
         for event_id, event in events:
             if event_id is not None:
                 if last_event_id is not None and event_id <= last_event_id:
@@ -79,16 +89,24 @@
                 last_event_id = event_id
                 new_count += 1
             elif _has_data(event):
-                has_unnumbered_event = True
+                has_unnumbered_event = has_new_data = True
             complete.append(event + b"\n\n")
         self._limits.check_total(self.event_count + new_count)
         self._buffer = data[end + 2 :]
         self.last_event_id = last_event_id
         self.event_count += new_count
         self.has_unnumbered_event = has_unnumbered_event
+        if new_count or has_new_data:
+            self.has_event_due = False
         return b"".join(complete)
 
 
+def _has_fields(event: bytes) -> bool:
+    """Whether an event, or its beginning, has fields; comments and other texts have none."""
+    lines = [line for line in event.split(b"\n") if line and not line.startswith(b":")]
+    return bool(lines) and all(_FIELD.fullmatch(line) for line in lines)
+
+
 def _has_data(event: bytes) -> bool:
     """Whether an event has data; comments that keep a connection open have none."""
     return any(line.startswith(b"data:") for line in event.split(b"\n"))
--- a/packages/router/laburnumpier_router/sending/sender.py
+++ b/packages/router/laburnumpier_router/sending/sender.py
@@ -42,6 +42,8 @@
 """Timeout for the response to an idempotent call, as a multiple of the target latency."""
 OPEN_END = "open_end"
 """Reason of a server attempt whose stream ended with its connection after whole events."""
+NO_REST = "no_rest"
+"""Reason of a server attempt that brought no rest of a stream of which more is known to follow."""
 PART_BLOCKED = "part_blocked"
 """Reason of a server attempt that ended because servers crash on a part of the prompt."""
 EVENT_STREAM = "text/event-stream"
@@ -373,7 +375,7 @@
         if is_stream or (exchange.status < 500 and not sink.started):
             await self._take_over(progress)
         if is_stream:
-            await self._relay_stream(progress, exchange, sink)
+            await self._relay_stream(progress, server, exchange, sink)
             self._crash_guard.record_begun(progress.run)
             server.record_success()
             return
@@ -451,7 +453,11 @@
         raise ServerAttemptError(f"refused_{status}", Ran.NO)
 
     async def _relay_stream(
-        self, progress: RequestProgress, exchange: ServerExchange, sink: ResponseSink
+        self,
+        progress: RequestProgress,
+        server: ServerLoad,
+        exchange: ServerExchange,
+        sink: ResponseSink,
     ) -> None:
         """Relays the stream of a server, and its end.
 
@@ -459,7 +465,8 @@
             ServerConnectionLostError: If the stream ends early.
             HandedOverError: If it was silent for too long and another server has taken it.
             ServerSilentError: If it was silent for too long and is left without one.
-            ServerAttemptError: If it ended with its connection and can be resumed elsewhere.
+            ServerAttemptError: If it lacks an event that another server had begun, or if it ended
+                with its connection and can be resumed elsewhere.
         """
         # A server that was asked what follows and answers has not said yet that nothing does.
         is_same_end, progress.has_open_end = progress.has_open_end, False
@@ -469,6 +476,9 @@
         finally:
             # Half an event belongs to its server, also while another one is tried beside it.
             progress.splitter.discard_partial_event()
+        if progress.is_resumable and progress.splitter.has_event_due:
+            server.record_failure()
+            raise ServerAttemptError(NO_REST, Ran.UNKNOWN)
         await self._start_stream(progress, exchange, sink)
         if exchange.end_marker.is_explicit:
             await sink.finish_stream()
