A silent server is kept when no other one answers, and when it goes on

Callers' streams were still broken off, and calls ended with 504, when the server that was tried next was silent as well: it counted as having taken the request after 0.25 s, even if the first server had gone on in that time. A response head or an unfinished error of it counted as an answer.

Change: a server is tried only if it has answered something lately or answers a probe, and only the first piece of an answer or a time without a rejection is a taking. The silent server keeps the request if it has gone on.

The stand-ins answer probes as servers do, unless they are silent.

--- a/features/forward/forwarding.feature
+++ b/features/forward/forwarding.feature
@@ -148,6 +148,13 @@
       | pauses for 2 seconds within its third event | resumable stream | the second server resets what it gets   | 1 2 3 4 5 |
       | streams its first event after 2 seconds | resumable stream | the second server has no room               | 1 2 3 4 5 |
       | answers after a second                  | idempotent       | the second server has no room               | none      |
+      | pauses for 2 seconds after 2 events     | resumable stream | the second server is silent as well         | 1 2 3 4 5 |
+      | pauses for 2 seconds after 2 events     | resumable stream | the second server resets streams            | 1 2 3 4 5 |
+      | pauses for 2 seconds after 2 events     | resumable stream | the second server fails and stops within its body | 1 2 3 4 5 |
+      | pauses for 1.6 seconds after 2 events   | resumable stream | the second server keeps what it gets        | 1 2 3 4 5 |
+      | answers after a second                  | idempotent       | the second server is silent as well         | none      |
+      | answers after half a second             | idempotent       | the second server keeps what it gets        | none      |
+      | answers after a second                  | idempotent       | the second server fails and stops within its body | none |
 
   # Guards against an attempt at another server that outlives its request, or a place that is never returned.
   Scenario: A caller that leaves while another server is tried leaves both servers
--- a/features/steps/brittle_world.py
+++ b/features/steps/brittle_world.py
@@ -224,10 +224,13 @@
     async def open(self, call):
         """Sends a request and waits for the head of its answer."""
         world, server = self._world, self._world.find_server(call.address)
-        attempt_id = call.headers["X-Attempt-Id"]
         await asyncio.sleep(SERVER_SECONDS)
         if not server.is_up:
             raise ServerUnreachableError("refused")
+        if call.method == "OPTIONS":
+            yield None
+            return
+        attempt_id = call.headers["X-Attempt-Id"]
         async with server.take_slot() as has_slot:
             is_streaming = world.is_streaming
             if not has_slot:
--- a/features/steps/crash_world.py
+++ b/features/steps/crash_world.py
@@ -179,9 +179,12 @@
     async def open(self, call):
         """Sends a request and waits for its prompt to be read."""
         server = self._world.find_server(call.address)
-        attempt_id = call.headers["X-Attempt-Id"]
         if not server.is_up:
             raise ServerUnreachableError("refused")
+        if call.method == "OPTIONS":
+            yield None
+            return
+        attempt_id = call.headers["X-Attempt-Id"]
         attempt = self._world.attempts[attempt_id]
         loop = asyncio.get_running_loop()
         attempt.arrivals.append(loop.time())
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -437,7 +437,10 @@
         "has no room": "refuses the named request as full",
         "fails": "fails",
         "resets what it gets": "resets",
-        "keeps what it gets": "is silent",
+        "keeps what it gets": "keeps requests",
+        "is silent as well": "is silent",
+        "resets streams": "breaks off before its first event",
+        "fails and stops within its body": "fails and stops within its body",
     }
     context.servers[1].behaviour = behaviours[state]
 
--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -93,6 +93,10 @@
             skip_body = self.behaviour.endswith("before it has read the body")
             body_length = 0 if skip_body else int(headers.get(b"content-length", 0))
             body = await reader.readexactly(body_length)
+            if head.startswith(b"OPTIONS ") and self.behaviour != "is silent":
+                await self._send(writer, b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")
+                writer.close()
+                return
             self.requests.append((head, body))
             attempt_id = headers.get(b"x-attempt-id", b"")
             last_event_id = int(headers.get(b"last-event-id", 0))
@@ -163,7 +167,7 @@
                 await self._send(writer, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
             case "sends no HTTP":
                 await self._send(writer, b"\x00\x01 what is this\r\n\r\n")
-            case "is silent":
+            case "is silent" | "keeps requests":
                 await self._wait_for_close(reader)
             case "streams":
                 await self._send(
@@ -235,6 +239,17 @@
             case "falls silent after 2 events":
                 await self._send(writer, chunked_head + _encode_chunk(b"".join(events[:2])))
                 await self._wait_for_close(reader)
+            case "fails and stops within its body":
+                start = head.replace(b"200 OK", b"500 X")
+                await self._send(writer, start + b"Content-Length: 10\r\n\r\nout")
+                await self._wait_for_close(reader)
+            case "pauses for 1.6 seconds after 2 events":
+                await self._send(writer, chunked_head + _encode_chunk(b"".join(events[:2])))
+                await asyncio.sleep(1.6)
+                await self._send(writer, _encode_chunk(b"".join(events[2:])) + b"0\r\n\r\n")
+            case "answers after half a second":
+                await asyncio.sleep(0.5)
+                await self._send(writer, response)
             case "pauses for 2 seconds after 2 events":
                 await self._send(writer, chunked_head + _encode_chunk(b"".join(events[:2])))
                 await asyncio.sleep(2.0)
--- a/packages/router/laburnumpier_router/forward/patience.py
+++ b/packages/router/laburnumpier_router/forward/patience.py
@@ -37,6 +37,11 @@
         """Whether the operation has ended."""
         return self._task.done()
 
+    @property
+    def has_result(self) -> bool:
+        """Whether the operation has ended without an error."""
+        return self.is_done and not self._task.cancelled() and self._task.exception() is None
+
     async def get_result(self, timeout_seconds: float | None) -> Any:
         """Returns the result of the operation, or raises its error.
 
@@ -73,10 +78,15 @@
         self._wait: PatientWait | None = None
 
     @property
-    def has_chunk(self) -> bool:
+    def is_done(self) -> bool:
         """Whether the read in progress has ended."""
         return self._wait is not None and self._wait.is_done
 
+    @property
+    def has_result(self) -> bool:
+        """Whether the read in progress has ended without an error."""
+        return self._wait is not None and self._wait.has_result
+
     async def read(self, timeout_seconds: float | None) -> bytes | None:
         """Returns the next chunk, or None at the end.
 
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -24,6 +24,7 @@
 from ..notices.server_notices import ServerNotices
 from ..places.place_keeper import PlaceKeeper
 from ..ports.dialect import Dialect
+from ..relay.server_prober import ServerProber
 from ..selection.selector import ServerSelector
 from ..sending.attempt_error import ServerAttemptError
 from ..sending.sender import OPEN_END, PART_BLOCKED, RequestSender
@@ -536,6 +537,7 @@
     )
     sender = RequestSender(
         client=client,
+        prober=ServerProber(client=client, dialect=dialect, metrics=metrics),
         selector=selector,
         crash_guard=crash_guard,
         stream_versions=stream_versions,
--- a/packages/router/laburnumpier_router/sending/handover.py
+++ b/packages/router/laburnumpier_router/sending/handover.py
@@ -1,9 +1,9 @@
 """Hands a request over from a silent server to one that has taken it.
 
-A sound server may fall silent for a second or so and go on, while another one may have no room.
-So the exchange with the silent server goes on until the other one has begun to answer, or has kept
-the request for some time without rejecting it. Both must not work on the request for long, which
-bounds that time.
+A sound server may fall silent for a second or so and go on, while another one may have no room, or
+be silent too. So the exchange with the silent server goes on until another one, which answers, has
+begun to answer this request or has kept it for some time without rejecting it. Both must not work
+on the request for long, which bounds that time. A server that goes on meanwhile keeps the request.
 """
 
 import asyncio
@@ -20,10 +20,15 @@
 class Handover:
     """An attempt at another server, and the agreement on which of the two servers goes on."""
 
-    __slots__ = ("_left", "_taken", "_task")
+    __slots__ = ("_left", "_taken", "_task", "_until_seconds")
 
-    def __init__(self):
-        """Creates a handover without an attempt."""
+    def __init__(self, *, now_seconds: float):
+        """Creates a handover without an attempt.
+
+        Args:
+            now_seconds: Monotonic time at which the attempt begins.
+        """
+        self._until_seconds = now_seconds + TAKE_OVER_SECONDS
         self._taken = asyncio.Event()
         self._left = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
@@ -32,6 +37,10 @@
         """Sets the attempt, which calls `take_over` before it passes on any part of an answer."""
         self._task = task
 
+    def get_remaining(self, now_seconds: float) -> float:
+        """Returns the seconds after which the request counts as taken without an answer."""
+        return max(0.0, self._until_seconds - now_seconds)
+
     async def take_over(self) -> None:
         """Tells that the other server has the request, and waits until the silent one is left."""
         self._taken.set()
@@ -57,8 +66,8 @@
         await self._task
 
     def get_failure(self) -> BaseException | None:
-        """Returns the error of an attempt that has ended."""
-        return self._task.exception()
+        """Returns the error of an attempt that has ended; None if it was cancelled."""
+        return None if self._task.cancelled() else self._task.exception()
 
     async def cancel(self) -> None:
         """Cancels the attempt unless it has ended."""
--- a/packages/router/laburnumpier_router/sending/sender.py
+++ b/packages/router/laburnumpier_router/sending/sender.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import functools
+from collections.abc import Callable
 
 from laburnumpier_core.clock import Clock
 from laburnumpier_core.errors import (
@@ -27,9 +28,10 @@
 from ..notices.server_notices import ServerNotices
 from ..places.place_keeper import PlaceKeeper
 from ..ports.dialect import Dialect, ForwardedRequestInfo, ResponseHead
+from ..relay.server_prober import ServerProber
 from ..selection.selector import ServerSelector
 from .attempt_error import ServerAttemptError, ServerSilentError
-from .handover import TAKE_OVER_SECONDS, HandedOverError, Handover
+from .handover import HandedOverError, Handover
 from .kept_attempt import KeptAttempt, keep_attempt
 
 FIRST_EVENT_TIMEOUT_FACTOR = 2.5
@@ -40,6 +42,10 @@
 """Timeout between events of a resumable stream, as a multiple of the target gap."""
 RESPONSE_TIMEOUT_FACTOR = 2.0
 """Timeout for the response to an idempotent call, as a multiple of the target latency."""
+RECENT_ANSWER_SECONDS = 0.5
+"""Age of a server's latest load report up to which it counts as answering."""
+NOT_NEEDED = "not_needed"
+"""Reason of a server attempt that was ended because the server before has gone on."""
 OPEN_END = "open_end"
 """Reason of a server attempt whose stream ended with its connection after whole events."""
 NO_REST = "no_rest"
@@ -60,6 +66,7 @@
         "_limiter",
         "_notices",
         "_places",
+        "_prober",
         "_rate_limits",
         "_retry_budget",
         "_selector",
@@ -70,6 +77,7 @@
         self,
         *,
         client: ServerClient,
+        prober: ServerProber,
         selector: ServerSelector,
         crash_guard: CrashGuard,
         stream_versions: StreamVersions,
@@ -85,6 +93,7 @@
 
         Args:
             client: Sends requests to servers.
+            prober: Finds out whether a server answers.
             selector: Finds servers that could take over from a silent one.
             crash_guard: Watches for requests that crash servers.
             stream_versions: Records at which version each stream began.
@@ -97,6 +106,7 @@
             clock: Source of time.
         """
         self._client = client
+        self._prober = prober
         self._selector = selector
         self._crash_guard = crash_guard
         self._stream_versions = stream_versions
@@ -232,14 +242,18 @@
         async with PatientWait(opening) as wait:
             if progress.is_taking_over:
                 with contextlib.suppress(StillWaitingError):
-                    return await wait.get_result(TAKE_OVER_SECONDS)
+                    return await wait.get_result(self._get_take_over_timeout(progress))
                 await self._take_over(progress)
             while True:
                 timeout_seconds = self._get_silence_timeout(progress, sink_started=False)
                 with contextlib.suppress(StillWaitingError):
                     return await wait.get_result(timeout_seconds)
                 if await self._can_go_on_elsewhere(progress) and not wait.is_done:
-                    await self._leave_if_taken(progress, sink)
+                    await self._leave_if_taken(progress, sink, lambda: wait.has_result)
+
+    def _get_take_over_timeout(self, progress: RequestProgress) -> float:
+        """Returns the seconds after which a request at this server counts as taken over."""
+        return progress.handover.get_remaining(self._clock.monotonic_seconds())
 
     async def _take_over(self, progress: RequestProgress) -> None:
         """Makes this attempt the one that goes on, if the server before is still kept."""
@@ -247,8 +261,15 @@
             progress.is_taking_over = False
             await progress.handover.take_over()
 
-    async def _leave_if_taken(self, progress: RequestProgress, sink: ResponseSink) -> None:
-        """Tries another server while the silent one is kept, and returns if none took the request.
+    async def _leave_if_taken(
+        self, progress: RequestProgress, sink: ResponseSink, is_back: Callable[[], bool]
+    ) -> None:
+        """Tries another server while the silent one is kept, and returns if that is to go on.
+
+        Args:
+            progress: The request.
+            sink: Sends the response to the caller.
+            is_back: Returns whether the silent server has gone on.
 
         Raises:
             HandedOverError: If another server has taken the request.
@@ -259,29 +280,52 @@
         with contextlib.ExitStack() as stack:
             kept = keep_attempt(progress)
             stack.callback(self._release_kept, kept)
-            if await self._is_taken_elsewhere(progress, sink):
+            if await self._is_taken_elsewhere(progress, sink, is_back):
                 progress.attempt_log[kept.log_index] += ":silent"
                 raise HandedOverError
             self._selector.release_place(progress)
             stack.pop_all()
             kept.restore(progress)
 
-    async def _is_taken_elsewhere(self, progress: RequestProgress, sink: ResponseSink) -> bool:
+    async def _is_taken_elsewhere(
+        self, progress: RequestProgress, sink: ResponseSink, is_back: Callable[[], bool]
+    ) -> bool:
         """Begins an attempt at another server, and returns whether that has taken the request."""
-        server = await self._selector.find_server(progress)
+        server = await self._find_successor(progress)
         now = self._clock.monotonic_seconds()
-        if server is None or not self._retry_budget.try_acquire(progress.service, now):
+        if server is None:
             return False
-        progress.handover = handover = Handover()
+        if is_back() or not self._retry_budget.try_acquire(progress.service, now):
+            self._selector.release_place(progress, is_answered=True)
+            return False
+        progress.handover = handover = Handover(now_seconds=now)
         progress.is_taking_over = True
         handover.start(asyncio.create_task(self._send_to(progress, server, sink)))
-        if await handover.wait_until_taken():
+        if await handover.wait_until_taken() and not is_back():
             return True
-        progress.handover, progress.is_taking_over = None, False
+        await self._end_handover(progress)
         failure = handover.get_failure()
-        if not isinstance(failure, ServerAttemptError):
-            raise failure or RuntimeError("a server answered without taking the request over")
-        progress.attempt_log[-1] += f":{failure.reason}"
+        if failure is not None and not isinstance(failure, ServerAttemptError):
+            raise failure
+        progress.attempt_log[-1] += f":{failure.reason if failure else NOT_NEEDED}"
+        return False
+
+    async def _find_successor(self, progress: RequestProgress) -> ServerLoad | None:
+        """Returns a server that may take the request over and answers; None if there is none."""
+        server = await self._selector.find_server(progress)
+        if server is None:
+            return None
+        if await self._is_answering(server):
+            return server
+        self._selector.release_place(progress, is_answered=True)
+        return None
+
+    async def _is_answering(self, server: ServerLoad) -> bool:
+        """Whether a server has answered lately, or answers a probe: it may be silent as well."""
+        age_seconds = self._clock.monotonic_seconds() - server.reported_seconds
+        if age_seconds <= RECENT_ANSWER_SECONDS or await self._prober.probe(server.entry):
+            return True
+        server.record_unreachable(self._clock.monotonic_seconds())
         return False
 
     def _release_kept(self, kept: KeptAttempt) -> None:
@@ -377,8 +421,6 @@
         progress.observer.record_head(head)
         media_type = exchange.headers.get("Content-Type", "").partition(";")[0].strip()
         is_stream = exchange.status < 300 and media_type == EVENT_STREAM
-        if is_stream or (exchange.status < 500 and not sink.started):
-            await self._take_over(progress)
         if is_stream:
             await self._relay_stream(progress, server, exchange, sink)
             self._crash_guard.record_begun(progress.run)
@@ -388,7 +430,7 @@
             # The stream was to be resumed, but this response is not a stream.
             server.record_failure()
             raise ServerAttemptError(f"status_{exchange.status}", Ran.UNKNOWN)
-        body = await exchange.read()
+        body = await self._read_body(progress, exchange)
         headers = self._dialect.make_caller_headers(exchange.headers)
         if exchange.status >= 500:
             progress.observer.record_failure()
@@ -412,6 +454,23 @@
             exchange.status, headers, body, has_explicit_end=exchange.end_marker.is_explicit
         )
 
+    async def _read_body(self, progress: RequestProgress, exchange: ServerExchange) -> bytes:
+        """Returns the complete body; that of an error is not waited for while a server is kept.
+
+        Raises:
+            ServerAttemptError: If the body of an error does not arrive in time.
+            ServerConnectionLostError: If the body ends early.
+        """
+        if exchange.status < 500:
+            await self._take_over(progress)
+        if not progress.is_taking_over:
+            return await exchange.read()
+        try:
+            async with asyncio.timeout(self._get_take_over_timeout(progress)):
+                return await exchange.read()
+        except TimeoutError as error:
+            raise ServerAttemptError(f"status_{exchange.status}", Ran.YES) from error
+
     def _check_identity(
         self, progress: RequestProgress, server: ServerLoad, status: int, head: ResponseHead
     ) -> None:
@@ -480,7 +539,8 @@
                 is_same_end = False
         finally:
             # Half an event belongs to its server, also while another one is tried beside it.
-            progress.splitter.discard_partial_event()
+            if not progress.is_taking_over:
+                progress.splitter.discard_partial_event()
         if progress.is_resumable and progress.splitter.has_event_due:
             server.record_failure()
             raise ServerAttemptError(NO_REST, Ran.UNKNOWN)
@@ -555,9 +615,12 @@
             timeout_seconds = self._get_event_timeout(progress, sink, silent_since_seconds)
             try:
                 chunk = await reader.read(timeout_seconds)
+                await self._take_over(progress)
             except StillWaitingError:
-                if await self._can_go_on_elsewhere(progress) and not reader.has_chunk:
-                    await self._leave_if_taken(progress, sink)
+                if progress.is_taking_over:
+                    await self._take_over(progress)
+                elif await self._can_go_on_elsewhere(progress) and not reader.is_done:
+                    await self._leave_if_taken(progress, sink, lambda: reader.has_result)
                 silent_since_seconds = self._clock.monotonic_seconds()
                 continue
             if chunk is None:
@@ -574,6 +637,8 @@
         self, progress: RequestProgress, sink: ResponseSink, silent_since_seconds: float
     ) -> float | None:
         """Returns the seconds left of the silence timeout of a stream; None if it has none."""
+        if progress.is_taking_over:
+            return self._get_take_over_timeout(progress)
         if not progress.is_end_asked and progress.send_count >= progress.route.max_attempts:
             return None
         timeout_seconds = self._get_silence_timeout(progress, sink_started=sink.started)
