A request that may crash servers is not handed over from a silent one

Found by the review of the handover: the crash guard was not asked, so that the trial of a blocked prompt, which is for one server, came to a second one, and so did a stream of which a part had been blocked meanwhile.

Change: a request with a blocked part, a trial, and one that a server has lost stay at the silent server. Handovers are counted, and count as repeats.

Test: 'A request that may crash servers is not tried at another one while a server is silent', both examples failed before ([1, 1] requests) and pass.

--- a/features/forward/forwarding.feature
+++ b/features/forward/forwarding.feature
@@ -156,6 +156,19 @@
       | answers after half a second             | idempotent       | the second server keeps what it gets        | none      |
       | answers after a second                  | idempotent       | the second server fails and stops within its body | none |
 
+  # Guards against prompts that crash servers: what is tried at one server is not handed to a second one.
+  Scenario Outline: A request that may crash servers is not tried at another one while a server is silent
+    Given 2 servers of which the first pauses for 2 seconds after 2 events
+    And <suspicion>
+    When a caller sends a resumable stream request with at most 2 attempts
+    Then the caller receives the events 1 2 3 4 5
+    And servers ran the request 1 times
+
+    Examples:
+      | suspicion                                              |
+      | the request is the trial of a blocked prompt           |
+      | a part of the prompt is blocked 1 second after its start |
+
   # Guards against an attempt at another server that outlives its request, or a place that is never returned.
   Scenario: A caller that leaves while another server is tried leaves both servers
     Given 2 servers of which the first falls silent after 2 events
--- a/features/steps/forward_steps.py
+++ b/features/steps/forward_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import random
+from unittest import mock
 from unittest.mock import AsyncMock
 
 import aiohttp
@@ -445,6 +446,37 @@
     context.servers[1].behaviour = behaviours[state]
 
 
+def patch_guard(context, **methods):
+    for name, method in methods.items():
+        patch = mock.patch.object(CrashGuard, name, method)
+        patch.start()
+
+        async def stop(patch=patch):
+            patch.stop()
+
+        context.cleanups.append((context.real, stop))
+
+
+@given("the request is the trial of a blocked prompt")
+def make_trial(context):
+    patch_guard(
+        context,
+        admit=AsyncMock(return_value=True),
+        is_blocked=lambda self, service, parts: True,
+        check=lambda self, service, parts, suspects: None,
+    )
+
+
+@given("a part of the prompt is blocked 1 second after its start")
+def block_part_later(context):
+    blocked_from_seconds = context.real.get_loop().time() + 1.0
+
+    def is_blocked(self, service, parts):
+        return asyncio.get_running_loop().time() >= blocked_from_seconds
+
+    patch_guard(context, is_blocked=is_blocked)
+
+
 @given("the retry budget is used up")
 def use_up_retries(context):
     now = context.real.get_loop().time()
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -548,6 +548,7 @@
         notices=notices,
         places=places,
         clock=clock,
+        metrics=metrics,
     )
     return ForwardService(
         configuration=configuration,
--- a/packages/router/laburnumpier_router/sending/sender.py
+++ b/packages/router/laburnumpier_router/sending/sender.py
@@ -11,6 +11,7 @@
     ServerResponseLimitError,
     ServerUnreachableError,
 )
+from laburnumpier_core.metrics import Metrics
 from laburnumpier_core.result_codes import Ran
 
 from ..configuration.document import Route, RouteKind
@@ -64,6 +65,7 @@
         "_crash_guard",
         "_dialect",
         "_limiter",
+        "_metrics",
         "_notices",
         "_places",
         "_prober",
@@ -88,6 +90,7 @@
         notices: ServerNotices,
         places: PlaceKeeper,
         clock: Clock,
+        metrics: Metrics,
     ):
         """Creates the sender.
 
@@ -104,6 +107,7 @@
             notices: Records what servers say of themselves.
             places: Knows which servers are brittle.
             clock: Source of time.
+            metrics: Counters.
         """
         self._client = client
         self._prober = prober
@@ -117,6 +121,7 @@
         self._notices = notices
         self._places = places
         self._clock = clock
+        self._metrics = metrics
 
     async def send(
         self, progress: RequestProgress, server: ServerLoad, sink: ResponseSink
@@ -282,6 +287,7 @@
             stack.callback(self._release_kept, kept)
             if await self._is_taken_elsewhere(progress, sink, is_back):
                 progress.attempt_log[kept.log_index] += ":silent"
+                self._metrics.count("forward.handed_over")
                 raise HandedOverError
             self._selector.release_place(progress)
             stack.pop_all()
@@ -298,6 +304,7 @@
         if is_back() or not self._retry_budget.try_acquire(progress.service, now):
             self._selector.release_place(progress, is_answered=True)
             return False
+        self._metrics.count("forward.repeats")
         progress.handover = handover = Handover(now_seconds=now)
         progress.is_taking_over = True
         handover.start(asyncio.create_task(self._send_to(progress, server, sink)))
@@ -311,15 +318,25 @@
         return False
 
     async def _find_successor(self, progress: RequestProgress) -> ServerLoad | None:
-        """Returns a server that may take the request over and answers; None if there is none."""
+        """Returns a server that may take the request over and answers; None if there is none.
+
+        A request that a server lost, or that may crash servers, is not spread further.
+        """
+        if progress.lost_count or self._is_suspect(progress):
+            return None
         server = await self._selector.find_server(progress)
         if server is None:
             return None
-        if await self._is_answering(server):
+        if not self._is_suspect(progress) and await self._is_answering(server):
             return server
         self._selector.release_place(progress, is_answered=True)
         return None
 
+    def _is_suspect(self, progress: RequestProgress) -> bool:
+        """Whether a part of the request, or the request itself, may crash servers."""
+        is_blocked = self._crash_guard.is_blocked(progress.service, progress.suspects)
+        return progress.is_trial or is_blocked
+
     async def _is_answering(self, server: ServerLoad) -> bool:
         """Whether a server has answered lately, or answers a probe: it may be silent as well."""
         age_seconds = self._clock.monotonic_seconds() - server.reported_seconds
