The rest of a stream that broke off holds events only

Cause: the next server's answer was a success of type text/event-stream whose body was the text of an error. The splitter takes whatever ends with an empty line for an event.

Change: in the rest of a stream that another server had begun, a text is passed on only if each of its lines can be one of an event, and one is a field that callers know or a comment. Otherwise the attempt has failed: another server is asked, or the answer is broken off visibly. The first server's own bytes are passed on as they are.

--- a/features/forward/open_ends.feature
+++ b/features/forward/open_ends.feature
@@ -178,3 +178,73 @@
     Given a server that breaks off within its first event and one that streams nothing
     When a caller of HTTP/1.1 sends a idempotent request with at most 2 attempts
     Then the caller sees an answer that is framed and complete
+
+  # Guards against the text of an error, or its whole head, in the middle of a stream that another server had begun.
+  Scenario Outline: A stream that broke off goes on with events only
+    Given a server that <behaviour> and one that <next>
+    When a caller of HTTP/1.1 sends a resumable stream request with at most 2 attempts
+    Then the caller has nothing but the events 1 2
+    And the caller sees an answer that is <end>
+
+    Examples: Answers that are no stream
+      | behaviour                                       | next                               | end                   |
+      | breaks off after 2 events and a half            | fails with a text                  | framed and incomplete |
+      | breaks off after 2 events and a half            | rejects it with a text             | framed and incomplete |
+      | breaks off after 2 events and a half            | fails with a head in its text      | framed and incomplete |
+      | breaks off after 2 events and a half            | fails with an event stream         | framed and incomplete |
+      | breaks off after 2 events and a half            | answers with a text                | framed and incomplete |
+      | breaks off after 2 events and a half            | answers with a text without a type | framed and incomplete |
+      | closes after 2 events and a half                | fails with a text                  | reset                 |
+      | closes after 2 events and a half                | rejects it with a text             | reset                 |
+      | closes after 2 events and a half                | fails with a head in its text      | reset                 |
+      | closes after 2 events and a half                | fails with an event stream         | reset                 |
+      | closes after 2 events and a half                | answers with a text                | reset                 |
+      | closes after 2 events and a half                | answers with a text without a type | reset                 |
+      | breaks off after 2 events                       | fails with a text                  | framed and incomplete |
+      | breaks off after 2 events                       | rejects it with a text             | framed and incomplete |
+      | breaks off after 2 events                       | fails with a head in its text      | framed and incomplete |
+      | breaks off after 2 events                       | fails with an event stream         | framed and incomplete |
+      | breaks off after 2 events                       | answers with a text                | framed and incomplete |
+      | breaks off after 2 events                       | answers with a text without a type | framed and incomplete |
+      | resets a stream without a length after 2 events | fails with a text                  | reset                 |
+      | resets a stream without a length after 2 events | rejects it with a text             | reset                 |
+      | resets a stream without a length after 2 events | fails with a head in its text      | reset                 |
+      | resets a stream without a length after 2 events | fails with an event stream         | reset                 |
+      | resets a stream without a length after 2 events | answers with a text                | reset                 |
+      | resets a stream without a length after 2 events | answers with a text without a type | reset                 |
+
+    Examples: Streams that hold something else than events
+      | behaviour                                       | next                             | end                   |
+      | breaks off after 2 events and a half            | streams the text of an error     | framed and incomplete |
+      | breaks off after 2 events and a half            | streams the head of an error     | framed and incomplete |
+      | breaks off after 2 events and a half            | streams a head before its events | framed and incomplete |
+      | breaks off after 2 events and a half            | streams an object with an error  | framed and incomplete |
+      | closes after 2 events and a half                | streams the text of an error     | reset                 |
+      | closes after 2 events and a half                | streams the head of an error     | reset                 |
+      | closes after 2 events and a half                | streams a head before its events | reset                 |
+      | closes after 2 events and a half                | streams an object with an error  | reset                 |
+      | breaks off after 2 events                       | streams the text of an error     | framed and incomplete |
+      | breaks off after 2 events                       | streams the head of an error     | framed and incomplete |
+      | breaks off after 2 events                       | streams a head before its events | framed and incomplete |
+      | breaks off after 2 events                       | streams an object with an error  | framed and incomplete |
+      | resets a stream without a length after 2 events | streams the text of an error     | reset                 |
+      | resets a stream without a length after 2 events | streams the head of an error     | reset                 |
+      | resets a stream without a length after 2 events | streams a head before its events | reset                 |
+      | resets a stream without a length after 2 events | streams an object with an error  | reset                 |
+      | breaks off after 2 events                       | streams a text after an event    | framed and incomplete |
+      | closes a stream without a length after 2 events | streams the text of an error     | reset                 |
+
+  # Guards against the end of a stream at a server that has an error instead of its rest.
+  Scenario: A third server is asked for the rest if the second one streams an error
+    Given a server that breaks off after 2 events and one that streams the head of an error
+    And a third server that streams
+    When a caller of HTTP/1.1 sends a resumable stream request with at most 3 attempts
+    Then the caller has nothing but the events 1 2 3 4 5
+    And the caller sees an answer that is framed and complete
+
+  # Guards against a rest that is refused for what event streams may hold beside numbered events.
+  Scenario: Comments, other fields and a last event without an id are parts of the rest
+    Given a server that breaks off after 2 events and one that streams what events may hold
+    When a caller of HTTP/1.1 sends a resumable stream request with at most 2 attempts
+    Then the caller has the events 1 2 3 4 5
+    And the caller sees an answer that is framed and complete
--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -26,6 +26,12 @@
 STREAM_HEAD = RESPONSE_HEAD + b"Content-Type: text/event-stream\r\n"
 ERROR_TEXT = b"out of memory\n\n"
 ERROR_WITH_HEAD = b"HTTP/1.1 500 X\nContent-Type: text/plain\n\n" + ERROR_TEXT
+HEAD_BEFORE_EVENT = b"HTTP/1.1 200 OK\r\nContent-Length: 22\r\n\r\nid: 3\ndata: piece 3\n\n"
+VARIED_EVENTS = (
+    b": waiting\n\nretry: 100\n\nx-weight-versions: 2\nid: 3\ndata: piece 3\n\n"
+    b'id: 4\nevent: piece\ndata: piece 4\ndata\n\nid: 5\ndata: {"a b": 5}\n\ndata: [DONE]\n\n'
+)
+"""Events that follow the second one of a stream, with all that the format allows beside ids."""
 
 
 class ScriptedServer:
@@ -275,7 +281,7 @@
                 await self._send(writer, head + b"Content-Length: %d\r\n\r\n" % size)
                 await self._send(writer, b"x" * (size - ENDLESS_BLOCK_BYTES))
                 await self._wait_for_close(reader)
-            case other if answer := _make_answer_without_events(other, attempt_id):
+            case other if answer := _make_rest(other, attempt_id):
                 await self._send(writer, answer)
             case other:
                 start, units = _make_endless_response(other, head, stream_head)
@@ -327,8 +333,8 @@
     return b"".join(event.partition(b"\n")[2] for event in events)
 
 
-def _make_answer_without_events(behaviour: str, attempt_id: bytes) -> bytes:
-    """Returns a whole answer that holds no event of a stream; empty for other behaviours."""
+def _make_rest(behaviour: str, attempt_id: bytes) -> bytes:
+    """Returns a whole answer to a caller that has two events; empty for other behaviours."""
     head, stream_head = RESPONSE_HEAD % attempt_id, STREAM_HEAD % attempt_id
     text = b"Content-Type: text/plain\r\n"
     match behaviour:
@@ -352,6 +358,14 @@
             return stream_head + _frame_by_length(ERROR_TEXT)
         case "streams the head of an error":
             return stream_head + _frame_by_length(ERROR_WITH_HEAD)
+        case "streams a head before its events":
+            return stream_head + _frame_by_length(HEAD_BEFORE_EVENT)
+        case "streams an object with an error":
+            return stream_head + _frame_by_length(b'{"error": "out of memory"}\n\n')
+        case "streams a text after an event":
+            return stream_head + _frame_by_length(EVENTS[3] + ERROR_TEXT)
+        case "streams what events may hold":
+            return stream_head + _frame_by_length(VARIED_EVENTS)
         case "streams nothing":
             return stream_head + _frame_by_length(b"")
         case "streams nothing in chunks":
--- a/packages/router/laburnumpier_router/forward/event_stream.py
+++ b/packages/router/laburnumpier_router/forward/event_stream.py
@@ -8,8 +8,14 @@
 
 from .response_limits import MAX_EVENT_BYTES, StreamLimitError, StreamLimits
 
-_FIELD = re.compile(rb"[A-Za-z][A-Za-z0-9-]*(:.*)?")
-"""A line of an event, or its beginning."""
+_LINE = re.compile(rb"([A-Za-z][\w.-]*)?(:.*)?")
+"""A line of an event, or its beginning: a field of any name, a comment, or nothing."""
+_KNOWN_LINE = re.compile(rb"(id|data|event|retry)?(:.*)?")
+"""A line as every event has one; beside it, servers may add fields of their own."""
+
+
+class NoEventError(ValueError):
+    """A stream holds something else than events, such as the text of an error."""
 
 
 class EventSplitter:
@@ -22,6 +28,8 @@
             resumed then, because the next server would send that event again.
         has_event_due: Whether a server had begun an event that none has completed, so that more
             follows, whoever says that nothing does.
+        is_rest: Whether the caller has a part of the response from another server, so that only
+            events are passed on. The first server's own bytes are passed on as they are.
     """
 
     __slots__ = (
@@ -31,6 +39,7 @@
         "event_count",
         "has_event_due",
         "has_unnumbered_event",
+        "is_rest",
         "last_event_id",
     )
 
@@ -48,6 +57,7 @@
         self.event_count = 0
         self.has_unnumbered_event = False
         self.has_event_due = False
+        self.is_rest = False
 
     @property
     def has_partial_event(self) -> bool:
@@ -64,10 +74,11 @@
         """Adds bytes to the buffer and returns the events that are complete now.
 
         Events that the caller has already received are left out. If a limit is passed, none of
-        the events that are complete now is returned.
+        the events that are complete now is returned. The same holds if one is no event.
 
         Raises:
             StreamLimitError: If an event, or the stream, is larger than the request allows.
+            NoEventError: If the rest of a stream holds something else than events.
         """
         self._limits.count_bytes(len(chunk))
         data = self._buffer + chunk
@@ -77,6 +88,8 @@
                 raise StreamLimitError("event_too_large", MAX_EVENT_BYTES)
             self._buffer = data
             return b""
+        if self.is_rest and not all(map(_is_event, data[:end].split(b"\n\n"))):
+            raise NoEventError("the rest of the stream holds something else than events")
         events = [(_parse_event_id(event), event) for event in data[:end].split(b"\n\n")]
         id_count = sum(event_id is not None for event_id, _ in events)
         self._limits.count_events(id_count, len(events) - id_count)
@@ -103,8 +116,15 @@
 
 def _has_fields(event: bytes) -> bool:
     """Whether an event, or its beginning, has fields; comments and other texts have none."""
-    lines = [line for line in event.split(b"\n") if line and not line.startswith(b":")]
-    return bool(lines) and all(_FIELD.fullmatch(line) for line in lines)
+    lines = event.split(b"\n")
+    has_field = any(line and not line.startswith(b":") for line in lines)
+    return has_field and all(map(_LINE.fullmatch, lines))
+
+
+def _is_event(text: bytes) -> bool:
+    """Whether a text between empty lines is an event or a comment."""
+    lines = text.split(b"\n")
+    return any(map(_KNOWN_LINE.fullmatch, lines)) and all(map(_LINE.fullmatch, lines))
 
 
 def _has_data(event: bytes) -> bool:
--- a/packages/router/laburnumpier_router/sending/sender.py
+++ b/packages/router/laburnumpier_router/sending/sender.py
@@ -14,6 +14,7 @@
 
 from ..configuration.document import Route, RouteKind
 from ..forward.crash_guard import CrashGuard
+from ..forward.event_stream import NoEventError
 from ..forward.exchange import ResponseSink, ServerCall, ServerClient, ServerExchange
 from ..forward.patience import PatientReader, PatientWait, StillWaitingError, read_patiently
 from ..forward.request_limiter import RequestLimiter
@@ -43,7 +44,7 @@
 OPEN_END = "open_end"
 """Reason of a server attempt whose stream ended with its connection after whole events."""
 NO_REST = "no_rest"
-"""Reason of a server attempt that brought no rest of a stream of which more is known to follow."""
+"""Reason of a server attempt whose stream was not the rest of one that had begun elsewhere."""
 PART_BLOCKED = "part_blocked"
 """Reason of a server attempt that ended because servers crash on a part of the prompt."""
 EVENT_STREAM = "text/event-stream"
@@ -465,14 +466,18 @@
             ServerConnectionLostError: If the stream ends early.
             HandedOverError: If it was silent for too long and another server has taken it.
             ServerSilentError: If it was silent for too long and is left without one.
-            ServerAttemptError: If it lacks an event that another server had begun, or if it ended
-                with its connection and can be resumed elsewhere.
+            ServerAttemptError: If it is not the rest of the stream that another server had begun,
+                or if it ended with its connection and can be resumed elsewhere.
         """
         # A server that was asked what follows and answers has not said yet that nothing does.
         is_same_end, progress.has_open_end = progress.has_open_end, False
+        progress.splitter.is_rest = sink.started
         try:
             if await self._relay_events(progress, exchange, sink):
                 is_same_end = False
+        except NoEventError as error:
+            server.record_failure()
+            raise ServerAttemptError(NO_REST, Ran.UNKNOWN) from error
         finally:
             # Half an event belongs to its server, also while another one is tried beside it.
             progress.splitter.discard_partial_event()
@@ -499,6 +504,7 @@
             ServerConnectionLostError: If the stream ends early.
             HandedOverError: If it was silent for too long and another server has taken it.
             ServerSilentError: If it was silent for too long and is left without one.
+            NoEventError: If the rest of a stream holds something else than events.
         """
         has_events = False
         async with read_patiently(exchange.iterate_chunks()) as reader:
@@ -544,6 +550,7 @@
             ServerConnectionLostError: If the stream ends early or passes a limit.
             HandedOverError: If there are none in time and another server has taken the request.
             ServerSilentError: If there are none in time and the server is left without one.
+            NoEventError: If the rest of a stream holds something else than events.
         """
         silent_since_seconds = self._clock.monotonic_seconds()
         while True:
