An error that an engine writes into its stream is no event of the chat

Callers of chats got the engine's error as an event in the middle of their stream, and lacked the piece that came next, in an answer that ended as whole.

Cause: an error has no id, so at the begin of an engine's answer, which a resumed stream has too, it counted as the event that was due. That answer had no finish reason, and the stream was resumed behind the event that had never come.

Change: an error in the stream is a failure of that stream, which is resumed after the last event that the engine sent. A chat whose resumed stream brings an error only fails as it does after any other attempt that brings nothing: run anew if nobody has read of it, else with SERVER_FAILED.

--- a/features/request/chat_faults.feature
+++ b/features/request/chat_faults.feature
@@ -27,6 +27,21 @@
       | go silent after event 10                 | whole    |
       | be down before the first byte            | whole    |
 
+  # Guards against an engine's error that is passed on as an event, in place of the one that was due.
+  Scenario Outline: An error that an engine writes into its stream is no part of the answer
+    Given the next engine will <fault>
+    When a <kind> chat of 20 tokens is sent to router 1
+    Then the chat <outcome>
+    And exactly 1 bill is stored
+    And no reservation is left
+
+    Examples:
+      | fault                                          | kind     | outcome                                       |
+      | report an error before the first event         | streamed | is served whole                               |
+      | report an error before the first event         | whole    | is served whole                               |
+      | break off after event 10, then report an error | whole    | is served whole                               |
+      | break off after event 10, then report an error | streamed | failed with SERVER_FAILED and says it did run |
+
   Scenario: A caller that has read events gets an error when no engine can complete the stream
     Given every engine will fail permanently after event 5
     When a streamed chat of 20 tokens is sent to router 1
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -30,8 +30,11 @@
             server.silent_next = 1
         elif fault.startswith("break off"):
             server.break_after = int(words[4].strip(","))
+            server.error_next = int("then report an error" in fault)
         elif fault.startswith("go silent"):
             server.stall_after = int(words[4])
+        elif fault.startswith("report an error"):
+            server.error_next = 1
         else:
             server.skip_event = int(words[3])
 
--- a/packages/router/laburnumpier_router/request/chat_runner.py
+++ b/packages/router/laburnumpier_router/request/chat_runner.py
@@ -205,7 +205,12 @@
             self._metrics.count("request.streams_resumed")
 
     async def _read_stream(self, progress: RunProgress, server: ServerState) -> None:
-        """Reads events from one connection until the engine's end marker."""
+        """Reads events from one connection until the engine's end marker.
+
+        Raises:
+            ServerConnectionLostError: If the stream ends early, lacks an event, or holds an error,
+                which is no part of the answer.
+        """
         request, log = progress.request, progress.log
         call = EngineCall(
             run_id=request.run_id,
@@ -224,6 +229,8 @@
                 if start_event_id == 0:
                     server.record_run(self._clock.monotonic_seconds() - sent_at_seconds)
                 return
+            if event.data.get("error"):
+                raise ServerConnectionLostError("the engine reports an error in its stream")
             event_id = event.event_id or log.last_event_id + 1
             if event_id <= log.last_event_id:
                 self._metrics.count("request.duplicate_events")
--- a/packages/standins/laburnumpier_standins/memory_backends.py
+++ b/packages/standins/laburnumpier_standins/memory_backends.py
@@ -65,6 +65,7 @@
         stall_after: Sends nothing after this event of the next stream; 0 for none.
         skip_event: Omits this event from the next stream; 0 for none.
         refuse_next, down_next, silent_next: Number of next streams that have the fault.
+        error_next: Number of next streams that hold an error only, after one that breaks off.
         crash_after_event: Crashes permanently, and loses its runs, once any stream has sent the
             event with this id; 0 for never.
         crash_group: Servers of which at most one crashes.
@@ -96,6 +97,7 @@
     refuse_next: int = 0
     down_next: int = 0
     silent_next: int = 0
+    error_next: int = 0
     crash_after_event: int = 0
     crash_group: list["MemoryServer"] = dataclasses.field(default_factory=list)
     report_lag_seconds: float = 0.0
@@ -232,6 +234,10 @@
             if last_event_id:
                 raise ServerRefusedError(404, "unknown run")
             run = self._start_run(server, call)
+        if not server.break_after and server.consume_fault("error_next"):
+            yield EngineEvent(event_id=0, data={"error": {"message": "out of memory"}})
+            yield EngineEvent(event_id=0, data=None)
+            return
         break_after, server.break_after = server.break_after, 0
         stall_after, server.stall_after = server.stall_after, 0
         skipped_event, server.skip_event = server.skip_event, 0
