A request whose body comes late in a stop counts as late

Callers of a stopping router saw streams break off at 7.55 of 8 seconds of its grace period that they had sent later than 3 seconds after SIGTERM: the head came early, the body late.

Cause: requests are taken whatever their time limit until 2.5 seconds after SIGTERM, and this was asked of the moment at which the head was read. The request is passed on when its body is whole, which may be seconds later, to a server whose answer the end of the stop then cuts.

Change: the moment that counts is that of the admission, when the request is whole. It is refused as not run if the end of the stop could cut it.

The servers of the steps drop a request when its connection closes, so that a scenario does not wait for them when it ends.

--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -28,6 +28,8 @@
 OPEN_CONNECTIONS = 150
 ORDER_MS = 300
 """Time that an order takes at its server."""
+SHUTDOWN_SECONDS = 1.0
+"""Time that a server gives its requests when it is stopped after a scenario."""
 ANSWER_BODY = b"done" * 100
 CONFIGURATION = {
     "Version": 3,
@@ -119,7 +121,9 @@
 
     async def start(self):
         """Starts listening on a free port."""
-        self._runner = web.ServerRunner(web.Server(self._handle, access_log=None))
+        # As most servers do, it drops a request when the connection closes.
+        server = web.Server(self._handle, access_log=None, handler_cancellation=True)
+        self._runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_SECONDS)
         await self._runner.setup()
         site = web.TCPSite(self._runner, "127.0.0.1", 0)
         await site.start()
--- a/packages/router/laburnumpier_router/forward/service.py
+++ b/packages/router/laburnumpier_router/forward/service.py
@@ -201,7 +201,7 @@
         if request.head.timeout_seconds is not None:
             limit_seconds = min(limit_seconds, request.head.timeout_seconds)
         deadline_seconds = request.received_seconds + limit_seconds
-        self._check_time_before_stop(request, deadline_seconds)
+        self._check_time_before_stop(deadline_seconds)
         return RequestProgress(
             request=request,
             route_name=name,
@@ -232,14 +232,16 @@
         engine = self._configuration.configuration.services[service].engine
         return engine.tokens_per_event if engine else 1
 
-    def _check_time_before_stop(self, request: ForwardRequest, deadline_seconds: float) -> None:
+    def _check_time_before_stop(self, deadline_seconds: float) -> None:
         """Refuses a request that the end of a stop could cut.
 
+        A request counts from the end of its body, which may come long after its head.
+
         Raises:
             RequestError: If the load balancer has had the time to send the request elsewhere, and
                 its deadline is later than the end of the stop.
         """
-        is_accepted = request.received_seconds <= self._stop_accept_until_seconds
+        is_accepted = self._clock.monotonic_seconds() <= self._stop_accept_until_seconds
         if not is_accepted and deadline_seconds > self._time_limits.end_seconds:
             raise RequestError(ResultCode.STOPPING, retry_after_seconds=0.0)
 
