--- a/features/request/stopping_chats.feature
+++ b/features/request/stopping_chats.feature
@@ -10,3 +10,10 @@
     Then a new chat is refused as not run and its connection closes
     And all chats are whole
     And the router process exits with code 0 within 6 seconds after them
+
+  # Guards against a chat that counts as early by its head: its body came after SIGTERM, and the chat ran on in the stop.
+  Scenario: A chat whose body comes after SIGTERM is refused as not run
+    Given a router process with its own interface and an engine
+    When the head of a chat arrives, the router receives SIGTERM, and the body arrives 0.3 seconds later
+    Then that chat is refused as not run and its connection closes
+    And the router process exits with code 0 within 3 seconds after it
--- a/features/steps/stopping_chats_steps.py
+++ b/features/steps/stopping_chats_steps.py
@@ -1,7 +1,9 @@
 """Steps for the graceful stop of a router process with its own interface."""
 
 import asyncio
+import json
 import signal
+from urllib.parse import urlsplit
 
 from behave import given, then, when
 from contract_steps import run
@@ -10,6 +12,9 @@
 
 TOKEN_SECONDS = 0.05
 SIGNAL_INTERVAL_SECONDS = 0.1
+LONG_CHAT_SECONDS = 20.0
+HEAD_READ_SECONDS = 0.3
+"""Time that the router is given to read the head of a request."""
 
 
 @given("a router process with its own interface and an engine")
@@ -38,14 +43,18 @@
     run(context, start())
 
 
-async def send_chat(context, tokens):
-    """Returns the status of a chat, its result code, and whether its end was received."""
-    body = {
+def make_chat_body(tokens):
+    return {
         "model": "dairy",
         "stream": True,
         "max_tokens": tokens,
         "messages": [{"role": "user", "content": "Plan the dawn round."}],
     }
+
+
+async def send_chat(context, tokens):
+    """Returns the status of a chat, its result code, and whether its end was received."""
+    body = make_chat_body(tokens)
     async with context.local_fleet.session.post(
         f"{context.chat_router.callers_url}/v1/chat/completions",
         headers={"Authorization": "Bearer key-office"},
@@ -81,6 +90,39 @@
     run(context, play())
 
 
+@when(
+    "the head of a chat arrives, the router receives SIGTERM, and the body arrives "
+    "{seconds:f} seconds later"
+)
+def stop_between_head_and_body(context, seconds):
+    async def play():
+        url = urlsplit(context.chat_router.callers_url)
+        reader, writer = await asyncio.open_connection(url.hostname, url.port)
+        body = json.dumps(make_chat_body(round(LONG_CHAT_SECONDS / TOKEN_SECONDS))).encode()
+        head = (
+            f"POST /v1/chat/completions HTTP/1.1\r\nHost: {url.hostname}\r\n"
+            f"Authorization: Bearer key-office\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        writer.write(head.encode())
+        await asyncio.sleep(HEAD_READ_SECONDS)
+        context.chat_router.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(seconds)
+        writer.write(body)
+        async with asyncio.timeout(LONG_CHAT_SECONDS):
+            context.late_head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        writer.close()
+
+    run(context, play())
+
+
+@then("that chat is refused as not run and its connection closes")
+def check_late_chat(context):
+    lines = context.late_head.split("\r\n")
+    assert lines[0].split()[1] == "503", lines
+    assert f"X-Result-Code: {int(ResultCode.STOPPING)}" in lines, lines
+    assert "Connection: close" in lines, lines
+
+
 @then("a new chat is refused as not run and its connection closes")
 def check_new_chat(context):
     status, code, _ = run(context, send_chat(context, 1))
@@ -98,8 +140,8 @@
     return await asyncio.gather(*context.chat_tasks)
 
 
-@then("the router process exits with code {code:d} within {seconds:d} seconds after them")
-def check_router_exit(context, code, seconds):
+@then("the router process exits with code {code:d} within {seconds:d} seconds after {them}")
+def check_router_exit(context, code, seconds, them):
     async def wait():
         async with asyncio.timeout(seconds):
             return await context.chat_router.process.wait()
