A chat or call whose body comes after SIGTERM is refused as not run

Callers of the router's own interface got a chat started during a stop, which is to begin nothing new, when its head came before SIGTERM and its body after it. The chat ran on as long as it needed; a platform that kills the process after its grace period would have cut it.

Cause, as of late forwarded requests: whether the router stops was asked when the head was read.

Change: it is asked once more when the body is whole.

--- a/packages/router/laburnumpier_router/callers/frontend.py
+++ b/packages/router/laburnumpier_router/callers/frontend.py
@@ -145,8 +145,7 @@
         """Returns the response of a handler, or the response that reports its error."""
         request_id = f"r-{uuid.uuid4().hex}"
         try:
-            if self._is_stopping:
-                raise RequestError(ResultCode.STOPPING, retry_after_seconds=1.0)
+            self._check_not_stopping()
             key = chat_body.parse_idempotency_key(request.headers.get(IDEMPOTENCY_KEY_HEADER))
             return await self._handle_by_newest(handler, request, key or request_id)
         except RequestError as error:
@@ -369,17 +368,28 @@
         """Reads the body within the size and time limits.
 
         Raises:
-            RequestError: If the body exceeds one of them.
+            RequestError: If the body exceeds one of them, or if a stop has begun meanwhile.
         """
         try:
             async with asyncio.timeout(BODY_TIMEOUT_SECONDS):
-                return await request.read()
+                body = await request.read()
         except web.HTTPRequestEntityTooLarge as error:
             raise RequestError(ResultCode.BODY_TOO_LARGE) from error
         except TimeoutError as error:
             raise RequestError(
                 ResultCode.DEADLINE_PASSED, detail="the body came too slowly"
             ) from error
+        self._check_not_stopping()
+        return body
+
+    def _check_not_stopping(self) -> None:
+        """Refuses requests during a stop.
+
+        Raises:
+            RequestError: If the router is stopping.
+        """
+        if self._is_stopping:
+            raise RequestError(ResultCode.STOPPING, retry_after_seconds=1.0)
 
 
 def _make_response_headers(request_id: str) -> dict[str, str]:
