Test heads that stop: no caller of a forwarded request gets them as an answer

Reported elsewhere: a server stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body, framed as whole. No test covered it. Now 22 places to stop (from nothing at all to all but the last line feed, also after an interim 103 head), each with an orderly close and with a reset, for idempotent and non-idempotent requests, resumable and plain streams, at one and two attempts, and for the server that is asked to go on with a begun stream.

--- a/features/forward/answer_ends.feature
+++ b/features/forward/answer_ends.feature
@@ -88,3 +88,169 @@
     Given a server that answers and resets before it has read the body
     When a request with a body of 8000000 bytes is sent to it
     Then the exchange ends as a lost connection
+
+  # Guards against a head that stops being taken for a whole one: a 200 with an empty or short body.
+  Scenario Outline: An answer whose head stops is no answer
+    When callers send a request of each kind, with at most 1 attempts, where the first server stops after <part> and <end>
+    Then no caller has a success
+    And each request ran once, and no caller is told that it did not
+
+    Examples:
+      | part                                                          | end    |
+      | nothing                                                       | closes |
+      | nothing                                                       | resets |
+      | half the status line                                          | closes |
+      | half the status line                                          | resets |
+      | the status line without its line break                        | closes |
+      | the status line without its line break                        | resets |
+      | the status line                                               | closes |
+      | the status line                                               | resets |
+      | the first header lines                                        | closes |
+      | the first header lines                                        | resets |
+      | half a header name                                            | closes |
+      | half a header name                                            | resets |
+      | half a header value                                           | closes |
+      | half a header value                                           | resets |
+      | one digit of the length                                       | closes |
+      | one digit of the length                                       | resets |
+      | half the transfer coding                                      | closes |
+      | half the transfer coding                                      | resets |
+      | all but the empty line, with a length                         | closes |
+      | all but the empty line, with a length                         | resets |
+      | all but the empty line, in chunks                             | closes |
+      | all but the empty line, in chunks                             | resets |
+      | all but the last line feed, with a length                     | closes |
+      | all but the last line feed, with a length                     | resets |
+      | all but the last line feed, in chunks                         | closes |
+      | all but the last line feed, in chunks                         | resets |
+      | all but the last line feed of an empty answer                 | closes |
+      | all but the last line feed of an empty answer                 | resets |
+      | all but the last line feed, without a length                  | closes |
+      | all but the last line feed, without a length                  | resets |
+      | half an interim head                                          | closes |
+      | half an interim head                                          | resets |
+      | an interim head                                               | closes |
+      | an interim head                                               | resets |
+      | an interim head and half the status line                      | closes |
+      | an interim head and half the status line                      | resets |
+      | an interim head and the status line                           | closes |
+      | an interim head and the status line                           | resets |
+      | an interim head and the first header lines                    | closes |
+      | an interim head and the first header lines                    | resets |
+      | an interim head and one digit of the length                   | closes |
+      | an interim head and one digit of the length                   | resets |
+      | an interim head and all but the last line feed, with a length | closes |
+      | an interim head and all but the last line feed, with a length | resets |
+
+  # Guards against a head that stops being the answer although another server could give a whole one.
+  Scenario Outline: A request whose answer's head stops goes on at another server only if it may be repeated
+    When callers send a request of each kind, with at most 2 attempts, where the first server stops after <part> and <end>
+    Then callers whose requests may be repeated have the whole answer of the second server
+    And the other callers have no success, and their requests ran once
+    And no caller is told that its request did not run
+
+    Examples:
+      | part                                                          | end    |
+      | nothing                                                       | closes |
+      | nothing                                                       | resets |
+      | half the status line                                          | closes |
+      | half the status line                                          | resets |
+      | the status line without its line break                        | closes |
+      | the status line without its line break                        | resets |
+      | the status line                                               | closes |
+      | the status line                                               | resets |
+      | the first header lines                                        | closes |
+      | the first header lines                                        | resets |
+      | half a header name                                            | closes |
+      | half a header name                                            | resets |
+      | half a header value                                           | closes |
+      | half a header value                                           | resets |
+      | one digit of the length                                       | closes |
+      | one digit of the length                                       | resets |
+      | half the transfer coding                                      | closes |
+      | half the transfer coding                                      | resets |
+      | all but the empty line, with a length                         | closes |
+      | all but the empty line, with a length                         | resets |
+      | all but the empty line, in chunks                             | closes |
+      | all but the empty line, in chunks                             | resets |
+      | all but the last line feed, with a length                     | closes |
+      | all but the last line feed, with a length                     | resets |
+      | all but the last line feed, in chunks                         | closes |
+      | all but the last line feed, in chunks                         | resets |
+      | all but the last line feed of an empty answer                 | closes |
+      | all but the last line feed of an empty answer                 | resets |
+      | all but the last line feed, without a length                  | closes |
+      | all but the last line feed, without a length                  | resets |
+      | half an interim head                                          | closes |
+      | half an interim head                                          | resets |
+      | an interim head                                               | closes |
+      | an interim head                                               | resets |
+      | an interim head and half the status line                      | closes |
+      | an interim head and half the status line                      | resets |
+      | an interim head and the status line                           | closes |
+      | an interim head and the status line                           | resets |
+      | an interim head and the first header lines                    | closes |
+      | an interim head and the first header lines                    | resets |
+      | an interim head and one digit of the length                   | closes |
+      | an interim head and one digit of the length                   | resets |
+      | an interim head and all but the last line feed, with a length | closes |
+      | an interim head and all but the last line feed, with a length | resets |
+
+  # Guards against a begun stream that looks whole because its next server stopped within its head.
+  Scenario Outline: A stream that breaks off, and whose next server stops within its head, does not look whole
+    Given a server that <behaviour> and one that stops its stream after <part> and <end>
+    When a caller of HTTP/<version> sends a resumable stream request with at most 2 attempts
+    Then the caller has the events 1 2
+    And the caller sees an answer that is <seen>
+
+    Examples:
+      | behaviour                                       | part                                  | end    | version | seen                  |
+      | closes after 2 whole events in chunks           | nothing                               | closes | 1.1     | framed and incomplete |
+      | closes after 2 whole events in chunks           | nothing                               | resets | 1.1     | framed and incomplete |
+      | closes after 2 whole events in chunks           | the status line                       | closes | 1.1     | framed and incomplete |
+      | closes after 2 whole events in chunks           | the status line                       | resets | 1.1     | framed and incomplete |
+      | closes after 2 whole events in chunks           | the first header lines                | closes | 1.1     | framed and incomplete |
+      | closes after 2 whole events in chunks           | the first header lines                | resets | 1.1     | framed and incomplete |
+      | closes after 2 whole events in chunks           | half the transfer coding              | closes | 1.1     | framed and incomplete |
+      | closes after 2 whole events in chunks           | half the transfer coding              | resets | 1.1     | framed and incomplete |
+      | closes after 2 whole events in chunks           | all but the last line feed, in chunks | closes | 1.1     | framed and incomplete |
+      | closes after 2 whole events in chunks           | all but the last line feed, in chunks | resets | 1.1     | framed and incomplete |
+      | closes after 2 whole events in chunks           | an interim head                       | closes | 1.1     | framed and incomplete |
+      | closes after 2 whole events in chunks           | an interim head                       | resets | 1.1     | framed and incomplete |
+      | breaks off after 2 events and a half            | nothing                               | closes | 1.1     | framed and incomplete |
+      | breaks off after 2 events and a half            | nothing                               | resets | 1.1     | framed and incomplete |
+      | breaks off after 2 events and a half            | the status line                       | closes | 1.1     | framed and incomplete |
+      | breaks off after 2 events and a half            | the status line                       | resets | 1.1     | framed and incomplete |
+      | breaks off after 2 events and a half            | the first header lines                | closes | 1.1     | framed and incomplete |
+      | breaks off after 2 events and a half            | the first header lines                | resets | 1.1     | framed and incomplete |
+      | breaks off after 2 events and a half            | half the transfer coding              | closes | 1.1     | framed and incomplete |
+      | breaks off after 2 events and a half            | half the transfer coding              | resets | 1.1     | framed and incomplete |
+      | breaks off after 2 events and a half            | all but the last line feed, in chunks | closes | 1.1     | framed and incomplete |
+      | breaks off after 2 events and a half            | all but the last line feed, in chunks | resets | 1.1     | framed and incomplete |
+      | breaks off after 2 events and a half            | an interim head                       | closes | 1.1     | framed and incomplete |
+      | breaks off after 2 events and a half            | an interim head                       | resets | 1.1     | framed and incomplete |
+      | closes after 2 whole events in chunks           | the first header lines                | closes | 1.0     | reset                 |
+      | resets a stream without a length after 2 events | the first header lines                | closes | 1.1     | reset                 |
+      | closes after 2 whole events in chunks           | the first header lines                | resets | 1.0     | reset                 |
+      | resets a stream without a length after 2 events | the first header lines                | resets | 1.1     | reset                 |
+      | closes after 2 whole events in chunks           | all but the last line feed, in chunks | closes | 1.0     | reset                 |
+      | resets a stream without a length after 2 events | all but the last line feed, in chunks | closes | 1.1     | reset                 |
+      | closes after 2 whole events in chunks           | all but the last line feed, in chunks | resets | 1.0     | reset                 |
+      | resets a stream without a length after 2 events | all but the last line feed, in chunks | resets | 1.1     | reset                 |
+
+  # Guards against a head that stops ending a stream that a further server could complete.
+  Scenario Outline: A stream goes on at the server after one that stopped within its head
+    Given a server that closes after 2 whole events in chunks and one that stops its stream after <part> and <end>
+    And a third server that streams
+    When a caller of HTTP/1.1 sends a resumable stream request with at most 3 attempts
+    Then the caller has the events 1 2 3 4 5
+    And the caller sees an answer that is framed and complete
+
+    Examples:
+      | part                                  | end    |
+      | nothing                               | closes |
+      | nothing                               | resets |
+      | the first header lines                | closes |
+      | the first header lines                | resets |
+      | all but the last line feed, in chunks | closes |
+      | all but the last line feed, in chunks | resets |
--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -6,15 +6,18 @@
 
 from behave import given, then, when
 from contract_steps import run
-from forward_steps import make_headers, set_route, start_router
+from forward_steps import KINDS, make_headers, set_route, start_router
 from laburnumpier_core.errors import ServerConnectionLostError
 from laburnumpier_router.forward.exchange import ServerCall
 from laburnumpier_router.forward.http_client import HttpServerClient
 from laburnumpier_router.ports.server_registry import RegisteredServer
 from multidict import CIMultiDict
-from scripted_server import ScriptedServer
+from scripted_server import EVENTS, ScriptedServer
 
 READ_BYTES = 65536
+REPEATABLE_KINDS = ("idempotent", "resumable stream")
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+"""Statuses that promise the caller that its request did not run and never will."""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -33,6 +36,18 @@
     end: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class KindOutcome:
+    """What became of the request of one kind.
+
+    Attributes:
+        runs: How often each of the two servers began to work on it.
+    """
+
+    answer: RawAnswer
+    runs: list[int]
+
+
 async def read_answer(reader: asyncio.StreamReader) -> RawAnswer:
     """Reads one answer until its framing or its connection ends."""
     head = await reader.readuntil(b"\r\n\r\n")
@@ -118,6 +133,60 @@
     context.answer = run(context, asyncio.wait_for(answer, 4.0))
 
 
+@when(
+    "callers send a request of each kind, with at most {attempts:d} attempts, "
+    "where the first server {stop} after {part} and {end}"
+)
+def send_each_kind(context, attempts, stop, part, end):
+    context.outcomes = {}
+    for kind in KINDS:
+        is_stream = "stream" in kind
+        first = f"{stop}{' its stream' if is_stream else ''} after {part} and {end}"
+        start_two_servers(context, first, "streams" if is_stream else "answers")
+        send_as_raw_caller(context, "1.1", kind, attempts)
+        runs = [server.runs for server in context.servers]
+        context.outcomes[kind] = KindOutcome(answer=context.answer, runs=runs)
+
+
+@then("no caller has a success")
+def check_no_success(context):
+    for kind, outcome in context.outcomes.items():
+        assert outcome.answer.status >= 300, (kind, outcome)
+
+
+@then("callers whose requests may be repeated have the whole answer of the second server")
+def check_repeated(context):
+    for kind in REPEATABLE_KINDS:
+        outcome = context.outcomes[kind]
+        body = b"".join(EVENTS.values()) if "stream" in kind else b"hello"
+        assert outcome.answer.status == 200, (kind, outcome)
+        assert outcome.answer.headers["x-server-signature"] == "sig", (kind, outcome)
+        assert outcome.answer.end == "framed and complete", (kind, outcome)
+        assert outcome.answer.body == body, (kind, outcome)
+        assert outcome.runs == [1, 1], (kind, outcome)
+
+
+@then("the other callers have no success, and their requests ran once")
+def check_not_repeated(context):
+    for kind in KINDS.keys() - set(REPEATABLE_KINDS):
+        outcome = context.outcomes[kind]
+        assert outcome.answer.status >= 300, (kind, outcome)
+        assert outcome.runs == [1, 0], (kind, outcome)
+
+
+@then("each request ran once, and no caller is told that it did not")
+def check_told(context):
+    for kind, outcome in context.outcomes.items():
+        assert outcome.runs == [1, 0], (kind, outcome)
+        assert outcome.answer.status not in NOT_RUN_STATUSES, (kind, outcome)
+
+
+@then("no caller is told that its request did not run")
+def check_not_promised(context):
+    for kind, outcome in context.outcomes.items():
+        assert outcome.answer.status not in NOT_RUN_STATUSES, (kind, outcome)
+
+
 @then("the caller has the events {numbers}")
 def check_events(context, numbers):
     expected = [] if numbers == "none" else numbers.split()
--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -7,6 +7,8 @@
 import struct
 from collections.abc import Iterator
 
+from head_stops import parse_head_stop
+
 EVENTS = {n: b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6)}
 SLOW_EVENT_SECONDS = 0.06
 LONG_EVENT_SECONDS = 0.4
@@ -118,6 +120,13 @@
                 await self._send(writer, b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")
                 return
         self.runs += 1
+        stop = parse_head_stop(self.behaviour, head, stream_head)
+        if stop is not None:
+            await self._send(writer, stop.sent)
+            if stop.is_reset:
+                await asyncio.sleep(0.05)
+                _reset_connection(writer)
+            return
         match self.behaviour:
             case "answers" | "answers before it has read the body":
                 await self._send(writer, response)
@@ -190,6 +199,9 @@
                 await self._send(writer, chunked_head + _encode_chunk(part))
                 await asyncio.sleep(0.05)
                 _reset_connection(writer)
+            case "closes after 2 whole events in chunks":
+                await self._send(writer, chunked_head + _encode_chunk(b"".join(events[:2])))
+                await asyncio.sleep(0.05)
             case "closes a stream without a length after 2 events":
                 await self._send(writer, stream_head + b"\r\n" + b"".join(events[:2]))
             case "resets a stream without a length after 2 events":
