A 503 of the own interface promises 'not run' only where that is true

Callers of chats and of calls that may be repeated got 503 with Retry-After and 'ran: unknown' if a server had stopped within its answer (or in any other way lost it) and no further server was free: the refusal of the later attempt kept its status. Chats that were open when their router closed got 503 too. A 503 promises that the request has not run and never will, so a caller that goes by the status sends it again, and it runs twice. Forwarded requests have told this right all along (502, OUTCOME_UNKNOWN); now the own interface does the same. The delay before a retry and 'ran' are as before.

Found by tests of heads that stop. service_answer_ends.feature: 9 of 25 failed before (3 calls by GET, 4 chats, 2 chats at a closing router), all with 503; 25 pass. heads_that_stop.feature, 84 calls of the clients at servers that stop within a head, passed before and after: no head that stops was taken for an answer, and posts ran once.

--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 from contract_steps import run
 from forward_steps import KINDS, make_headers, set_route, start_router
-from laburnumpier_core.errors import ServerConnectionLostError
+from laburnumpier_core.errors import NOT_RUN_STATUSES, ServerConnectionLostError
 from laburnumpier_router.forward.exchange import ServerCall
 from laburnumpier_router.forward.http_client import HttpServerClient
 from laburnumpier_router.ports.server_registry import RegisteredServer
@@ -16,8 +16,6 @@
 
 READ_BYTES = 65536
 REPEATABLE_KINDS = ("idempotent", "resumable stream")
-NOT_RUN_STATUSES = (408, 421, 429, 503)
-"""Statuses that promise the caller that its request did not run and never will."""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/core/laburnumpier_core/errors.py
+++ b/packages/core/laburnumpier_core/errors.py
@@ -8,6 +8,9 @@
 
 from .result_codes import RESULT_CODE_TABLE, Ran, ResultCode
 
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+"""HTTP statuses that promise that the request has not run and never will."""
+
 
 class LaburnumpierError(Exception):
     """Base class of all errors that the project raises deliberately."""
@@ -42,6 +45,17 @@
         self.retry_after_seconds = retry_after_seconds
         self.facts = dict(facts or {})
 
+    def note_possible_run(self) -> None:
+        """Notes that the request may have run before it was refused.
+
+        A code whose status promises that nothing ran gives way to one that promises nothing.
+        """
+        if self.ran is not Ran.NO:
+            return
+        self.ran = Ran.UNKNOWN
+        if RESULT_CODE_TABLE[self.code].http_status in NOT_RUN_STATUSES:
+            self.code = ResultCode.OUTCOME_UNKNOWN
+
 
 class UnreadableDataError(LaburnumpierError):
     """Bytes that another process wrote cannot be decoded."""
--- a/packages/router/laburnumpier_router/request/call_service.py
+++ b/packages/router/laburnumpier_router/request/call_service.py
@@ -382,8 +382,8 @@
         try:
             return await self._send_to_servers(request, reservation, send_progress)
         except RequestError as error:
-            if send_progress.may_have_run and error.ran is Ran.NO:
-                error.ran = Ran.UNKNOWN
+            if send_progress.may_have_run:
+                error.note_possible_run()
             raise
         finally:
             # Has no effect on a settled reservation.
--- a/packages/router/laburnumpier_router/request/chat_service.py
+++ b/packages/router/laburnumpier_router/request/chat_service.py
@@ -218,7 +218,8 @@
             if error.ran is Ran.NO or error.code is ResultCode.STREAM_ORIGIN_UNKNOWN:
                 await self._remove_request(tracked)
         except asyncio.CancelledError:
-            error = RequestError(ResultCode.STOPPING, ran=Ran.UNKNOWN)
+            error = RequestError(ResultCode.STOPPING)
+            error.note_possible_run()
             tracked.log.finish(describe_failure(error))
             raise
         except Exception:
@@ -354,8 +355,8 @@
         try:
             run_task.result()
         except RequestError as error:
-            if progress.started and error.ran is Ran.NO:
-                error.ran = Ran.UNKNOWN
+            if progress.started:
+                error.note_possible_run()
             raise
 
     async def _reserve(self, request: ChatRequest) -> Reservation:
