--- a/features/relay/answers.feature
+++ b/features/relay/answers.feature
@@ -25,6 +25,31 @@
       | closes after 2 events and a half            |
       | streams a large event without a length      |
 
+  # Guards against a head that stops being completed on its way through another router.
+  Scenario Outline: A head that stops is no answer, relayed or direct
+    Given two routers on sockets, one of them cut off from a server that stops after <part> and <end>
+    When the same request is sent directly and through the other router
+    Then neither has an answer, and both exchanges end as a lost connection
+
+    Examples:
+      | part                                          | end    |
+      | nothing                                       | closes |
+      | nothing                                       | resets |
+      | half the status line                          | closes |
+      | half the status line                          | resets |
+      | the first header lines                        | closes |
+      | the first header lines                        | resets |
+      | one digit of the length                       | closes |
+      | one digit of the length                       | resets |
+      | half the transfer coding                      | closes |
+      | half the transfer coding                      | resets |
+      | all but the last line feed, with a length     | closes |
+      | all but the last line feed, with a length     | resets |
+      | all but the last line feed of an empty answer | closes |
+      | all but the last line feed of an empty answer | resets |
+      | an interim head and the first header lines    | closes |
+      | an interim head and the first header lines    | resets |
+
   # Guards against messages that are larger than the transport takes.
   Scenario: A request body of 4 MiB
     Given two routers on sockets, one of them cut off from a server that answers
--- a/features/steps/relayed_answer_steps.py
+++ b/features/steps/relayed_answer_steps.py
@@ -29,6 +29,8 @@
 from scripted_server import ScriptedServer
 
 QUEUED_CONNECTIONS = 8
+LOST_REASON = "broke_off"
+"""Reason of an exchange whose connection was lost before there was an answer."""
 
 
 class CutOffClient:
@@ -168,6 +170,13 @@
     assert sent.count((b"POST /x?y=%201", b"order")) == 2, sent
 
 
+@then("neither has an answer, and both exchanges end as a lost connection")
+def check_lost(context):
+    assert context.direct == LOST_REASON, context.direct
+    assert context.relayed == LOST_REASON, context.relayed
+    assert context.server.runs == 2, context.server.requests
+
+
 @given("a port at which connections hang")
 def hang(context):
     # The kernel drops further connection requests while the queue of the listener is full.
--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -21,6 +21,8 @@
 LARGE_BODY_BYTES = 4 * 1024 * 1024
 ENDLESS_PAUSE_SECONDS = 0.001
 SEND_BUFFER_BYTES = 65536
+NO_SERVER_ID = b"-"
+"""Server id in the probes of routers, which a server whose heads stop refuses by a whole head."""
 REFUSAL = (
     b"HTTP/1.1 %b X\r\nX-Not-Executed: 1\r\nX-Attempt-Id: %b\r\nServer-Limit: 0.01\r\n"
     b"X-Server-Load: 9,9,1\r\nRetry-After: 5\r\nContent-Length: 0\r\n\r\n"
@@ -96,7 +98,11 @@
             self.requests.append((head, body))
             attempt_id = headers.get(b"x-attempt-id", b"")
             last_event_id = int(headers.get(b"last-event-id", 0))
-            await self._run_behaviour(attempt_id, last_event_id, reader, writer)
+            is_probe = headers.get(b"x-expected-instance") == NO_SERVER_ID
+            if is_probe and parse_head_stop(self.behaviour, b"", b"") is not None:
+                await self._send(writer, b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")
+            else:
+                await self._run_behaviour(attempt_id, last_event_id, reader, writer)
         self._writers.discard(writer)
         writer.close()
 
