--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -7,6 +7,8 @@
 import struct
 from collections.abc import Iterator
 
+from head_stops import parse_head_stop
+
 EVENTS = {n: b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6)}
 SLOW_EVENT_SECONDS = 0.06
 LONG_EVENT_SECONDS = 0.4
@@ -19,6 +21,8 @@
 LARGE_BODY_BYTES = 4 * 1024 * 1024
 ENDLESS_PAUSE_SECONDS = 0.001
 SEND_BUFFER_BYTES = 65536
+NO_SERVER_ID = b"-"
+"""Server id in the probes of routers, which a server whose heads stop refuses by a whole head."""
 REFUSAL = (
     b"HTTP/1.1 %b X\r\nX-Not-Executed: 1\r\nX-Attempt-Id: %b\r\nServer-Limit: 0.01\r\n"
     b"X-Server-Load: 9,9,1\r\nRetry-After: 5\r\nContent-Length: 0\r\n\r\n"
@@ -106,7 +110,11 @@
             self.requests.append((head, body))
             attempt_id = headers.get(b"x-attempt-id", b"")
             last_event_id = int(headers.get(b"last-event-id", 0))
-            await self._run_behaviour(attempt_id, last_event_id, reader, writer)
+            is_probe = headers.get(b"x-expected-instance") == NO_SERVER_ID
+            if is_probe and parse_head_stop(self.behaviour, b"", b"") is not None:
+                await self._send(writer, b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")
+            else:
+                await self._run_behaviour(attempt_id, last_event_id, reader, writer)
         self._writers.discard(writer)
         writer.close()
 
@@ -130,6 +138,13 @@
                 await self._send(writer, b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")
                 return
         self.runs += 1
+        stop = parse_head_stop(self.behaviour, head, stream_head)
+        if stop is not None:
+            await self._send(writer, stop.sent)
+            if stop.is_reset:
+                await asyncio.sleep(0.05)
+                _reset_connection(writer)
+            return
         match self.behaviour:
             case "answers" | "answers before it has read the body":
                 await self._send(writer, response)
@@ -202,6 +217,9 @@
                 await self._send(writer, chunked_head + _encode_chunk(part))
                 await asyncio.sleep(0.05)
                 _reset_connection(writer)
+            case "closes after 2 whole events in chunks":
+                await self._send(writer, chunked_head + _encode_chunk(b"".join(events[:2])))
+                await asyncio.sleep(0.05)
             case "closes a stream without a length after 2 events":
                 await self._send(writer, stream_head + b"\r\n" + b"".join(events[:2]))
             case "resets a stream without a length after 2 events":
