A server that goes on after another one has failed keeps its own bytes

Test: 'A server that goes on after another one has failed is passed on as it is' failed before and passes.

--- a/features/forward/forwarding.feature
+++ b/features/forward/forwarding.feature
@@ -156,6 +156,14 @@
       | answers after half a second             | idempotent       | the second server keeps what it gets        | none      |
       | answers after a second                  | idempotent       | the second server fails and stops within its body | none |
 
+  # Guards against a first server whose bytes are judged like those of another one that was tried and failed.
+  Scenario: A server that goes on after another one has failed is passed on as it is
+    Given 2 servers of which the first streams a text after a pause of 2 seconds
+    And the second server resets streams
+    When a caller sends a resumable stream request with at most 2 attempts
+    Then the response status is 200
+    And the response is complete
+
   # Guards against prompts that crash servers: what is tried at one server is not handed to a second one.
   Scenario Outline: A request that may crash servers is not tried at another one while a server is silent
     Given 2 servers of which the first pauses for 2 seconds after 2 events
--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -267,6 +267,11 @@
                 start = head.replace(b"200 OK", b"500 X")
                 await self._send(writer, start + b"Content-Length: 10\r\n\r\nout")
                 await self._wait_for_close(reader)
+            case "streams a text after a pause of 2 seconds":
+                await self._send(writer, chunked_head + _encode_chunk(b"".join(events[:2])))
+                await asyncio.sleep(2.0)
+                rest = ERROR_TEXT + b"".join(events[2:])
+                await self._send(writer, _encode_chunk(rest) + b"0\r\n\r\n")
             case "pauses for 1.6 seconds after 2 events":
                 await self._send(writer, chunked_head + _encode_chunk(b"".join(events[:2])))
                 await asyncio.sleep(1.6)
--- a/packages/router/laburnumpier_router/sending/kept_attempt.py
+++ b/packages/router/laburnumpier_router/sending/kept_attempt.py
@@ -18,6 +18,7 @@
     run: WatchedRun | None
     observer: SendObserver
     choice_reason: str
+    is_rest: bool
     log_index: int
 
     def restore(self, progress: RequestProgress) -> None:
@@ -27,6 +28,7 @@
         progress.run = self.run
         progress.observer = self.observer
         progress.choice_reason = self.choice_reason
+        progress.splitter.is_rest = self.is_rest
         if len(progress.attempt_log) > self.log_index + 1:
             progress.attempt_log.append(self.sent_to.server_id)
 
@@ -39,6 +41,7 @@
         run=progress.run,
         observer=progress.observer,
         choice_reason=progress.choice_reason,
+        is_rest=progress.splitter.is_rest,
         log_index=len(progress.attempt_log) - 1,
     )
     progress.place = None
