Test refusals whose head stops: they promise nothing

Part of a 503 with X-Not-Executed, taken for a whole one, would tell that a request that runs did not, and it would run again; part of a 404 would be a key that the store does not have. Ten examples in answer_ends, answers and the stores' heads_that_stop.feature pass without a change.

--- a/features/forward/answer_ends.feature
+++ b/features/forward/answer_ends.feature
@@ -141,6 +141,8 @@
       | an interim head and one digit of the length                   | resets |
       | an interim head and all but the last line feed, with a length | closes |
       | an interim head and all but the last line feed, with a length | resets |
+      | a refusal but for the empty line                              | closes |
+      | a refusal but for the empty line                              | resets |
 
   # Guards against a head that stops being the answer although another server could give a whole one.
   Scenario Outline: A request whose answer's head stops goes on at another server only if it may be repeated
@@ -195,6 +197,8 @@
       | an interim head and one digit of the length                   | resets |
       | an interim head and all but the last line feed, with a length | closes |
       | an interim head and all but the last line feed, with a length | resets |
+      | a refusal but for the empty line                              | closes |
+      | a refusal but for the empty line                              | resets |
 
   # Guards against a begun stream that looks whole because its next server stopped within its head.
   Scenario Outline: A stream that breaks off, and whose next server stops within its head, does not look whole
--- a/features/platform/heads_that_stop.feature
+++ b/features/platform/heads_that_stop.feature
@@ -58,3 +58,7 @@
       | all but the last line feed of an empty answer | resets | etcd     | writes a key      | WriteOutcomeUnknownError |
       | all but the last line feed of an empty answer | resets | etcd     | watches a key     | StoreUnavailableError    |
       | all but the last line feed of an empty answer | resets | VM-list  | reads the list    | StoreUnavailableError    |
+      | a status of 404 but for the empty line        | closes | platform | reads a key       | StoreUnavailableError    |
+      | a status of 404 but for the empty line        | resets | platform | reads a key       | StoreUnavailableError    |
+      | a refusal but for the empty line              | closes | platform | writes a key      | WriteOutcomeUnknownError |
+      | a refusal but for the empty line              | resets | platform | writes a key      | WriteOutcomeUnknownError |
--- a/features/relay/answers.feature
+++ b/features/relay/answers.feature
@@ -49,6 +49,8 @@
       | all but the last line feed of an empty answer | resets |
       | an interim head and the first header lines    | closes |
       | an interim head and the first header lines    | resets |
+      | a refusal but for the empty line              | closes |
+      | a refusal but for the empty line              | resets |
 
   # Guards against messages that are larger than the transport takes.
   Scenario: A request body of 4 MiB
--- a/features/steps/head_stops.py
+++ b/features/steps/head_stops.py
@@ -13,6 +13,8 @@
 _LENGTH = b"Content-Length: 15\r\n"
 _EMPTY_LENGTH = b"Content-Length: 0\r\n"
 _CHUNKED = b"Transfer-Encoding: chunked\r\n"
+_REFUSAL_LINES = b"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\n"
+_MISSING_LINE = b"HTTP/1.1 404 X\r\n"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -76,4 +78,8 @@
             return lines + _EMPTY_LENGTH + b"\r"
         case "all but the last line feed, without a length":
             return lines + b"\r"
+        case "a refusal but for the empty line":
+            return lines.replace(_STATUS_LINE, _REFUSAL_LINES) + _EMPTY_LENGTH
+        case "a status of 404 but for the empty line":
+            return lines.replace(_STATUS_LINE, _MISSING_LINE) + _EMPTY_LENGTH
     raise ValueError(f"unknown part of a head: {part}")
