--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -13,7 +13,7 @@
 from aiohttp.test_utils import TestServer
 from behave import given, then, when
 from contract_steps import run
-from laburnumpier_measure.local_fleet import find_free_port
+from laburnumpier_measure.local_fleet import find_free_port, make_descriptor_limit
 from laburnumpier_platform_standin.launch import ROOT, render_router_settings
 from laburnumpier_platform_standin.store import PlatformStoreStandIn
 from scripted_server import ScriptedServer
@@ -88,9 +88,31 @@
     context.process.send_signal(signal.SIGHUP)
 
 
-def start_router_process(context, grace_seconds, *, early_sighup, site_customization=""):
+def start_router_process(
+    context,
+    grace_seconds,
+    *,
+    early_sighup,
+    site_customization="",
+    backend=None,
+    configuration=CONFIGURATION,
+    vm_limits=None,
+    max_descriptors=None,
+):
+    """Starts a router process, its store and a server.
+
+    Args:
+        context: Gets the process, its ports, the store and the server.
+        grace_seconds: Grace period of a stop.
+        early_sighup: Whether the process receives SIGHUP as early as possible.
+        site_customization: Python code that the interpreter runs first.
+        backend: The server; by default one that streams.
+        configuration: Configuration in the platform's form.
+        vm_limits: The platform's fields of the VM's limits, such as `MemoryMb`.
+        max_descriptors: Descriptors that the process may open; None for the usual number.
+    """
     context.store = PlatformStoreStandIn()
-    context.backend = ScriptedServer("streams")
+    context.backend = backend or ScriptedServer("streams")
     context.directory = tempfile.TemporaryDirectory()
     context.ports = [find_free_port() for _ in range(4)]
 
@@ -98,13 +120,17 @@
         await context.backend.start()
         entry = {"Service": "s", "Address": context.backend.address, "State": "ready"}
         context.store.put("servers/i-1", json.dumps(entry).encode())
-        context.store.put("op/config", json.dumps(CONFIGURATION).encode())
+        context.store.put("op/config", json.dumps(configuration).encode())
         context.store_server = TestServer(context.store.make_app())
         await context.store_server.start_server()
         url = str(context.store_server.make_url("")).rstrip("/")
         path = pathlib.Path(context.directory.name) / "settings.ini"
         settings = render_router_settings(
-            name="vm-1", ports=context.ports, store_url=url, grace_seconds=grace_seconds
+            name="vm-1",
+            ports=context.ports,
+            store_url=url,
+            grace_seconds=grace_seconds,
+            vm_limits=vm_limits,
         )
         path.write_text(settings)
         # Python imports sitecustomize when it starts.
@@ -120,6 +146,7 @@
                 "PYTHONPATH": str(path.parent),
             },
             stdout=asyncio.subprocess.PIPE,
+            preexec_fn=make_descriptor_limit(max_descriptors),
         )
         context.output = asyncio.create_task(context.process.stdout.read())
         if early_sighup:
--- a/packages/measure/laburnumpier_measure/local_fleet.py
+++ b/packages/measure/laburnumpier_measure/local_fleet.py
@@ -4,11 +4,13 @@
 import dataclasses
 import pathlib
 import random
+import resource
 import signal
 import socket
 import sys
 import sysconfig
 import tempfile
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -57,6 +59,17 @@
     raise OSError(f"fewer than {count} unused ports outside {outgoing_ports}")
 
 
+def make_descriptor_limit(count: int | None) -> Callable[[], None] | None:
+    """Returns a function that limits the descriptors of a process that is being started.
+
+    Args:
+        count: Descriptors that it may open; None for no limit of its own, and no function.
+    """
+    if count is None:
+        return None
+    return lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (count, count))
+
+
 def _is_unused(port: int) -> bool:
     with socket.socket() as probe:
         try:
@@ -88,12 +101,16 @@
 class LocalFleet:
     """Processes on loopback, killed when the context manager exits."""
 
-    def __init__(self, *, settings: dict[str, str] | None = None):
+    def __init__(
+        self, *, settings: dict[str, str] | None = None, max_descriptors: int | None = None
+    ):
         """Creates an empty fleet.
 
         Args:
             settings: Additional settings of every router, with keys of the form `section.key`.
+            max_descriptors: Descriptors that a router may open; None for the usual number.
         """
+        self._max_descriptors = max_descriptors
         self._settings = settings or {}
         self._directory = tempfile.TemporaryDirectory(prefix="laburnumpier-")
         self._processes: list[asyncio.subprocess.Process] = []
@@ -162,7 +179,11 @@
         executable = str(pathlib.Path(sysconfig.get_path("scripts")) / "laburnumpier-router")
         log_file = (self.directory / f"{name}.log").open("w")
         process = await asyncio.create_subprocess_exec(
-            executable, f"--settings={settings_path}", stderr=log_file, stdout=log_file
+            executable,
+            f"--settings={settings_path}",
+            stderr=log_file,
+            stdout=log_file,
+            preexec_fn=make_descriptor_limit(self._max_descriptors),
         )
         self._processes.append(process)
         router = RouterProcess(
