One account of the memory that callers make a router hold

Callers saw a router end: many large bodies of legal size, most of them short of their end, took it past the memory of its VM. The cause: every request was bounded, their sum was not, and the same holds of heads, pieces of bodies, requests that are sent ahead, and answers that are not read.

intake/ keeps one account for all of them, a sixth of the VM's memory. Each connection reports what it holds, with copies and objects; bodies of responses and relayed requests take shares of the same account. If it is overdrawn, connections that wait for their caller give way in the order of bytes held times the time they were held, with a 503 that is true (4009, nothing was sent on), or a reset where no answer can be given. A refused connection drops the rest of its bytes unparsed.

It works since the sum is checked where bytes arrive, before they are kept, and since what is counted covers what is held more than once.

--- a/features/steps/cut_off_world.py
+++ b/features/steps/cut_off_world.py
@@ -35,6 +35,7 @@
 from laburnumpier_router.forward.service import build_forward_service
 from laburnumpier_router.forward.stream_versions import StreamVersions
 from laburnumpier_router.forward.time_limits import TimeLimits
+from laburnumpier_router.intake.memory import make_caller_memory
 from laburnumpier_router.notices.server_notices import ServerNotices
 from laburnumpier_router.places import place_messages
 from laburnumpier_router.places.place_keeper import build_place_keeper
@@ -341,6 +342,7 @@
             clock=clock,
             metrics=metrics,
             random_source=random.Random(name),
+            memory=make_caller_memory(0),
         )
         self.relay.register_handlers(self.link)
         limits = ServerRateLimits(clock=clock, metrics=metrics)
--- a/features/steps/relayed_answer_steps.py
+++ b/features/steps/relayed_answer_steps.py
@@ -21,6 +21,7 @@
 from laburnumpier_router.forward.exchange import ServerCall
 from laburnumpier_router.forward.http_client import HttpServerClient
 from laburnumpier_router.forward.servers import ServerTable
+from laburnumpier_router.intake.memory import make_caller_memory
 from laburnumpier_router.ports.server_registry import RegisteredServer
 from laburnumpier_router.relay.feature import RelayFeature
 from laburnumpier_router.relay.messages import MESSAGE_TYPES
@@ -83,6 +84,7 @@
             clock=SystemClock(),
             metrics=metrics,
             random_source=random.Random(1),
+            memory=make_caller_memory(0),
         )
         relay.register_handlers(link)
         return link, relay
--- a/packages/core/laburnumpier_core/result_codes.py
+++ b/packages/core/laburnumpier_core/result_codes.py
@@ -35,6 +35,8 @@
     KEY_REUSED = 2010
     NOT_FOUND = 2011
     REQUEST_EXPIRED = 2012
+    HEAD_TOO_LARGE = 2013
+    REQUEST_TOO_SLOW = 2014
     BUDGET_EXHAUSTED = 3001
     BUDGET_UNREACHABLE = 3002
     BUDGET_RESERVED = 3003
@@ -46,6 +48,7 @@
     NOT_READY = 4006
     INTERNAL_ERROR = 4007
     CONFIGURATION_UNCONFIRMED = 4008
+    MEMORY_EXHAUSTED = 4009
     NO_SERVER = 5001
     SERVER_REFUSED = 5002
     SERVER_FAILED = 5003
@@ -93,6 +96,8 @@
     ResultCode.KEY_REUSED: _info(422, "The idempotency key was used before with another request."),
     ResultCode.NOT_FOUND: _info(404, "There is nothing at this path."),
     ResultCode.REQUEST_EXPIRED: _info(410, "The request ended but its answer is no longer held."),
+    ResultCode.HEAD_TOO_LARGE: _info(431, "The request head is larger than the limit."),
+    ResultCode.REQUEST_TOO_SLOW: _info(408, "The request head did not arrive in time."),
     ResultCode.BUDGET_EXHAUSTED: _info(402, "The prepaid budget cannot pay for the request."),
     ResultCode.BUDGET_UNREACHABLE: _info(
         503, "The budget's remaining tokens cannot be reached now."
@@ -110,6 +115,9 @@
     ResultCode.CONFIGURATION_UNCONFIRMED: _info(
         503, "The request may be allowed by a newer configuration than the router has."
     ),
+    ResultCode.MEMORY_EXHAUSTED: _info(
+        503, "The router has no memory left for the request, which has not run."
+    ),
     ResultCode.NO_SERVER: _info(503, "No eligible backend server is known."),
     ResultCode.SERVER_REFUSED: _info(503, "The backend server refused the request."),
     ResultCode.SERVER_FAILED: _info(502, "The backend server failed while it ran the request."),
--- a/packages/core/laburnumpier_core/settings.py
+++ b/packages/core/laburnumpier_core/settings.py
@@ -99,6 +99,11 @@
     placement: str
     relay: bool
     link_mbps: float
+    memory_mb: float
+    file_descriptors: int
+    max_header_bytes: int
+    header_timeout_seconds: float
+    idle_timeout_seconds: float
     metrics_address: Address | None
     statsd_host: str
     statsd_port: int
@@ -315,6 +320,11 @@
     ),
     _text_field("backend", "relay", _parse_bool, "yes or no", "no"),
     _number_field("router", "link_mbps", "0", float, 0, 10**6),
+    _number_field("limits", "memory_mb", "0", float, 0, 10**9),
+    _number_field("limits", "file_descriptors", "0", int, 0, 10**9),
+    _number_field("limits", "max_header_bytes", "65536", int, 1024, 2**30),
+    _number_field("limits", "header_timeout_seconds", "30", float, 0.1, 86400),
+    _number_field("limits", "idle_timeout_seconds", "3600", float, 0.1, 86400),
     _text_field(
         "metrics", "metrics_address", _parse_optional_address, _ADDRESS_HELP + ", or empty", ""
     ),
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -71,6 +71,9 @@
 from .forward.version_history import VersionHistory
 from .graceful_stop import GracefulStop, StopTimes, plan_stop
 from .ingress.service import IngressService
+from .intake.limits import CallerLimits
+from .intake.memory import CallerMemory, make_caller_memory
+from .intake.service import Intake, IntakeSettings
 from .notices.server_notices import ServerNotices
 from .operators.frontend import OperatorFrontend
 from .operators.reports import OperatorReports
@@ -166,6 +169,7 @@
         engines: Client of model engines.
         services: Client of plain services.
         evacuations: Tells which data centres are evacuated; None if the platform names none.
+        memory: Account of what callers make the process hold; None to make one by the settings.
     """
 
     store: KeyValueService
@@ -176,6 +180,7 @@
     forwarding: ForwardingPorts | None = None
     record_format: RecordFormat | None = None
     evacuations: EvacuationSource | None = None
+    memory: CallerMemory | None = None
 
 
 class RouterApplication:
@@ -218,6 +223,8 @@
         self._is_closed = False
         self._has_tried_store = False
         self._purchased_tokens: dict[str, int] = {}
+        self._memory = ports.memory or make_caller_memory(settings.memory_mb)
+        self._intake = self._build_intake()
         self._peer_link = PeerLink(
             network=ports.network,
             self_name=member.incarnation,
@@ -303,6 +310,7 @@
         if self._ingress is not None:
             self._reports.add_dump("ingress", self._ingress.dump_state)
         self._reports.add_dump("relay", self._describe_relay)
+        self._reports.add_dump("intake", self._intake.dump_state)
         self._caller_frontend = CallerFrontend(
             configuration=self._configuration,
             chats=self._chats,
@@ -386,6 +394,11 @@
         """HTTP frontend for operators."""
         return self._operator_frontend
 
+    @property
+    def intake(self) -> Intake:
+        """Connections of callers, and what they make the process hold."""
+        return self._intake
+
     @property
     def reports(self) -> OperatorReports:
         """Reports for operators."""
@@ -416,6 +429,7 @@
         self._keep_running(self._budget.return_idle_tokens_periodically)
         self._keep_running(self._calls.run_maintenance)
         self._keep_running(self._chats.evict_periodically)
+        self._keep_running(self._intake.sweep_periodically)
         if self._settings.recover_departed:
             self._keep_running(self._departure_monitor.check_periodically)
         if self._forward_frontend is not None:
@@ -652,6 +666,21 @@
         if self._registry_relay is not None:
             self._registry_relay.announce_configuration()
 
+    def _build_intake(self) -> Intake:
+        settings = self._settings
+        limits = CallerLimits(
+            max_header_bytes=settings.max_header_bytes,
+            max_body_bytes=settings.max_body_bytes,
+            header_timeout_seconds=settings.header_timeout_seconds,
+            idle_timeout_seconds=settings.idle_timeout_seconds,
+        )
+        return Intake(
+            settings=IntakeSettings(file_descriptors=settings.file_descriptors, limits=limits),
+            memory=self._memory,
+            clock=self._clock,
+            metrics=self._metrics,
+        )
+
     def _build_forwarding(self) -> None:
         ports, settings = self._ports.forwarding, self._settings
         self._forward_frontend: ForwardFrontend | None = None
@@ -801,6 +830,7 @@
             clock=self._clock,
             metrics=self._metrics,
             random_source=self._random,
+            memory=self._memory,
         )
         self._relay.register_handlers(self._peer_link)
         self._fleet.make_server_reach = self._relay.monitor.make_reach
--- a/packages/router/laburnumpier_router/backend/http_clients.py
+++ b/packages/router/laburnumpier_router/backend/http_clients.py
@@ -14,6 +14,7 @@
     UnreadableDataError,
 )
 
+from ..intake.memory import CallerMemory
 from ..ports.bounded_http import (
     MAX_CONTROL_BODY_BYTES,
     BodyMemory,
@@ -223,9 +224,13 @@
 
     __slots__ = ("_body_memory", "_session")
 
-    def __init__(self):
-        """Creates a client without connections."""
-        self._body_memory = BodyMemory()
+    def __init__(self, *, memory: CallerMemory | None = None):
+        """Creates a client without connections.
+
+        Args:
+            memory: Account of what callers make the process hold; None if there is none.
+        """
+        self._body_memory = BodyMemory(callers=memory)
         self._session: aiohttp.ClientSession | None = None
 
     async def call(self, url: str, call: ServiceCall, timeout_seconds: float) -> ServiceResponse:
--- a/packages/router/laburnumpier_router/callers/frontend.py
+++ b/packages/router/laburnumpier_router/callers/frontend.py
@@ -15,6 +15,7 @@
 
 from ..backend.engine_port import ServiceCall
 from ..configuration.service import ConfigurationService
+from ..intake.body import read_body, refuse_rest, reserve_decoded
 from ..request.answer_log import AnswerLog
 from ..request.call_service import CallRequest, CallService
 from ..request.chat_request import ChatRequest
@@ -34,6 +35,8 @@
 
 DEADLINE_HEADER = "X-Deadline-Seconds"
 LAST_EVENT_ID_HEADER = "Last-Event-ID"
+BODY_KEY = "laburnumpier.body"
+"""Key under which a request keeps its body."""
 BODY_TIMEOUT_SECONDS = 30.0
 WRITE_TIMEOUT_SECONDS = 60.0
 IDLE_POLL_SECONDS = 0.05
@@ -194,6 +197,7 @@
     async def _handle_chat(self, request: web.Request, request_id: str) -> web.StreamResponse:
         workspace = self._authenticate(request)
         raw = await self._read_body(request)
+        reserve_decoded(request, raw)
         body = chat_body.decode_body(raw)
         chat = self._parse_chat_request(request, workspace, request_id, body)
         with self._chats.open(chat) as log:
@@ -370,12 +374,14 @@
         Raises:
             RequestError: If the body exceeds one of them, or if a stop has begun meanwhile.
         """
+        if BODY_KEY in request:
+            # A request that is handled again, by a newer configuration.
+            return request[BODY_KEY]
         try:
             async with asyncio.timeout(BODY_TIMEOUT_SECONDS):
-                body = await request.read()
-        except web.HTTPRequestEntityTooLarge as error:
-            raise RequestError(ResultCode.BODY_TOO_LARGE) from error
+                body = request[BODY_KEY] = await read_body(request)
         except TimeoutError as error:
+            refuse_rest(request)
             raise RequestError(
                 ResultCode.DEADLINE_PASSED, detail="the body came too slowly"
             ) from error
--- a/packages/router/laburnumpier_router/callers/http_listener.py
+++ b/packages/router/laburnumpier_router/callers/http_listener.py
@@ -9,6 +9,8 @@
 from laburnumpier_core.log import get_part_logger
 from laburnumpier_core.settings import Address
 
+from ..intake.connection import BoundedConnection, set_socket_buffers
+
 LISTEN_BACKLOG = 128
 """Connections that the kernel keeps until the process accepts them."""
 CLOSE_POLL_SECONDS = 0.02
@@ -61,6 +63,8 @@
             backlog=LISTEN_BACKLOG,
         )
         await site.start()
+        for listening in site._server.sockets:
+            set_socket_buffers(listening)
 
     async def close(self, until_seconds: float | None = None) -> None:
         """Stops listening, and closes each connection as soon as it holds no request.
@@ -141,5 +145,7 @@
 
     aiohttp has no public attribute for this; its own keep-alive timeout reads the same one.
     """
+    if isinstance(connection, BoundedConnection):
+        return connection.is_idle
     waiter = connection._waiter
     return waiter is not None and not waiter.done()
--- a/packages/router/laburnumpier_router/forward/frontend.py
+++ b/packages/router/laburnumpier_router/forward/frontend.py
@@ -19,6 +19,8 @@
     make_error_body,
 )
 from ..ingress.service import IngressService
+from ..intake.body import read_body, refuse_rest
+from ..intake.connection import ends_connection
 from ..ports.dialect import Dialect
 from .exchange import ForwardRequest
 from .service import ForwardService
@@ -150,7 +152,7 @@
             self._ingress.record_response(count)
 
     async def _send_head(self, response: web.StreamResponse) -> None:
-        if self._is_closing():
+        if self._is_closing() or ends_connection(self._request):
             response.force_close()
         self._response = response
         await response.prepare(self._request)
@@ -342,10 +344,9 @@
         until_seconds = self._clock.monotonic_seconds() + BODY_TIMEOUT_SECONDS
         try:
             async with self._time_limits.limit(until_seconds):
-                return await request.read()
-        except web.HTTPRequestEntityTooLarge as error:
-            raise RequestError(ResultCode.BODY_TOO_LARGE) from error
+                return await read_body(request)
         except TimeoutError as error:
+            refuse_rest(request)
             if until_seconds > self._time_limits.end_seconds:
                 raise RequestError(ResultCode.STOPPING, retry_after_seconds=0.0) from error
             raise RequestError(ResultCode.DEADLINE_PASSED) from error
--- a/packages/router/laburnumpier_router/forward/http_client.py
+++ b/packages/router/laburnumpier_router/forward/http_client.py
@@ -14,6 +14,7 @@
 from multidict import CIMultiDictProxy
 from yarl import URL
 
+from ..intake.memory import CallerMemory
 from ..ports.bounded_http import BodyMemory, BodyReservation, make_lost_error, read_body
 from ..response_end import EndMarker, get_end_marker, make_server_session
 from .exchange import CONNECT_TIMEOUT_SECONDS, ServerCall
@@ -94,9 +95,13 @@
 
     __slots__ = ("_body_memory", "_session")
 
-    def __init__(self):
-        """Creates the client; its session is created at the first request."""
-        self._body_memory = BodyMemory()
+    def __init__(self, *, memory: CallerMemory | None = None):
+        """Creates the client; its session is created at the first request.
+
+        Args:
+            memory: Account of what callers make the process hold; None if there is none.
+        """
+        self._body_memory = BodyMemory(callers=memory)
         self._session: aiohttp.ClientSession | None = None
 
     @contextlib.asynccontextmanager
--- /dev/null
+++ b/packages/router/laburnumpier_router/intake/body.py
@@ -0,0 +1,92 @@
+"""Reads request bodies within the limits of their connection and of the process."""
+
+from aiohttp import web
+from laburnumpier_core.errors import RequestError
+from laburnumpier_core.result_codes import ResultCode
+
+from .connection import BoundedConnection
+from .refusals import MEMORY_RETRY_SECONDS
+
+DECODED_NODE_BYTES = 80
+"""Memory of an object of a decoded JSON text, with its place in its container."""
+DECODED_COPIES = 2
+"""Copies of the text beside the objects: in the request to the server and in its hash."""
+
+
+async def read_body(request: web.BaseRequest) -> bytes:
+    """Returns the whole body of a request.
+
+    Raises:
+        RequestError: If it is larger than the limit, or if its connection gave way. The rest of
+            the body is dropped then, and the connection ends behind the response.
+    """
+    connection = request.protocol
+    if not isinstance(connection, BoundedConnection):
+        return await _read_unaccounted(request)
+    try:
+        async with connection.watch_body():
+            return await _read_accounted(request, connection)
+    except TimeoutError as error:
+        if not connection.gave_way:
+            raise
+        raise make_memory_error(connection) from error
+
+
+def reserve_decoded(request: web.BaseRequest, text: bytes) -> None:
+    """Accounts for the decoded form of a JSON text before it is decoded.
+
+    Raises:
+        RequestError: If there is no room for it, now or ever.
+    """
+    connection = request.protocol
+    if not isinstance(connection, BoundedConnection):
+        return
+    nodes = text.count(b",") + text.count(b"[") + text.count(b"{") + text.count(b":")
+    size_bytes = DECODED_NODE_BYTES * nodes + DECODED_COPIES * len(text)
+    if size_bytes > connection.intake.memory.large_limit_bytes:
+        connection.intake.note_refusal(ResultCode.BODY_TOO_LARGE)
+        raise RequestError(ResultCode.BODY_TOO_LARGE, detail="the decoded body is too large")
+    if not connection.reserve(size_bytes):
+        raise make_memory_error(connection)
+
+
+def refuse_rest(request: web.BaseRequest) -> None:
+    """Drops the rest of a request; its connection ends behind the response."""
+    if isinstance(request.protocol, BoundedConnection):
+        request.protocol.refuse_rest()
+
+
+def make_memory_error(connection: BoundedConnection) -> RequestError:
+    """Returns the error of a request that found no room in the account, and counts it."""
+    connection.intake.note_refusal(ResultCode.MEMORY_EXHAUSTED)
+    return RequestError(ResultCode.MEMORY_EXHAUSTED, retry_after_seconds=MEMORY_RETRY_SECONDS)
+
+
+async def _read_accounted(request: web.BaseRequest, connection: BoundedConnection) -> bytes:
+    limit_bytes = connection.max_body_bytes
+    _check_size(connection, request.content_length or 0, limit_bytes)
+    body = await request.content.readany()
+    _check_size(connection, len(body), limit_bytes)
+    connection.record_body(len(body))
+    if request.content.at_eof():
+        return body
+    joined = bytearray(body)
+    while block := await request.content.readany():
+        _check_size(connection, len(joined) + len(block), limit_bytes)
+        joined += block
+        connection.record_body(len(joined))
+    return bytes(joined)
+
+
+def _check_size(connection: BoundedConnection, size_bytes: int, limit_bytes: int) -> None:
+    if size_bytes > limit_bytes:
+        connection.intake.note_refusal(ResultCode.BODY_TOO_LARGE)
+        connection.refuse_rest()
+        raise RequestError(ResultCode.BODY_TOO_LARGE)
+
+
+async def _read_unaccounted(request: web.BaseRequest) -> bytes:
+    try:
+        return await request.read()
+    except web.HTTPRequestEntityTooLarge as error:
+        raise RequestError(ResultCode.BODY_TOO_LARGE) from error
--- a/packages/router/laburnumpier_router/main.py
+++ b/packages/router/laburnumpier_router/main.py
@@ -34,6 +34,11 @@
 from .callers.http_listener import HttpListener
 from .fleet.member import Member
 from .fleet.peer_network import PynngPeerNetwork
+from .intake.allocator import return_large_buffers
+from .intake.connection_table import ConnectionTable
+from .intake.memory import make_caller_memory
+from .intake.server import BoundedAppRunner, bound_server
+from .intake.service import Intake
 from .ports.etcd_service import EtcdKeyValueService
 from .ports.vm_list import HttpVmList
 from .stop_request import StopRequest
@@ -97,9 +102,10 @@
         """Returns the listener for callers, and those for readiness, operators and metrics."""
         settings, application = self.settings, self.application
         clock, tls_context = SystemClock(), make_tls_context(settings)
+        intake = application.intake
 
-        def make_listener(app_or_server, address: Address) -> HttpListener:
-            runner = _make_runner(app_or_server)
+        def make_listener(app_or_server, address: Address, table: ConnectionTable) -> HttpListener:
+            runner = _make_runner(app_or_server, intake, table)
             return HttpListener(
                 runner=runner, address=address, tls_context=tls_context, clock=clock
             )
@@ -116,8 +122,13 @@
             others.append((application.operator_frontend.make_app(), settings.operators_address))
         if settings.metrics_address is not None:
             others.append((_make_metrics_server(application.metrics), settings.metrics_address))
-        caller_listener = make_listener(caller_server, settings.callers_address)
-        return caller_listener, [make_listener(*other) for other in others]
+        caller_listener = make_listener(
+            caller_server, settings.callers_address, intake.open_callers_table()
+        )
+        other_listeners = [
+            make_listener(*other, table=intake.open_other_table()) for other in others
+        ]
+        return caller_listener, other_listeners
 
     def _recheck_settings(self) -> None:
         """Checks the settings file again; changes take effect at the next start."""
@@ -139,6 +150,7 @@
     store = EtcdKeyValueService(
         url=settings.store_url, timeout_seconds=settings.store_timeout_seconds, metrics=metrics
     )
+    memory = make_caller_memory(settings.memory_mb)
     return Ports(
         store=store,
         evacuations=store,
@@ -149,7 +161,8 @@
         ),
         network=PynngPeerNetwork(settings=settings),
         engines=HttpEngineClient(stall_seconds=settings.stall_seconds),
-        services=HttpServiceClient(),
+        services=HttpServiceClient(memory=memory),
+        memory=memory,
     )
 
 
@@ -190,11 +203,16 @@
     return context
 
 
-def _make_runner(app_or_server: web.Application | web.Server) -> web.BaseRunner:
+def _make_runner(
+    app_or_server: web.Application | web.Server, intake: Intake, table: ConnectionTable
+) -> web.BaseRunner:
     if isinstance(app_or_server, web.Server):
-        return web.ServerRunner(app_or_server, shutdown_timeout=CONNECTION_CLOSE_SECONDS)
-    return web.AppRunner(
+        server = bound_server(app_or_server, intake, table)
+        return web.ServerRunner(server, shutdown_timeout=CONNECTION_CLOSE_SECONDS)
+    return BoundedAppRunner(
         app_or_server,
+        intake=intake,
+        table=table,
         access_log=None,
         handler_cancellation=True,
         shutdown_timeout=CONNECTION_CLOSE_SECONDS,
@@ -242,6 +260,7 @@
         Never: the process exits after the stop.
     """
     configure_logging(settings.log_level)
+    return_large_buffers()
     service = RouterService(settings=settings, settings_path=settings_path, make_ports=make_ports)
     # The library would restore the default action of a signal after the first one, and a second
     # one would then kill the process during its stop.
--- a/packages/router/laburnumpier_router/operators/frontend.py
+++ b/packages/router/laburnumpier_router/operators/frontend.py
@@ -20,6 +20,7 @@
     PatchConflictError,
 )
 from ..evacuation.administration import EvacuationAdministration
+from ..intake.body import read_body
 from .reports import OperatorReports
 
 MAX_PATCH_BYTES = 1024 * 1024
@@ -241,9 +242,7 @@
 
 async def _read_json(request: web.Request) -> Any:
     try:
-        return json.loads(await request.read())
-    except web.HTTPRequestEntityTooLarge as error:
-        raise RequestError(ResultCode.BODY_TOO_LARGE) from error
+        return json.loads(await read_body(request))
     except (ValueError, RecursionError) as error:
         raise RequestError(ResultCode.BROKEN_JSON) from error
 
--- a/packages/router/laburnumpier_router/ports/bounded_http.py
+++ b/packages/router/laburnumpier_router/ports/bounded_http.py
@@ -11,6 +11,8 @@
 from aiohttp.client_proto import ResponseHandler
 from laburnumpier_core.errors import ServerConnectionLostError, ServerResponseLimitError
 
+from ..intake.memory import CallerMemory, MemoryShare
+
 MAX_HEAD_BYTES = 64 * 1024
 """Size of a response head with all interim (1xx) heads before it."""
 MAX_FRAMING_BYTES = 64 * 1024
@@ -43,23 +45,29 @@
 
 
 class BodyMemory:
-    """The memory that the large bodies of a client share."""
+    """The memory that the large bodies of a client share, within that of all callers."""
+
+    __slots__ = ("callers", "used_bytes")
 
-    __slots__ = ("used_bytes",)
+    def __init__(self, *, callers: CallerMemory | None = None):
+        """Creates the memory with nothing in use.
 
-    def __init__(self):
-        """Creates the memory with nothing in use."""
+        Args:
+            callers: Account of what callers make the process hold; None if there is none.
+        """
+        self.callers = callers
         self.used_bytes = 0
 
 
 class BodyReservation:
     """The share of one body in the memory of all; small bodies need none."""
 
-    __slots__ = ("_memory", "_taken_bytes")
+    __slots__ = ("_memory", "_share", "_taken_bytes")
 
     def __init__(self, *, memory: BodyMemory):
         """Creates a reservation of nothing."""
         self._memory = memory
+        self._share = None if memory.callers is None else MemoryShare(memory=memory.callers)
         self._taken_bytes = 0
 
     def grow(self, size_bytes: int) -> None:
@@ -73,11 +81,15 @@
             return
         if self._memory.used_bytes + needed_bytes > MAX_SHARED_BODY_BYTES:
             raise ResponseLimitError("bodies_too_large", MAX_SHARED_BODY_BYTES)
+        if self._share is not None and not self._share.set_bytes(size_bytes):
+            raise ResponseLimitError("bodies_too_large", self._memory.callers.limit_bytes)
         self._memory.used_bytes += needed_bytes
         self._taken_bytes += needed_bytes
 
     def release(self) -> None:
         """Returns the share."""
+        if self._share is not None:
+            self._share.release()
         self._memory.used_bytes -= self._taken_bytes
         self._taken_bytes = 0
 
--- a/packages/router/laburnumpier_router/relay/feature.py
+++ b/packages/router/laburnumpier_router/relay/feature.py
@@ -10,6 +10,7 @@
 from ..fleet.service import FleetService
 from ..forward.exchange import ServerClient
 from ..forward.servers import ServerTable
+from ..intake.memory import CallerMemory
 from ..ports.dialect import Dialect
 from .contact_monitor import ContactMonitor
 from .messages import AskContact, CancelExchange, KeepRequest, ReadExchange, StartExchange
@@ -42,6 +43,7 @@
         clock: Clock,
         metrics: Metrics,
         random_source: random.Random,
+        memory: CallerMemory,
     ):
         """Creates the parts.
 
@@ -53,6 +55,7 @@
             clock: Source of time.
             metrics: Counters and gauges.
             random_source: Spreads probes, questions and relayed requests.
+            memory: Account of what callers make the process hold.
         """
         peers = PeerContacts(random_source=random_source)
         self.monitor = ContactMonitor(
@@ -65,10 +68,17 @@
             random_source=random_source,
         )
         direct = ObservedServerClient(client=client, monitor=self.monitor, clock=clock)
-        self.sender = RelaySender(fleet=fleet, monitor=self.monitor, clock=clock, metrics=metrics)
+        self.sender = RelaySender(
+            fleet=fleet, monitor=self.monitor, clock=clock, metrics=metrics, memory=memory
+        )
         self.client = RelayingServerClient(direct=direct, relay=self.sender, monitor=self.monitor)
         self.host = RelayHost(
-            client=direct, table=table, monitor=self.monitor, clock=clock, metrics=metrics
+            client=direct,
+            table=table,
+            monitor=self.monitor,
+            clock=clock,
+            metrics=metrics,
+            memory=memory,
         )
 
     def register_handlers(self, link: PeerLink) -> None:
--- a/packages/router/laburnumpier_router/relay/relay_host.py
+++ b/packages/router/laburnumpier_router/relay/relay_host.py
@@ -12,6 +12,7 @@
 
 from ..forward.exchange import ServerCall, ServerClient
 from ..forward.servers import ServerTable
+from ..intake.memory import CallerMemory, MemoryShare
 from .contact import Contact
 from .contact_monitor import ContactMonitor
 from .held_exchange import BUFFER_BYTES, READ_BYTES, HeldExchange
@@ -60,9 +61,10 @@
         "_clock",
         "_ended",
         "_exchanges",
-        "_held_bytes",
+        "_memory",
         "_metrics",
         "_monitor",
+        "_shares",
         "_stop_seconds",
         "_table",
     )
@@ -75,6 +77,7 @@
         monitor: ContactMonitor,
         clock: Clock,
         metrics: Metrics,
+        memory: CallerMemory,
     ):
         """Creates a host without exchanges.
 
@@ -84,7 +87,9 @@
             monitor: Knows whether this router reaches servers.
             clock: Source of time.
             metrics: Counters and the gauge of open exchanges.
+            memory: Account of what callers make the process hold.
         """
+        self._memory = memory
         self._client = client
         self._table = table
         self._monitor = monitor
@@ -92,7 +97,7 @@
         self._metrics = metrics
         self._stop_seconds: float | None = None
         self._exchanges: dict[ExchangeKey, HeldExchange] = {}
-        self._held_bytes: dict[ExchangeKey, int] = {}
+        self._shares: dict[ExchangeKey, MemoryShare] = {}
         self._ended: collections.OrderedDict[ExchangeKey, None] = collections.OrderedDict()
 
     @property
@@ -103,14 +108,17 @@
     @property
     def held_bytes(self) -> int:
         """Memory that is set aside for exchanges."""
-        return sum(self._held_bytes.values())
+        return sum(share.held_bytes for share in self._shares.values())
 
     async def handle_keep(self, sender: str, message: KeepRequest) -> RequestKept:
         """Keeps a request without starting it, or says why not."""
         key = (sender, message.number)
         if key in self._exchanges:
             return RequestKept()
+        share = MemoryShare(memory=self._memory)
         refusal = Refusal.ENDED if key in self._ended else self._find_refusal(message)
+        if refusal is None and not share.set_bytes(len(message.body) + EXCHANGE_BYTES):
+            refusal = Refusal.BUSY
         if refusal is not None:
             self._metrics.count(f"relay.refused_{refusal.value}")
             if refusal is Refusal.INVALID:
@@ -119,7 +127,7 @@
         self._exchanges[key] = HeldExchange(
             call=_make_call(message), client=self._client, now_seconds=self._now()
         )
-        self._held_bytes[key] = len(message.body) + EXCHANGE_BYTES
+        self._shares[key] = share
         self._metrics.count("relay.kept")
         self._metrics.set_gauge("relay.held_exchanges", len(self._exchanges))
         self._watch(key, SILENCE_SECONDS)
@@ -205,8 +213,8 @@
                 has_head=has_head, wants_data=max_bytes > 0, seconds=wait_ms / 1000
             )
         exchange.heard_seconds = self._now()
-        if key in self._held_bytes:
-            self._held_bytes[key] = exchange.body_bytes + EXCHANGE_BYTES
+        if key in self._shares:
+            self._shares[key].set_bytes(exchange.body_bytes + EXCHANGE_BYTES)
         return exchange.make_reply(has_head=has_head, max_bytes=max_bytes, is_busy=is_busy)
 
     def _watch(self, key: ExchangeKey, delay_seconds: float) -> None:
@@ -231,7 +239,9 @@
         while len(self._ended) > MAX_ENDED_EXCHANGES:
             self._ended.popitem(last=False)
         exchange = self._exchanges.pop(key, None)
-        self._held_bytes.pop(key, None)
+        share = self._shares.pop(key, None)
+        if share is not None:
+            share.release()
         if exchange is not None:
             exchange.stop()
             self._metrics.set_gauge("relay.held_exchanges", len(self._exchanges))
--- a/packages/router/laburnumpier_router/relay/relay_sender.py
+++ b/packages/router/laburnumpier_router/relay/relay_sender.py
@@ -11,6 +11,7 @@
 
 from ..fleet.service import FleetService
 from ..forward.exchange import ServerCall
+from ..intake.memory import CallerMemory, MemoryShare
 from ..ports.bounded_http import BodyMemory
 from .contact_monitor import ContactMonitor
 from .messages import (
@@ -32,6 +33,8 @@
 """Routers that one request is handed to at most; each that is silent costs the time below."""
 KEEP_TIMEOUT_SECONDS = 0.3
 """Time limit of handing over a small request."""
+MESSAGE_COPIES = 2
+"""Copies of a body in the message that hands it over: as encoded, and in the transport."""
 SLOWEST_BYTES_PER_SECOND = 500_000
 """Speed by which the time limit grows with the body; the slowest links have 5 Mbit/s."""
 MAX_REMAINING_SECONDS = 3_600.0
@@ -47,6 +50,7 @@
         "_body_memory",
         "_clock",
         "_fleet",
+        "_memory",
         "_metrics",
         "_monitor",
         "_numbers",
@@ -55,7 +59,13 @@
     )
 
     def __init__(
-        self, *, fleet: FleetService, monitor: ContactMonitor, clock: Clock, metrics: Metrics
+        self,
+        *,
+        fleet: FleetService,
+        monitor: ContactMonitor,
+        clock: Clock,
+        metrics: Metrics,
+        memory: CallerMemory,
     ):
         """Creates a sender without exchanges.
 
@@ -64,12 +74,14 @@
             monitor: Knows which routers reach servers.
             clock: Source of time.
             metrics: Counters.
+            memory: Account of what callers make the process hold.
         """
+        self._memory = memory
         self._fleet = fleet
         self._monitor = monitor
         self._clock = clock
         self._metrics = metrics
-        self._body_memory = BodyMemory()
+        self._body_memory = BodyMemory(callers=memory)
         self._numbers = itertools.count(1)
         self._open_count = 0
         self._tasks = BackgroundTasks(part="relay", metrics=metrics)
@@ -150,6 +162,17 @@
         self, session: RelaySession, call: ServerCall, reason: RelayReason
     ) -> str | None:
         """Lets the router keep the request; returns why it does not, or None if it does."""
+        share = MemoryShare(memory=self._memory)
+        if not share.set_bytes(MESSAGE_COPIES * len(call.body)):
+            return "no_memory"
+        try:
+            return await self._send_request(session, call, reason)
+        finally:
+            share.release()
+
+    async def _send_request(
+        self, session: RelaySession, call: ServerCall, reason: RelayReason
+    ) -> str | None:
         message = KeepRequest(
             number=session.number,
             reason=reason,
