Callers' connections leave descriptors for the store, servers and other routers

Callers saw no answer while others held as many connections as the process has descriptors: it could neither accept one nor connect to the store or a server. The cause: nothing bounds the number of connections, and none is ever given up.

Callers may have a third of the descriptors, other listeners 64 connections each.

--- a/packages/router/laburnumpier_router/intake/service.py
+++ b/packages/router/laburnumpier_router/intake/service.py
@@ -4,6 +4,7 @@
 import collections
 import dataclasses
 import itertools
+import resource
 from collections.abc import Iterator
 
 from laburnumpier_core.clock import Clock
@@ -18,7 +19,11 @@
 from .memory import LOW_SHARE, CallerMemory, get_large_part
 from .parse_queue import ParseQueue
 
-UNLIMITED_CONNECTIONS = 10**9
+CONNECTION_SHARE = 1 / 3
+"""Part of the descriptors that callers' connections may take. Each may need another one to a
+server, and the rest is for files, the store and other routers."""
+MAX_OTHER_CONNECTIONS = 64
+"""Connections to each listener that callers do not use."""
 SWEEP_SECONDS = 0.5
 """Interval at which timeouts are checked."""
 LOG_SECONDS = 5.0
@@ -79,11 +84,11 @@
 
     def open_callers_table(self) -> ConnectionTable:
         """Returns the table of the connections of a listener for callers."""
-        return self._open_table(UNLIMITED_CONNECTIONS)
+        return self._open_table(compute_max_connections(self._settings.file_descriptors))
 
     def open_other_table(self) -> ConnectionTable:
         """Returns the table of the connections of any other listener."""
-        return self._open_table(UNLIMITED_CONNECTIONS)
+        return self._open_table(MAX_OTHER_CONNECTIONS)
 
     def add(self, connection: BoundedConnection) -> None:
         """Registers a new connection; if it is one too many, one that can be spared goes."""
@@ -186,3 +191,14 @@
         _log.warning("callers gave way", fields={**fields, "connections": count})
         self._unlogged.clear()
         self._logged_seconds = now
+
+
+def compute_max_connections(file_descriptors: int) -> int:
+    """Returns how many connections callers may have.
+
+    Args:
+        file_descriptors: Descriptors of the VM; 0 if only the limit of the process counts.
+    """
+    process_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    limits = [limit for limit in (file_descriptors, process_limit) if limit > 0]
+    return max(1, int(CONNECTION_SHARE * min(limits)))
