The configuration's limits of callers are in force

Callers could send heads and bodies above the limits of the configuration, and hold a connection for an hour with half a head or nothing: nothing read its `Limits`. The record of a configuration holds them now beside the document. Earlier releases ignore the field in records of this one, and a record without it, as they send it, leaves the limits as they are.

The timeouts are checked again behind a read of the sockets, so that a request that has arrived is never lost to them.

--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -1006,6 +1006,7 @@
             self._retry_budget.set_member_count(1 + len(self._fleet.view.live))
 
     def _apply_configuration(self, configuration: Configuration) -> None:
+        self._intake.set_stated_limits(self._configuration.record.limits)
         self._backend_directory.apply_configuration(configuration)
         for workspace in self._budget.states:
             entry = configuration.workspaces.get(workspace)
--- a/packages/router/laburnumpier_router/configuration/record.py
+++ b/packages/router/laburnumpier_router/configuration/record.py
@@ -5,6 +5,7 @@
 import msgspec
 from laburnumpier_core.decoding import decode_json
 
+from ..intake.limits import StatedLimits
 from .document import Configuration, ConfigurationProblem, check_configuration
 
 CONFIGURATION_KEY = "configuration/current"
@@ -30,11 +31,17 @@
 
 
 class ConfigurationRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """A numbered configuration; `document` is the JSON object."""
+    """A numbered configuration; `document` is the JSON object.
+
+    Attributes:
+        limits: Limits of callers that come with the configuration; None if nothing is known of
+            them, as in records of routers of earlier releases, which ignore them in others.
+    """
 
     number: int = 0
     document: dict[str, Any] = {}
     notes: tuple[PatchNote, ...] = ()
+    limits: StatedLimits | None = None
 
     def find_note(self, patch_id: str) -> PatchNote | None:
         """Returns the note of an applied patch, or None if the patch is unknown."""
--- a/packages/router/laburnumpier_router/intake/service.py
+++ b/packages/router/laburnumpier_router/intake/service.py
@@ -115,11 +115,25 @@
             await self.sweep()
 
     async def sweep(self) -> None:
-        """Accounts for what connections hold now, and tells who gave way."""
+        """Ends heads and idle times that last too long.
+
+        A connection is looked at again behind a turn of the event loop that reads its socket, so
+        that a request which has arrived is not lost.
+        """
         connections = list(self._iterate_connections())
         for connection in connections:
             connection.measure()
         self._report()
+        now = self._clock.monotonic_seconds()
+        late = [connection for connection in connections if connection.is_late(now)]
+        if not late:
+            return
+        # The first turn polls the sockets; in loops other than uvloop the second one reads them.
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        for connection in late:
+            if connection in connection.table and connection.is_late(now):
+                self._end_late(connection)
 
     def dump_state(self) -> dict[str, object]:
         """Returns what callers hold, for the state dump."""
