Answers that are not read are held once, and count until they are sent

Cause: the library joins a whole body with its head, so that each answer was held twice; a server's response was read in blocks as large as the socket held, before it was counted; and its share ended later than its body.

Large answers are sent in pieces of 64 KiB, and the caller's connection accounts for the whole body until it is sent, so that it can give way. Sockets to servers and of callers hold few unread bytes. A request body counts once when it is whole; what the library joins counts while it is sent.

--- a/features/intake/forwarded_requests.feature
+++ b/features/intake/forwarded_requests.feature
@@ -130,6 +130,15 @@
       | a body of 4 MiB in chunks of 1 KiB  |
       | a body of 1 MiB in chunks of 1 byte |
 
+  # Guards against an account that counts a request and its answer more often than they are held.
+  Scenario: A request and an answer of the largest size on the smallest VM
+    Given a router process on a VM with 88 MB of memory
+    And the platform's server answers with 4 MiB
+    When a lone caller sends a body of 4 MiB with a length to its end
+    Then the lone caller gets 200
+    And its memory was within 88 MB
+    And an ordinary request is answered
+
   # Guards against small requests that are refused once large ones have used up the memory.
   Scenario: Small requests beside large bodies that wait at servers
     Given a router process on a VM with 88 MB of memory
--- a/packages/router/laburnumpier_router/backend/http_clients.py
+++ b/packages/router/laburnumpier_router/backend/http_clients.py
@@ -228,7 +228,7 @@
         """Creates a client without connections.
 
         Args:
-            memory: Account of what callers make the process hold; None if there is none.
+            memory: Account of what callers make the process hold; by default one of its own.
         """
         self._body_memory = BodyMemory(callers=memory)
         self._session: aiohttp.ClientSession | None = None
--- a/packages/router/laburnumpier_router/callers/http_listener.py
+++ b/packages/router/laburnumpier_router/callers/http_listener.py
@@ -9,7 +9,7 @@
 from laburnumpier_core.log import get_part_logger
 from laburnumpier_core.settings import Address
 
-from ..intake.connection import BoundedConnection, set_socket_buffers
+from ..intake.connection import BoundedConnection, set_receive_buffer
 
 LISTEN_BACKLOG = 128
 """Connections that the kernel keeps until the process accepts them."""
@@ -64,7 +64,7 @@
         )
         await site.start()
         for listening in site._server.sockets:
-            set_socket_buffers(listening)
+            set_receive_buffer(listening)
 
     async def close(self, until_seconds: float | None = None) -> None:
         """Stops listening, and closes each connection as soon as it holds no request.
--- a/packages/router/laburnumpier_router/forward/frontend.py
+++ b/packages/router/laburnumpier_router/forward/frontend.py
@@ -20,7 +20,7 @@
 )
 from ..ingress.service import IngressService
 from ..intake.body import read_body, refuse_rest
-from ..intake.connection import ends_connection
+from ..intake.connection import ends_connection, record_response
 from ..ports.dialect import Dialect
 from .exchange import ForwardRequest
 from .service import ForwardService
@@ -33,6 +33,8 @@
 two seconds to stop sending them. Later only those are served that end in time."""
 MAX_STOP_ACCEPT_SHARE = 2 / 3
 """Largest share of a stop in which every new request is served."""
+SENT_PIECE_BYTES = 64 * 1024
+"""Bytes of a large response that are written at once."""
 IDLE_POLL_SECONDS = 0.05
 """Interval at which a stopping router checks whether its requests have ended."""
 MIN_IDLE_SECONDS = 0.5
@@ -105,18 +107,36 @@
         self, status: int, headers: CIMultiDict[str], body: bytes, *, has_explicit_end: bool
     ) -> None:
         """Sends a complete response, with its length if it has an explicit end."""
-        if has_explicit_end:
+        self._has_explicit_end = has_explicit_end
+        self._record_sent(len(body))
+        record_response(self._request, len(body))
+        if has_explicit_end and len(body) <= SENT_PIECE_BYTES:
             response = web.Response(status=status, headers=headers, body=body)
             await self._send_head(response)
         else:
-            response = ResponseUntilClose(status=status, headers=headers)
-            await self._send_head(response)
-            await response.write(body)
-        self._has_explicit_end = has_explicit_end
-        self._record_sent(len(body))
+            response = await self._start_sized(status, headers, len(body))
+            await self._send_pieces(response, body)
         await response.write_eof()
         self._finished = True
 
+    async def _start_sized(
+        self, status: int, headers: CIMultiDict[str], size_bytes: int
+    ) -> web.StreamResponse:
+        """Sends the head of a response whose body follows in pieces."""
+        if self._has_explicit_end:
+            response = web.StreamResponse(status=status, headers=headers)
+            response.content_length = size_bytes
+        else:
+            response = ResponseUntilClose(status=status, headers=headers)
+        await self._send_head(response)
+        return response
+
+    async def _send_pieces(self, response: web.StreamResponse, body: bytes) -> None:
+        """Sends a body in pieces, so that the transport holds no copy of the whole body."""
+        view = memoryview(body)
+        for start in range(0, len(body), SENT_PIECE_BYTES):
+            await response.write(view[start : start + SENT_PIECE_BYTES])
+
     async def start_stream(
         self, status: int, headers: CIMultiDict[str], *, has_explicit_end: bool
     ) -> None:
--- a/packages/router/laburnumpier_router/forward/http_client.py
+++ b/packages/router/laburnumpier_router/forward/http_client.py
@@ -70,7 +70,7 @@
         self._check_not_reset()
 
     async def read(self) -> bytes:
-        """Returns the complete body.
+        """Returns the complete body, which the caller accounts for from then on.
 
         Raises:
             ServerConnectionLostError: If it ends early.
@@ -80,6 +80,7 @@
         except (aiohttp.ClientError, OSError) as error:
             raise make_lost_error(error) from error
         self._check_not_reset()
+        self._reservation.release()
         return body
 
     def _check_not_reset(self) -> None:
@@ -99,7 +100,7 @@
         """Creates the client; its session is created at the first request.
 
         Args:
-            memory: Account of what callers make the process hold; None if there is none.
+            memory: Account of what callers make the process hold; by default one of its own.
         """
         self._body_memory = BodyMemory(callers=memory)
         self._session: aiohttp.ClientSession | None = None
@@ -112,6 +113,9 @@
             ServerUnreachableError: If nothing was sent.
             ServerConnectionLostError: If the outcome is unknown.
         """
+        # The library joins the body with the head.
+        joined = self._body_memory.open_share()
+        joined.add_bytes(len(call.body))
         try:
             response = await self._get_session().request(
                 call.method,
@@ -133,6 +137,8 @@
             raise ServerUnreachableError(repr(error)) from error
         except (aiohttp.ClientError, OSError) as error:
             raise make_lost_error(error) from error
+        finally:
+            joined.release()
         reservation = BodyReservation(memory=self._body_memory)
         try:
             yield HttpServerExchange(response=response, reservation=reservation)
--- a/packages/router/laburnumpier_router/intake/body.py
+++ b/packages/router/laburnumpier_router/intake/body.py
@@ -75,7 +75,9 @@
         _check_size(connection, len(joined) + len(block), limit_bytes)
         joined += block
         connection.record_body(len(joined))
-    return bytes(joined)
+    whole = bytes(joined)
+    connection.record_body(len(whole), is_whole=True)
+    return whole
 
 
 def _check_size(connection: BoundedConnection, size_bytes: int, limit_bytes: int) -> None:
--- a/packages/router/laburnumpier_router/intake/connection.py
+++ b/packages/router/laburnumpier_router/intake/connection.py
@@ -30,7 +30,8 @@
 """Memory of a request that is served, beside its head and body: its task, and its connection to a
 server."""
 SOCKET_BUFFER_BYTES = 32 * 1024
-"""Size that the kernel is asked for as each buffer of a connection; it takes twice as much."""
+"""Size that the kernel is asked for as the receive buffer of a connection; it takes twice as
+much."""
 PAUSED_BYTES = 2 * SOCKET_BUFFER_BYTES
 """Bytes that the socket of a paused connection may hold."""
 HEAD_COPIES = 3
@@ -40,7 +41,7 @@
 PIECE_BYTES = 100
 """Memory of the objects of one piece of a body that is not read yet."""
 BODY_COPIES = 2
-"""Copies of a large body: as received, and joined with the head that is sent to a server."""
+"""Copies of a large body while it is received: its pieces, and the whole body."""
 SINGLE_COPY_BYTES = 64 * 1024
 """Size up to which a body is counted once."""
 READ_BYTES = 16 * 1024
@@ -94,6 +95,7 @@
         "_limits",
         "_measured_seconds",
         "_payload",
+        "_response_bytes",
         "_unparsed",
         "began_seconds",
         "byte_seconds",
@@ -131,7 +133,7 @@
         self._payload: StreamReader | None = None
         self._head_bytes = self._head_lines = self._body_bytes = 0
         self._body_watch: asyncio.Timeout | None = None
-        self._known_requests = 0
+        self._known_requests = self._response_bytes = 0
         self._has_request = self._is_refused = self._gave_way = self._is_reset = False
 
     @property
@@ -250,7 +252,7 @@
         if self._is_refused or (self.table.is_crowded and not resp.prepared):
             resp.force_close()
         result = await super().finish_response(request, resp, start_time)
-        self._body_bytes = 0
+        self._body_bytes = self._response_bytes = 0
         self.began_seconds = self._loop.time()
         self._limits = self.intake.limits
         self.measure()
@@ -286,10 +288,16 @@
         # A response that waits for a server is no sign of a slow caller.
         self.byte_seconds = 0.0
 
-    def record_body(self, size_bytes: int) -> None:
+    def record_body(self, size_bytes: int, *, is_whole: bool = False) -> None:
         """Accounts for the part of a body that its handler has."""
-        copies = BODY_COPIES if size_bytes > SINGLE_COPY_BYTES else 1
-        self._body_bytes = copies * size_bytes
+        is_single = is_whole or size_bytes <= SINGLE_COPY_BYTES
+        self._body_bytes = size_bytes if is_single else BODY_COPIES * size_bytes
+        self.measure()
+
+    def record_response(self, size_bytes: int) -> None:
+        """Accounts for the body of a response that is kept until it is sent."""
+        self._response_bytes = size_bytes
+        self.byte_seconds = 0.0
         self.measure()
 
     def reserve(self, size_bytes: int) -> bool:
@@ -420,7 +428,7 @@
             self.refuse_head(RequestError(ResultCode.HEAD_TOO_LARGE))
 
     def _compute_held_bytes(self) -> int:
-        total = CONNECTION_BYTES + self._body_bytes
+        total = CONNECTION_BYTES + self._body_bytes + self._response_bytes
         if self.transport is not None:
             total += self.transport.get_write_buffer_size()
         if self._is_refused:
@@ -453,6 +461,12 @@
     return lines + len(message.method) + len(message.path) + REQUEST_LINE_BYTES
 
 
+def record_response(request: web.BaseRequest, size_bytes: int) -> None:
+    """Accounts for the body of a response that is kept until it is sent."""
+    if isinstance(request.protocol, BoundedConnection):
+        request.protocol.record_response(size_bytes)
+
+
 def ends_connection(request: web.BaseRequest) -> bool:
     """Whether the connection of a request is to be closed behind its response."""
     connection = request.protocol
@@ -474,7 +488,6 @@
     return payload._size + PIECE_BYTES * len(payload._buffer)
 
 
-def set_socket_buffers(listening: socket.socket) -> None:
-    """Limits the buffers of the connections that a listening socket will accept."""
-    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
-        listening.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
+def set_receive_buffer(listening: socket.socket) -> None:
+    """Limits what the connections that a listening socket will accept hold unread."""
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
--- a/packages/router/laburnumpier_router/intake/memory.py
+++ b/packages/router/laburnumpier_router/intake/memory.py
@@ -3,7 +3,7 @@
 import os
 from collections.abc import Callable
 
-CALLER_SHARE = 0.16
+CALLER_SHARE = 0.15
 """Part of the VM's memory that callers may use; the rest is for the process itself."""
 LARGE_SHARE = 0.75
 """Part of the account that is open to what one holder has beyond `SMALL_BYTES`."""
@@ -118,6 +118,12 @@
         self._held_bytes = before_bytes
         return False
 
+    def add_bytes(self, size_bytes: int) -> None:
+        """Makes the share larger also where there is no room; others give way if they can."""
+        self._memory.record(self._held_bytes, self._held_bytes + size_bytes)
+        self._held_bytes += size_bytes
+        self._memory.relieve()
+
     def release(self) -> None:
         """Gives the share back."""
         self._memory.record(self._held_bytes, 0)
--- a/packages/router/laburnumpier_router/ports/bounded_http.py
+++ b/packages/router/laburnumpier_router/ports/bounded_http.py
@@ -11,7 +11,7 @@
 from aiohttp.client_proto import ResponseHandler
 from laburnumpier_core.errors import ServerConnectionLostError, ServerResponseLimitError
 
-from ..intake.memory import CallerMemory, MemoryShare
+from ..intake.memory import CallerMemory, MemoryShare, make_caller_memory
 
 MAX_HEAD_BYTES = 64 * 1024
 """Size of a response head with all interim (1xx) heads before it."""
@@ -53,11 +53,15 @@
         """Creates the memory with nothing in use.
 
         Args:
-            callers: Account of what callers make the process hold; None if there is none.
+            callers: Account of what callers make the process hold; by default one of its own.
         """
-        self.callers = callers
+        self.callers = callers or make_caller_memory(0)
         self.used_bytes = 0
 
+    def open_share(self) -> MemoryShare:
+        """Returns a share of nothing in the account of all callers."""
+        return MemoryShare(memory=self.callers)
+
 
 class BodyReservation:
     """The share of one body in the memory of all; small bodies need none."""
@@ -67,7 +71,7 @@
     def __init__(self, *, memory: BodyMemory):
         """Creates a reservation of nothing."""
         self._memory = memory
-        self._share = None if memory.callers is None else MemoryShare(memory=memory.callers)
+        self._share = memory.open_share()
         self._taken_bytes = 0
 
     def grow(self, size_bytes: int) -> None:
@@ -81,15 +85,14 @@
             return
         if self._memory.used_bytes + needed_bytes > MAX_SHARED_BODY_BYTES:
             raise ResponseLimitError("bodies_too_large", MAX_SHARED_BODY_BYTES)
-        if self._share is not None and not self._share.set_bytes(size_bytes):
+        if not self._share.set_bytes(size_bytes):
             raise ResponseLimitError("bodies_too_large", self._memory.callers.limit_bytes)
         self._memory.used_bytes += needed_bytes
         self._taken_bytes += needed_bytes
 
     def release(self) -> None:
         """Returns the share."""
-        if self._share is not None:
-            self._share.release()
+        self._share.release()
         self._memory.used_bytes -= self._taken_bytes
         self._taken_bytes = 0
 
--- a/packages/router/laburnumpier_router/response_end.py
+++ b/packages/router/laburnumpier_router/response_end.py
@@ -6,12 +6,15 @@
 
 import enum
 import functools
+import socket
 from typing import Any
 
 import aiohttp
 
 from .ports.bounded_http import BoundedResponseHandler
 
+RECEIVE_BUFFER_BYTES = 64 * 1024
+"""Size that the kernel is asked for as a receive buffer; it takes twice as much."""
 EMPTY_STATUSES = (204, 304)
 """Statuses of responses that have no body."""
 
@@ -45,11 +48,22 @@
 
 def make_reset_aware_connector() -> aiohttp.TCPConnector:
     """Returns a connector that opens a new connection for each request and notices resets."""
-    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    connector = aiohttp.TCPConnector(limit=0, force_close=True, socket_factory=_make_small_socket)
     connector._factory = functools.partial(ResetAwareResponseHandler, loop=connector._loop)
     return connector
 
 
+def _make_small_socket(address_info: aiohttp.AddrInfoType) -> socket.socket:
+    """Returns a socket that holds few bytes which have not been read.
+
+    As much may also be read at once, before the limits of a response are checked.
+    """
+    family, kind, protocol, _, _ = address_info
+    connection = socket.socket(family, kind, protocol)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    return connection
+
+
 def make_server_session(**options: Any) -> aiohttp.ClientSession:
     """Returns a session that sends each request once, on a new connection, and notices resets.
 
