--- /dev/null
+++ b/features/intake/limits.feature
@@ -0,0 +1,28 @@
+Feature: Limits of callers that come with a configuration
+  Guards against limits that cost routes, and against records that routers of other releases cannot
+  read while an upgrade replaces one machine after the other.
+
+  # Guards against a configuration that is ignored because of an odd limit.
+  Scenario Outline: An odd limit counts as not stated
+    When a configuration of the platform has <limits>
+    Then its routes are in force
+    And a caller may send bodies of <body> bytes and heads of <head> bytes
+
+    Examples:
+      | limits                                             | body | head |
+      | no limits                                          | 4096 | 2048 |
+      | {"MaxBodyBytes": 99}                               | 99   | 2048 |
+      | {"MaxBodyBytes": 99, "MaxHeaderBytes": 77}         | 99   | 77   |
+      | {"MaxBodyBytes": -1, "MaxHeaderBytes": 77}         | 4096 | 77   |
+      | {"MaxBodyBytes": 0, "MaxHeaderBytes": null}        | 4096 | 2048 |
+      | {"MaxBodyBytes": "99", "MaxHeaderBytes": [77]}     | 4096 | 2048 |
+      | {"MaxBodyBytes": 1e300, "MaxHeaderBytes": true}    | 4096 | 2048 |
+      | {"MaxBodyBytes": 99.5, "New": {"a": 1}}            | 99   | 2048 |
+      | [1, 2]                                             | 4096 | 2048 |
+      | "none"                                             | 4096 | 2048 |
+
+  # Guards against routers that cannot read each other's configurations during an upgrade.
+  Scenario: Records with limits and records of an earlier release
+    Given a configuration of the platform with a limit of 99 bytes for bodies
+    Then a router of an earlier release reads its record, from a message and from the store
+    And a record of an earlier release leaves a limit of 99 bytes in force
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -92,7 +92,7 @@
 from .request import messages as request_messages
 from .request.call_service import CallService
 from .request.chat_runner import ChatRunner
-from .request.chat_service import ChatService
+from .request.chat_service import MAX_RETAINED_BYTES, ChatService
 from .request.request_directory import RequestDirectory
 from .versions.history_confirmation import HistoryConfirmation
 
@@ -629,6 +629,7 @@
             clock=self._clock,
             metrics=self._metrics,
             retention_seconds=retention,
+            max_retained_bytes=min(MAX_RETAINED_BYTES, self._memory.limit_bytes),
         )
         self._calls = CallService(
             budget=self._budget,
--- a/packages/router/laburnumpier_router/request/chat_service.py
+++ b/packages/router/laburnumpier_router/request/chat_service.py
@@ -67,6 +67,7 @@
         "_budget",
         "_clock",
         "_fleet",
+        "_max_retained_bytes",
         "_metrics",
         "_request_directory",
         "_requests",
@@ -84,6 +85,7 @@
         clock: Clock,
         metrics: Metrics,
         retention_seconds: float,
+        max_retained_bytes: int = MAX_RETAINED_BYTES,
     ):
         """Creates the service with no requests.
 
@@ -95,7 +97,9 @@
             clock: Source of time.
             metrics: Counters.
             retention_seconds: How long finished answers are retained for retries.
+            max_retained_bytes: Memory for finished answers; the oldest go first.
         """
+        self._max_retained_bytes = max_retained_bytes
         self._budget = budget
         self._fleet = fleet
         self._request_directory = request_directory
@@ -195,7 +199,8 @@
         total_bytes = sum(tracked.log.size_bytes for _, tracked in finished)
         finished.sort(key=lambda pair: pair[1].finished_at_seconds)
         for key, tracked in finished:
-            if tracked.finished_at_seconds >= expiry_seconds and total_bytes <= MAX_RETAINED_BYTES:
+            is_recent = tracked.finished_at_seconds >= expiry_seconds
+            if is_recent and total_bytes <= self._max_retained_bytes:
                 return
             total_bytes -= tracked.log.size_bytes
             del self._requests[key]
