Refuse a body that gave way in the turn in which it became whole

Such a request was passed on with its memory already given back: asyncio's timeout is not seen if the body ends before it fires. Also, a request that the library parses behind a declined upgrade is not looked for where it is not. Both were found by reading; no test shows them.

--- a/packages/router/laburnumpier_router/intake/body.py
+++ b/packages/router/laburnumpier_router/intake/body.py
@@ -25,11 +25,15 @@
         return await _read_unaccounted(request)
     try:
         async with connection.watch_body():
-            return await _read_accounted(request, connection)
+            body = await _read_accounted(request, connection)
     except TimeoutError as error:
         if not connection.gave_way:
             raise
         raise make_memory_error(connection) from error
+    # The whole body may have come in the same turn in which the connection gave way.
+    if connection.gave_way:
+        raise make_memory_error(connection)
+    return body
 
 
 def reserve_decoded(request: web.BaseRequest, text: bytes) -> None:
--- a/packages/router/laburnumpier_router/intake/connection.py
+++ b/packages/router/laburnumpier_router/intake/connection.py
@@ -404,9 +404,9 @@
     def _note_parsed(self, piece: bytes) -> None:
         """Determines what the parser waits for, and accounts for it."""
         was_in_body = self._payload is not None
-        has_new_request = self._request_count != self._known_requests
+        has_new_request = bool(self._messages) and self._request_count != self._known_requests
+        self._known_requests = self._request_count
         if has_new_request:
-            self._known_requests = self._request_count
             self._has_request = True
             self._payload = self._messages[-1][1]
             self.table.note_used(self)
