Callers have 64 MiB at most where the memory of the VM is not stated

A router whose settings do not state the VM's memory took 15% of the machine's, which it may share with others: on a machine of 24 GB 3.6 GB, so that large bodies were not bounded in practice. review/extra/memory, which states none, exits 0 in two of two runs (exit 1 in five of five runs before, by its record); its entry in KNOWN-RED.txt goes.

--- a/packages/router/laburnumpier_router/intake/memory.py
+++ b/packages/router/laburnumpier_router/intake/memory.py
@@ -10,6 +10,8 @@
 SMALL_BYTES = 64 * 1024
 LOW_SHARE = 0.875
 """Part of the account that is used at most after holders gave way."""
+MAX_UNSTATED_BYTES = 64 * 1024 * 1024
+"""Most that callers may use if the memory of the VM is not known."""
 BYTES_PER_MEGABYTE = 1_000_000
 
 
@@ -84,12 +86,14 @@
     """Returns the account of a process.
 
     Args:
-        memory_mb: Memory of the VM in MB; 0 for the memory of the machine.
+        memory_mb: Memory of the VM in MB; 0 if it is not known. The process may then share that
+            of the machine with others.
     """
-    memory_bytes = memory_mb * BYTES_PER_MEGABYTE
-    if not memory_bytes:
-        memory_bytes = os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
-    return CallerMemory(limit_bytes=round(CALLER_SHARE * memory_bytes))
+    if memory_mb:
+        return CallerMemory(limit_bytes=round(CALLER_SHARE * memory_mb * BYTES_PER_MEGABYTE))
+    machine_bytes = os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
+    limit_bytes = min(round(CALLER_SHARE * machine_bytes), MAX_UNSTATED_BYTES)
+    return CallerMemory(limit_bytes=limit_bytes)
 
 
 class MemoryShare:
