A limit that changes holds for callers who keep their connections

Callers on open connections could send up to the limits of an earlier configuration, for as long as they kept the connection: seen in a trial of an upgrade (2,000 bytes answered with 200 where the configuration in force allows 1,000). Cause: a connection took over the limits only at the end of a response, or with a head that came in parts. It takes them with each head now.

--- a/features/intake/forwarded_requests.feature
+++ b/features/intake/forwarded_requests.feature
@@ -115,6 +115,13 @@
       | a body of 65537 bytes     | 413    | 2005 |
       | a body of 65536 bytes     | 200    | none |
 
+  # Guards against limits that stay as they were for callers who keep their connections.
+  Scenario: A limit that changes holds for connections that are open
+    Given a router process whose configuration limits heads to 2048 bytes and bodies to 65536 bytes
+    When a caller with an open connection sends 2000 bytes after the limit of bodies became 1000 bytes
+    Then that caller gets 413
+    And an ordinary request is answered
+
   # Guards against limits that refuse what callers may send, on the smallest VM in calm.
   Scenario Outline: A request of the largest size is served on the smallest VM
     Given a router process on a VM with 88 MB of memory
--- a/features/steps/intake_steps.py
+++ b/features/steps/intake_steps.py
@@ -506,3 +506,41 @@
 def check_ordinary_chat(context):
     status, text = run(context, send_short_chat(context))
     assert status == 200, (status, text[:200])
+
+
+@when(
+    "a caller with an open connection sends {size:d} bytes after the limit of bodies "
+    "became {limit:d} bytes"
+)
+def send_after_change(context, size, limit):
+    configuration = {**CONFIGURATION, "Version": 4, "Limits": {**LIMITS, "MaxBodyBytes": limit}}
+    headers = {
+        "Host": "shop.example",
+        "X-Attempt-Id": f"ordinary{next(_numbers)}",
+        "Authorization": "Token secret",
+    }
+    url = f"http://127.0.0.1:{context.callers_port}/shop/x"
+
+    async def play():
+        async with aiohttp.ClientSession(headers=headers) as session:
+            async with session.post(url, data=b"x" * size) as response:
+                assert response.status == 200, response.status
+                await response.read()
+            context.store.put("op/config", json.dumps(configuration).encode())
+            async with asyncio.timeout(CLOSE_SECONDS):
+                while 'config.number"} 4.0' not in await read_metrics(context):
+                    await asyncio.sleep(0.05)
+            async with session.post(url, data=b"x" * size) as response:
+                context.open_connection_status = response.status
+
+    run(context, play())
+
+
+async def read_metrics(context):
+    async with context.session.get(f"http://127.0.0.1:{context.ports[3]}/metrics") as response:
+        return await response.text()
+
+
+@then("that caller gets {status:d}")
+def check_open_connection(context, status):
+    assert context.open_connection_status == status, context.open_connection_status
--- a/packages/router/laburnumpier_router/intake/connection.py
+++ b/packages/router/laburnumpier_router/intake/connection.py
@@ -407,6 +407,8 @@
         has_new_request = bool(self._messages) and self._request_count != self._known_requests
         self._known_requests = self._request_count
         if has_new_request:
+            if not self._head_bytes and not self._request_in_progress:
+                self._limits = self.intake.limits
             self._has_request = True
             self._payload = self._messages[-1][1]
             self.table.note_used(self)
