Limits are in force although an earlier release told of their configuration

A router that hears of a configuration from one of an earlier release gets its record without the limits, and the store's record of the same number was dropped as known. So the limits stayed those of the configuration before, until the next change. They are taken from the store's record now.

--- a/features/intake/limits.feature
+++ b/features/intake/limits.feature
@@ -26,3 +26,9 @@
     Given a configuration of the platform with a limit of 99 bytes for bodies
     Then a router of an earlier release reads its record, from a message and from the store
     And a record of an earlier release leaves a limit of 99 bytes in force
+
+  # Guards against limits that stay out of force since an earlier release told of the configuration.
+  Scenario: The store's record behind that of a router of an earlier release
+    Given a configuration of the platform with a limit of 99 bytes for bodies
+    When a router gets its record without limits from another router, and then from the store
+    Then the configuration service has a limit of 99 bytes
--- a/features/steps/caller_limit_steps.py
+++ b/features/steps/caller_limit_steps.py
@@ -1,6 +1,7 @@
 """Steps for the limits of callers that come with a configuration."""
 
 import json
+import random
 
 import msgspec
 from behave import given, then, when
@@ -9,6 +10,7 @@
 from laburnumpier_platform.records import PlatformRecordFormat
 from laburnumpier_router.configuration.peer_sources import ConfigurationFetched
 from laburnumpier_router.configuration.record import ConfigurationRecord
+from laburnumpier_router.configuration.service import ConfigurationService
 from laburnumpier_router.intake.limits import CallerLimits
 from laburnumpier_router.intake.memory import make_caller_memory
 from laburnumpier_router.intake.service import Intake, IntakeSettings
@@ -88,3 +90,26 @@
     record = msgspec.msgpack.decode(msgspec.msgpack.encode(earlier), type=ConfigurationRecord)
     context.intake.set_stated_limits(record.limits)
     assert context.intake.limits.max_body_bytes == size, context.intake.limits
+
+
+@when("a router gets its record without limits from another router, and then from the store")
+def apply_twice(context):
+    changes = []
+    context.service = ConfigurationService(
+        store=None,
+        fleet=None,
+        clock=SystemClock(),
+        metrics=Metrics(),
+        random_source=random.Random(1),
+        is_watcher=lambda: True,
+        on_change=changes.append,
+        record_format=PlatformRecordFormat(),
+    )
+    assert context.service.apply(msgspec.structs.replace(context.record, limits=None))
+    assert not context.service.apply(context.record)
+    assert len(changes) == 2, changes
+
+
+@then("the configuration service has a limit of {size:d} bytes")
+def check_service_limits(context, size):
+    assert context.service.record.limits.max_body_bytes == size, context.service.record
--- a/packages/router/laburnumpier_router/configuration/service.py
+++ b/packages/router/laburnumpier_router/configuration/service.py
@@ -214,6 +214,7 @@
             Whether the record was activated.
         """
         if record.number <= self._record.number:
+            self._adopt_limits(record)
             return False
         configuration, problems = decode_document(record.document)
         if problems:
@@ -232,6 +233,16 @@
         self._on_change(configuration)
         return True
 
+    def _adopt_limits(self, record: ConfigurationRecord) -> None:
+        """Takes over the limits of callers if the active record came without them.
+
+        It did so if a router of an earlier release sent it.
+        """
+        is_active = record.number == self._record.number
+        if is_active and self._record.limits is None and record.limits is not None:
+            self._record = msgspec.structs.replace(self._record, limits=record.limits)
+            self._on_change(self._configuration)
+
     async def submit_patch(
         self, patch: Any, expected_number: int, patch_id: str, author: str
     ) -> ConfigurationRecord:
