A head that is too large gets no answer of its own behind a request

A caller that sent a whole request and a head without an end behind it got the refusal of the head first: 431, which promises that nothing ran, in the place of the request's answer, which ran. Such a connection ends behind the answer. Whether a request is unanswered is counted now, as the library shows none between its queue and its handler.

--- a/features/intake/forwarded_requests.feature
+++ b/features/intake/forwarded_requests.feature
@@ -115,6 +115,13 @@
       | a body of 65537 bytes     | 413    | 2005 |
       | a body of 65536 bytes     | 200    | none |
 
+  # Guards against a refusal of a head that is taken for the answer to the request before it.
+  Scenario: A head that is too large behind a request
+    Given a router process on a VM with 88 MB of memory
+    When a lone caller sends a whole request and a head of 40000 bytes behind it
+    Then the lone caller gets 200
+    And the lone caller gets one answer
+
   # Guards against limits that stay as they were for callers who keep their connections.
   Scenario: A limit that changes holds for connections that are open
     Given a router process whose configuration limits heads to 2048 bytes and bodies to 65536 bytes
--- a/features/steps/intake_steps.py
+++ b/features/steps/intake_steps.py
@@ -307,6 +307,19 @@
     run(context, wait())
 
 
+@when("a lone caller sends a whole request and a head of {size:d} bytes behind it")
+def send_head_behind(context, size):
+    whole = make_head() + b"Content-Length: 5\r\n\r\nhello"
+    lines = [b"X-Line-%d: %b\r\n" % (number, b"z" * 1000) for number in range(size // 1000)]
+    context.crowd = send_crowd(context, [[whole + make_head() + b"".join(lines)]])
+
+
+@then("the lone caller gets one answer")
+def check_one_answer(context):
+    received = bytes(context.crowd.callers[0].received)
+    assert received.count(b"HTTP/1.1 ") == 1, received
+
+
 def parse_size(body):
     match = BODY_PATTERN.fullmatch(body)
     return int(match["size"]) * UNITS[match["unit"]]
--- a/packages/router/laburnumpier_router/intake/connection.py
+++ b/packages/router/laburnumpier_router/intake/connection.py
@@ -83,6 +83,7 @@
     """
 
     __slots__ = (
+        "_answered_requests",
         "_body_bytes",
         "_body_watch",
         "_gave_way",
@@ -133,7 +134,7 @@
         self._payload: StreamReader | None = None
         self._head_bytes = self._head_lines = self._body_bytes = 0
         self._body_watch: asyncio.Timeout | None = None
-        self._known_requests = self._response_bytes = 0
+        self._known_requests = self._answered_requests = self._response_bytes = 0
         self._has_request = self._is_refused = self._gave_way = self._is_reset = False
 
     @property
@@ -152,7 +153,7 @@
         """What the connection waits for."""
         if self._is_refused:
             return Stage.REFUSED
-        if self._request_in_progress or self._messages:
+        if self._has_unanswered_request():
             if self._body_watch is not None:
                 return Stage.BODY
             if self.writing_paused:
@@ -168,7 +169,7 @@
         if self._unparsed:
             return False
         if self._is_refused:
-            return not self._request_in_progress
+            return not self._has_unanswered_request()
         waiter = self._waiter
         return waiter is not None and not waiter.done()
 
@@ -186,7 +187,8 @@
                 timeout_seconds = self._limits.header_timeout_seconds
                 return not self._unparsed and waited_seconds > timeout_seconds
             case Stage.REFUSED:
-                return waited_seconds > LINGER_SECONDS
+                is_answered = not self._has_unanswered_request()
+                return is_answered and waited_seconds > LINGER_SECONDS
         return self.is_idle_too_long(now_seconds)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -252,6 +254,7 @@
         if self._is_refused or (self.table.is_crowded and not resp.prepared):
             resp.force_close()
         result = await super().finish_response(request, resp, start_time)
+        self._answered_requests += 1
         self._body_bytes = self._response_bytes = 0
         self.began_seconds = self._loop.time()
         self._limits = self.intake.limits
@@ -347,10 +350,14 @@
                 self.reset()
 
     def refuse_head(self, error: RequestError) -> None:
-        """Answers a head that is not whole."""
+        """Answers a head that is not whole.
+
+        Behind a request that is not answered yet it gets no answer, which would be taken for that
+        of the request.
+        """
         self.intake.note_refusal(error.code)
         self.refuse_rest()
-        if self.transport is not None:
+        if self.transport is not None and not self._has_unanswered_request():
             self.transport.write(format_refusal(error))
 
     def reset(self) -> None:
@@ -394,8 +401,7 @@
 
     def _has_sent_ahead(self) -> bool:
         """Whether the caller has sent more than the request that is served."""
-        served = 0 if self._request_in_progress else 1
-        is_more_parsed = len(self._messages) > served
+        is_more_parsed = self._request_count > self._answered_requests + 1
         return is_more_parsed or bool(self._unparsed) or self._is_reading_paused()
 
     def _is_reading_paused(self) -> bool:
@@ -407,7 +413,8 @@
         has_new_request = bool(self._messages) and self._request_count != self._known_requests
         self._known_requests = self._request_count
         if has_new_request:
-            if not self._head_bytes and not self._request_in_progress:
+            is_first = self._request_count == self._answered_requests + 1
+            if not self._head_bytes and is_first:
                 self._limits = self.intake.limits
             self._has_request = True
             self._payload = self._messages[-1][1]
@@ -429,13 +436,17 @@
         if self._head_bytes > self._limits.max_header_bytes:
             self.refuse_head(RequestError(ResultCode.HEAD_TOO_LARGE))
 
+    def _has_unanswered_request(self) -> bool:
+        # Between its place in the queue and its handler the library does not show a request.
+        return self._request_count > self._answered_requests
+
     def _compute_held_bytes(self) -> int:
         total = CONNECTION_BYTES + self._body_bytes + self._response_bytes
         if self.transport is not None:
             total += self.transport.get_write_buffer_size()
         if self._is_refused:
             return total
-        if self._request_in_progress or self._messages:
+        if self._has_unanswered_request():
             total += REQUEST_BYTES
         total += HEAD_COPIES * self._head_bytes + LINE_BYTES * self._head_lines
         total += len(self._unparsed)
