A stalled body is held once, and is dropped in the moment in which it gives way

Causes: the loop that read a body kept the last piece of each while it waited for the next; what gave way was freed some turns of the event loop later; connections whose requests were refused still held their sockets' buffers, and were counted as idle ones.

The connection has the pieces and drops them at once, a refused one has a small receive buffer and counts as what it is, and callers have 13% of the VM's memory. A receive buffer of 4 KiB was tried and dropped: a refused caller needed over 10 s to send the rest of 4 MiB.

--- a/packages/router/laburnumpier_router/intake/body.py
+++ b/packages/router/laburnumpier_router/intake/body.py
@@ -67,23 +67,31 @@
 
 
 async def _read_accounted(request: web.BaseRequest, connection: BoundedConnection) -> bytes:
-    limit_bytes = connection.max_body_bytes
-    _check_size(connection, request.content_length or 0, limit_bytes)
-    body = await request.content.readany()
-    _check_size(connection, len(body), limit_bytes)
-    connection.record_body(len(body))
-    if request.content.at_eof():
-        return body
-    joined = bytearray(body)
-    while block := await request.content.readany():
-        _check_size(connection, len(joined) + len(block), limit_bytes)
-        joined += block
-        connection.record_body(len(joined))
-    whole = bytes(joined)
+    _check_size(connection, request.content_length or 0, connection.max_body_bytes)
+    # The connection has the pieces, so that it can drop them in the moment in which it gives way.
+    pieces = connection.begin_body()
+    while await _read_piece(request, connection, pieces):
+        pass
+    whole = bytes(pieces)
+    pieces.clear()
     connection.record_body(len(whole), is_whole=True)
     return whole
 
 
+async def _read_piece(
+    request: web.BaseRequest, connection: BoundedConnection, pieces: bytearray
+) -> bool:
+    """Adds the next piece of a body; returns whether there was one.
+
+    A variable of a loop would keep the last piece while the next one is waited for.
+    """
+    block = await request.content.readany()
+    _check_size(connection, len(pieces) + len(block), connection.max_body_bytes)
+    pieces += block
+    connection.record_body(len(pieces))
+    return bool(block)
+
+
 def _check_size(connection: BoundedConnection, size_bytes: int, limit_bytes: int) -> None:
     if size_bytes > limit_bytes:
         connection.intake.note_refusal(ResultCode.BODY_TOO_LARGE)
--- a/packages/router/laburnumpier_router/intake/connection.py
+++ b/packages/router/laburnumpier_router/intake/connection.py
@@ -29,9 +29,13 @@
 REQUEST_BYTES = 30 * 1024
 """Memory of a request that is served, beside its head and body: its task, and its connection to a
 server."""
+REFUSED_BYTES = 16 * 1024
+"""Memory of a request that was refused, until its caller leaves."""
 SOCKET_BUFFER_BYTES = 32 * 1024
 """Size that the kernel is asked for as the receive buffer of a connection; it takes twice as
 much."""
+REFUSED_BUFFER_BYTES = 16 * 1024
+"""The same for a connection whose request was refused and whose bytes are dropped."""
 PAUSED_BYTES = 2 * SOCKET_BUFFER_BYTES
 """Bytes that the socket of a paused connection may hold."""
 HEAD_COPIES = 3
@@ -85,6 +89,7 @@
     __slots__ = (
         "_answered_requests",
         "_body_bytes",
+        "_body_pieces",
         "_body_watch",
         "_gave_way",
         "_has_request",
@@ -131,6 +136,7 @@
         self.held_bytes = 0
         self._limits = intake.limits
         self._unparsed = bytearray()
+        self._body_pieces = bytearray()
         self._payload: StreamReader | None = None
         self._head_bytes = self._head_lines = self._body_bytes = 0
         self._body_watch: asyncio.Timeout | None = None
@@ -291,6 +297,11 @@
         # A response that waits for a server is no sign of a slow caller.
         self.byte_seconds = 0.0
 
+    def begin_body(self) -> bytearray:
+        """Returns the buffer of a body that is being read, which `refuse_rest` clears."""
+        self._body_pieces = bytearray()
+        return self._body_pieces
+
     def record_body(self, size_bytes: int, *, is_whole: bool = False) -> None:
         """Accounts for the part of a body that its handler has."""
         is_single = is_whole or size_bytes <= SINGLE_COPY_BYTES
@@ -329,9 +340,11 @@
         self._is_refused = True
         self.began_seconds = self._loop.time()
         self._unparsed.clear()
+        self._body_pieces.clear()
         self._body_bytes = 0
         self.table.note_refused(self)
         self._reading_paused = self._buffer_paused = False
+        self._set_socket_option(socket.SO_RCVBUF, REFUSED_BUFFER_BYTES)
         super()._resume_transport_reading()
         self.measure()
 
@@ -365,13 +378,23 @@
         transport = self.transport
         if transport is None:
             return
-        connection = transport.get_extra_info("socket")
-        if connection is not None and not transport.is_closing():
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self._set_socket_option(socket.SO_LINGER, RESET_ON_CLOSE)
         self._is_reset = True
+        self._body_pieces.clear()
+        if self._request_in_progress:
+            # Nothing takes a request that was sent ahead before the connection is lost.
+            self._messages.clear()
         self._record(0)
         transport.abort()
 
+    def _set_socket_option(self, option: int, value: int | bytes) -> None:
+        """Sets an option of the socket, unless it is being closed."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        connection = self.transport.get_extra_info("socket")
+        if connection is not None:
+            connection.setsockopt(socket.SOL_SOCKET, option, value)
+
     def _parse(self, data: bytes) -> None:
         """Parses data in pieces, and checks the limits after each."""
         for start in range(0, len(data), READ_BYTES):
@@ -445,7 +468,7 @@
         if self.transport is not None:
             total += self.transport.get_write_buffer_size()
         if self._is_refused:
-            return total
+            return total + REFUSED_BYTES
         if self._has_unanswered_request():
             total += REQUEST_BYTES
         total += HEAD_COPIES * self._head_bytes + LINE_BYTES * self._head_lines
--- a/packages/router/laburnumpier_router/intake/memory.py
+++ b/packages/router/laburnumpier_router/intake/memory.py
@@ -3,7 +3,7 @@
 import os
 from collections.abc import Callable
 
-CALLER_SHARE = 0.15
+CALLER_SHARE = 0.13
 """Part of the VM's memory that callers may use; the rest is for the process itself."""
 LARGE_SHARE = 0.75
 """Part of the account that is open to what one holder has beyond `SMALL_BYTES`."""
