Limits of callers are those of callers only

An operator's patch above the size of callers' bodies was refused with 413 since operators' bodies are read by the same reader (1 MiB before, whatever callers may send), and the idle time of the configuration held for collectors of metrics and the load balancer. Operators have their own size again, and other listeners the settings' limits.

--- a/features/intake/limits.feature
+++ b/features/intake/limits.feature
@@ -21,6 +21,12 @@
       | [1, 2]                                             | 4096 | 2048 |
       | "none"                                             | 4096 | 2048 |
 
+  # Guards against the limits of callers at the addresses of operators, metrics and readiness.
+  Scenario: Limits of the configuration are those of callers only
+    When a configuration of the platform has {"MaxBodyBytes": 99}
+    Then a caller may send bodies of 99 bytes and heads of 2048 bytes
+    And listeners that callers do not use keep a limit of 4096 bytes
+
   # Guards against routers that cannot read each other's configurations during an upgrade.
   Scenario: Records with limits and records of an earlier release
     Given a configuration of the platform with a limit of 99 bytes for bodies
--- a/features/intake/own_interface.feature
+++ b/features/intake/own_interface.feature
@@ -51,3 +51,9 @@
       | address   |
       | callers   |
       | operators |
+
+  # Guards against the limit of callers' bodies for the patches of operators.
+  Scenario: An operator's patch may be larger than the bodies of callers
+    Given a router process with its own interface whose callers may send 1024 bytes
+    When an operator sends a patch of 5000 bytes
+    Then the patch is applied
--- a/features/steps/caller_limit_steps.py
+++ b/features/steps/caller_limit_steps.py
@@ -69,7 +69,7 @@
 
 @then("a caller may send bodies of {body:d} bytes and heads of {head:d} bytes")
 def check_limits(context, body, head):
-    limits = context.intake.limits
+    limits = context.intake.get_limits(context.intake.open_callers_table())
     assert (limits.max_body_bytes, limits.max_header_bytes) == (body, head), limits
 
 
@@ -89,7 +89,8 @@
     earlier = EarlierRecord(number=9, document=context.record.document)
     record = msgspec.msgpack.decode(msgspec.msgpack.encode(earlier), type=ConfigurationRecord)
     context.intake.set_stated_limits(record.limits)
-    assert context.intake.limits.max_body_bytes == size, context.intake.limits
+    limits = context.intake.get_limits(context.intake.open_callers_table())
+    assert limits.max_body_bytes == size, limits
 
 
 @when("a router gets its record without limits from another router, and then from the store")
@@ -113,3 +114,9 @@
 @then("the configuration service has a limit of {size:d} bytes")
 def check_service_limits(context, size):
     assert context.service.record.limits.max_body_bytes == size, context.service.record
+
+
+@then("listeners that callers do not use keep a limit of {size:d} bytes")
+def check_other_listeners(context, size):
+    limits = context.intake.get_limits(context.intake.open_other_table())
+    assert limits.max_body_bytes == size, limits
--- a/features/steps/intake_steps.py
+++ b/features/steps/intake_steps.py
@@ -408,6 +408,39 @@
     assert status == 200, (status, body[:200])
 
 
+@given("a router process with its own interface whose callers may send {size:d} bytes")
+def start_limited_own_router(context, size):
+    context.local_fleet = LocalFleet(settings={"request.max_body_bytes": str(size)})
+
+    async def start():
+        fleet = await context.local_fleet.__aenter__()
+        await fleet.start_platform()
+        context.chat_router = await fleet.start_router("vm-1", "dc-1")
+
+    async def stop():
+        await context.local_fleet.__aexit__(None, None, None)
+
+    context.cleanups.append((context.real, stop))
+    run(context, start())
+
+
+@when("an operator sends a patch of {size:d} bytes")
+def send_patch(context, size):
+    servers = {f"engine-{number}": {"url": f"http://10.0.0.1:{number}"} for number in range(size)}
+    patch = {"servers": dict(list(servers.items())[: size // 40])}
+    context.patch_answer = run(
+        context,
+        context.local_fleet.call_operator(
+            context.chat_router, "PATCH", "/configuration", patch, {"If-Match": "0"}
+        ),
+    )
+
+
+@then("the patch is applied")
+def check_patch(context):
+    assert context.patch_answer[0] == 200, context.patch_answer
+
+
 def start_own_router(context, megabytes, descriptors):
     """Starts a router process of the own interface, and limits it as far as its settings can."""
     known = {f"{field.section}.{field.name}" for field in SETTING_FIELDS}
--- a/packages/router/laburnumpier_router/intake/body.py
+++ b/packages/router/laburnumpier_router/intake/body.py
@@ -13,9 +13,13 @@
 """Copies of the text beside the objects: in the request to the server and in its hash."""
 
 
-async def read_body(request: web.BaseRequest) -> bytes:
+async def read_body(request: web.BaseRequest, max_bytes: int | None = None) -> bytes:
     """Returns the whole body of a request.
 
+    Args:
+        request: The request.
+        max_bytes: Size limit of the body; by default that of callers.
+
     Raises:
         RequestError: If it is larger than the limit, or if its connection gave way. The rest of
             the body is dropped then, and the connection ends behind the response.
@@ -25,7 +29,7 @@
         return await _read_unaccounted(request)
     try:
         async with connection.watch_body():
-            body = await _read_accounted(request, connection)
+            body = await _read_accounted(request, connection, max_bytes)
     except TimeoutError as error:
         if not connection.gave_way:
             raise
@@ -66,11 +70,14 @@
     return RequestError(ResultCode.MEMORY_EXHAUSTED, retry_after_seconds=MEMORY_RETRY_SECONDS)
 
 
-async def _read_accounted(request: web.BaseRequest, connection: BoundedConnection) -> bytes:
-    _check_size(connection, request.content_length or 0, connection.max_body_bytes)
+async def _read_accounted(
+    request: web.BaseRequest, connection: BoundedConnection, max_bytes: int | None
+) -> bytes:
+    limit_bytes = connection.max_body_bytes if max_bytes is None else max_bytes
+    _check_size(connection, request.content_length or 0, limit_bytes)
     # The connection has the pieces, so that it can drop them in the moment in which it gives way.
     pieces = connection.begin_body()
-    while await _read_piece(request, connection, pieces):
+    while await _read_piece(request, connection, pieces, limit_bytes):
         pass
     whole = bytes(pieces)
     pieces.clear()
@@ -79,14 +86,14 @@
 
 
 async def _read_piece(
-    request: web.BaseRequest, connection: BoundedConnection, pieces: bytearray
+    request: web.BaseRequest, connection: BoundedConnection, pieces: bytearray, limit_bytes: int
 ) -> bool:
     """Adds the next piece of a body; returns whether there was one.
 
     A variable of a loop would keep the last piece while the next one is waited for.
     """
     block = await request.content.readany()
-    _check_size(connection, len(pieces) + len(block), connection.max_body_bytes)
+    _check_size(connection, len(pieces) + len(block), limit_bytes)
     pieces += block
     connection.record_body(len(pieces))
     return bool(block)
--- a/packages/router/laburnumpier_router/intake/connection.py
+++ b/packages/router/laburnumpier_router/intake/connection.py
@@ -134,7 +134,7 @@
         self.began_seconds = self._measured_seconds = loop.time()
         self.byte_seconds = 0.0
         self.held_bytes = 0
-        self._limits = intake.limits
+        self._limits = intake.get_limits(table)
         self._unparsed = bytearray()
         self._body_pieces = bytearray()
         self._payload: StreamReader | None = None
@@ -263,7 +263,7 @@
         self._answered_requests += 1
         self._body_bytes = self._response_bytes = 0
         self.began_seconds = self._loop.time()
-        self._limits = self.intake.limits
+        self._limits = self.intake.get_limits(self.table)
         self.measure()
         return result
 
@@ -438,7 +438,7 @@
         if has_new_request:
             is_first = self._request_count == self._answered_requests + 1
             if not self._head_bytes and is_first:
-                self._limits = self.intake.limits
+                self._limits = self.intake.get_limits(self.table)
             self._has_request = True
             self._payload = self._messages[-1][1]
             self.table.note_used(self)
@@ -453,7 +453,7 @@
     def _note_head(self, piece: bytes) -> None:
         if not self._head_bytes:
             self.began_seconds = self._loop.time()
-            self._limits = self.intake.limits
+            self._limits = self.intake.get_limits(self.table)
         self._head_bytes += len(piece)
         self._head_lines += piece.count(b"\n")
         if self._head_bytes > self._limits.max_header_bytes:
--- a/packages/router/laburnumpier_router/intake/service.py
+++ b/packages/router/laburnumpier_router/intake/service.py
@@ -66,16 +66,20 @@
         self._metrics = metrics
         self._limits = settings.limits
         self._tables: list[ConnectionTable] = []
+        self._callers_tables: list[ConnectionTable] = []
         self._unlogged: collections.Counter[str] = collections.Counter()
         self._logged_seconds = float("-inf")
         self.memory = memory
         self.parse_queue = ParseQueue()
         memory.set_relief(self._make_room)
 
-    @property
-    def limits(self) -> CallerLimits:
-        """Limits of the next head, request or idle time of a connection."""
-        return self._limits
+    def get_limits(self, table: ConnectionTable) -> CallerLimits:
+        """Returns the limits of the next head, request or idle time of a listener's connections.
+
+        The configuration states those of callers; those of operators, the load balancer and
+        collectors of metrics are the settings'.
+        """
+        return self._limits if table in self._callers_tables else self._settings.limits
 
     def set_stated_limits(self, stated: StatedLimits | None) -> None:
         """Takes over what a configuration states; None leaves the limits as they are."""
@@ -84,7 +88,9 @@
 
     def open_callers_table(self) -> ConnectionTable:
         """Returns the table of the connections of a listener for callers."""
-        return self._open_table(compute_max_connections(self._settings.file_descriptors))
+        table = self._open_table(compute_max_connections(self._settings.file_descriptors))
+        self._callers_tables.append(table)
+        return table
 
     def open_other_table(self) -> ConnectionTable:
         """Returns the table of the connections of any other listener."""
--- a/packages/router/laburnumpier_router/operators/frontend.py
+++ b/packages/router/laburnumpier_router/operators/frontend.py
@@ -242,7 +242,7 @@
 
 async def _read_json(request: web.Request) -> Any:
     try:
-        return json.loads(await read_body(request))
+        return json.loads(await read_body(request, MAX_PATCH_BYTES))
     except (ValueError, RecursionError) as error:
         raise RequestError(ResultCode.BROKEN_JSON) from error
 
