An answer without a valid status is no answer

Cause: the HTTP library takes any three digits as a status, and each place that reads answers compared them with the values that it knows. Also an order to an engine counted as carried out, a chat as refused without having run, a list of VMs and the operators' command as a success.

Change: laburnumpier_core/response_head.py decides what a valid status is (100 to 599, whoever knows it). BoundedResponseHandler, which all HTTP connections of routers go through and the operators' command now too, asks it before anything reads a head. The handler moved to the core package for that. A call with an invalid head counts as lost after it was sent: 502 (5004), or another server where it may be repeated. A router that asked another one to relay checks the head that it is told.

--- /dev/null
+++ b/features/backend/broken_answers.feature
@@ -0,0 +1,35 @@
+Feature: Calls of a router's own whose answers break the protocol
+  A head that breaks the protocol is no answer to any call. What the call was for may have happened.
+
+  # Guards against an order, a run or a service's call that an answer without a status decides.
+  Scenario Outline: An answer without a valid status is no answer
+    Given a server that <behaviour>
+    When a call <call>
+    Then the call ends with <outcome> within 1.0 seconds
+
+    Examples:
+      | behaviour                      | call                  | outcome                    |
+      | answers with the status 000 OK | calls it as a service | ServerResponseInvalidError |
+      | answers with the status 099 OK | calls it as a service | ServerResponseInvalidError |
+      | answers with the status 600 OK | calls it as a service | ServerResponseInvalidError |
+      | answers with the status 000 OK | sends it an order     | ServerResponseInvalidError |
+      | streams with the status 000 OK | starts a run          | ServerResponseInvalidError |
+      | streams with the status 600 OK | starts a run          | ServerResponseInvalidError |
+      | answers with the status 000 OK | asks for its load     | nothing                    |
+      | answers with the status 000 OK | has it count tokens   | nothing                    |
+
+  # Guards against a success that the operators are told, or a list of no VMs that is believed.
+  Scenario Outline: An answer without a valid status is none of a router, a store or the platform
+    Given a server that answers with the status <status>
+    When the operators' command asks it for its state
+    Then the command ends as one that did not reach the router
+    When the client of the <store> store <call>
+    Then the call ends with <outcome> within 1.5 seconds
+
+    Examples:
+      | status | store    | call              | outcome                  |
+      | 000 OK | VM-list  | reads the list    | StoreUnavailableError    |
+      | 600 OK | VM-list  | reads the list    | StoreUnavailableError    |
+      | 000 OK | platform | writes a key      | WriteOutcomeUnknownError |
+      | 000 OK | platform | reads all servers | StoreUnavailableError    |
+      | 000 OK | etcd     | writes a key      | WriteOutcomeUnknownError |
--- a/features/relay/answers.feature
+++ b/features/relay/answers.feature
@@ -52,6 +52,30 @@
       | a refusal but for the empty line              | closes |
       | a refusal but for the empty line              | resets |
 
+  # Guards against a head that breaks the protocol being passed on by another router.
+  Scenario Outline: A head that breaks the protocol is no answer, relayed or direct
+    Given two routers on sockets, one of them cut off from a server that <behaviour>
+    When the same request is sent directly and through the other router
+    Then neither has an answer, as the head is invalid
+
+    Examples:
+      | behaviour                       |
+      | answers with the status 000 OK  |
+      | streams with the status 000 OK  |
+      | answers with the status 600 Odd |
+
+  # Guards against a router of an earlier release that passes on what its servers send.
+  Scenario Outline: A relayed head is checked by the router that asked for it
+    Given a router of an earlier release that relays a head with <fault>
+    When a request is sent through that router
+    Then it has no answer, as the head is invalid
+
+    Examples:
+      | fault          |
+      | the status 0   |
+      | the status 99  |
+      | the status 600 |
+
   # Guards against messages that are larger than the transport takes.
   Scenario: A request body of 4 MiB
     Given two routers on sockets, one of them cut off from a server that answers
--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -93,11 +93,13 @@
     return "reset"
 
 
-async def send_raw(url: str, headers: dict[str, str], version: str, body: bytes) -> RawAnswer:
+async def send_raw(
+    url: str, headers: dict[str, str], version: str, body: bytes, path: str = "/shop/2f"
+) -> RawAnswer:
     """Sends one request on a connection of its own and returns the answer."""
     host, port = url.removeprefix("http://").split(":")
     reader, writer = await asyncio.open_connection(host, int(port))
-    lines = [f"POST /shop/2f HTTP/{version}", *(f"{k}: {v}" for k, v in headers.items())]
+    lines = [f"POST {path} HTTP/{version}", *(f"{k}: {v}" for k, v in headers.items())]
     head = "\r\n".join([*lines, f"Content-Length: {len(body)}", "", ""])
     writer.write(head.encode() + body)
     try:
--- /dev/null
+++ b/features/steps/broken_answer_steps.py
@@ -0,0 +1,134 @@
+"""Steps for answers that no caller may get, of servers of a router process."""
+
+import asyncio
+import json
+
+from answer_end_steps import REPEATABLE_KINDS, KindOutcome, send_raw
+from behave import given, then, when
+from broken_heads import DESCRIBED_BODY
+from contract_steps import run
+from forward_steps import KEY, KINDS, make_headers
+from laburnumpier_operator.client import CommandError, ExitCode, OperatorCall, send_call
+from process_steps import start_router_process
+from scripted_server import EVENTS, ScriptedServer
+
+ANSWER_SECONDS = 6.0
+REGISTRY_SECONDS = 0.3
+"""Time in which the process learns of a server."""
+KIND_PATHS = {kind: f"/{kind.replace(' ', '-')}/" for kind in KINDS}
+ROUTE_KINDS = {
+    "idempotent": "idempotent",
+    "non-idempotent": "non_idempotent",
+    "resumable stream": "streaming",
+    "plain stream": "streaming",
+}
+MAX_ATTEMPTS = 2
+
+
+def make_configuration():
+    """Returns a configuration in the platform's form with a route for each kind of request."""
+    routes = [
+        {
+            "Name": kind.replace(" ", "-"),
+            "Host": "shop.example",
+            "Prefix": KIND_PATHS[kind],
+            "Kind": ROUTE_KINDS[kind],
+            "TimeoutMs": 4000,
+            "Service": "s",
+            "MaxAttempts": MAX_ATTEMPTS,
+            "Resumable": kind == "resumable stream",
+        }
+        for kind in KINDS
+    ]
+    return {
+        "Version": 3,
+        "Routes": routes,
+        "Services": [{"Name": "s", "InferenceEngine": {"Slots": 4, "Stride": 3}}],
+        "Tenants": [{"Name": "office", "ApiKeys": [KEY], "Prepaid": 1_000_000}],
+    }
+
+
+@given("a router process and {count:d} servers")
+def start_with_servers(context, count):
+    context.servers = [ScriptedServer("answers") for _ in range(count)]
+    start_router_process(
+        context,
+        4,
+        early_sighup=False,
+        backend=context.servers[0],
+        configuration=make_configuration(),
+    )
+
+    async def add(server, number):
+        await server.start()
+        entry = {"Service": "s", "Address": server.address, "State": "ready"}
+        context.store.put(f"servers/i-{number}", json.dumps(entry).encode())
+        await asyncio.sleep(REGISTRY_SECONDS)
+
+    for number, server in enumerate(context.servers[1:], start=2):
+        run(context, add(server, number))
+        context.cleanups.append((context.real, server.stop))
+
+
+async def send_kind(context, kind, body=b"order", attempt="a1"):
+    """Returns the answer to a request of one kind."""
+    headers = {**make_headers(kind), "X-Attempt-Id": attempt}
+    url = f"http://127.0.0.1:{context.ports[0]}"
+    sending = send_raw(url, headers, "1.1", body, KIND_PATHS[kind] + "x")
+    return await asyncio.wait_for(sending, ANSWER_SECONDS)
+
+
+@when("callers send a request of each kind, answered with the {described}")
+def send_described(context, described):
+    """Sends one request of each kind; requests of streams are answered with streams."""
+    context.outcomes = {}
+    for number, kind in enumerate(KINDS):
+        verb = "streams" if "stream" in kind else "answers"
+        for server in context.servers:
+            server.behaviour = f"{verb} with the {described}"
+            server.runs = 0
+        answer = run(context, send_kind(context, kind, attempt=f"a{number}"))
+        runs = [server.runs for server in context.servers]
+        context.outcomes[kind] = KindOutcome(answer=answer, runs=runs)
+
+
+@then("each of them ran once at each server that it may go to, and got 502 of the router")
+def check_lost(context):
+    for kind, outcome in context.outcomes.items():
+        answer = outcome.answer
+        runs = len(context.servers) if kind in REPEATABLE_KINDS else 1
+        assert sum(outcome.runs) == runs and max(outcome.runs) == 1, (kind, outcome)
+        assert answer.status == 502 and answer.end == "framed and complete", (kind, outcome)
+        assert answer.headers["x-result-code"] == "5004", (kind, outcome)
+        assert "x-server-signature" not in answer.headers, (kind, outcome)
+        assert DESCRIBED_BODY not in answer.body and b"piece" not in answer.body, (kind, outcome)
+
+
+@then("each of them got the answer of the server, with the status {status:d}")
+def check_passed_on(context, status):
+    for kind, outcome in context.outcomes.items():
+        answer = outcome.answer
+        body = b"".join(EVENTS.values()) if "stream" in kind else DESCRIBED_BODY
+        assert answer.status == status, (kind, outcome)
+        assert answer.headers["x-server-signature"] == "sig", (kind, outcome)
+        assert answer.body == body, (kind, outcome)
+
+
+@when("the operators' command asks it for its state")
+def ask_state(context):
+    url = f"http://{context.servers[0].address}"
+    call = OperatorCall(method="GET", path="/state")
+
+    async def ask():
+        try:
+            context.outcome = await asyncio.wait_for(send_call(url, "token", call), ANSWER_SECONDS)
+        except CommandError as error:
+            context.outcome = error
+
+    run(context, ask())
+
+
+@then("the command ends as one that did not reach the router")
+def check_not_reached(context):
+    assert isinstance(context.outcome, CommandError), context.outcome
+    assert context.outcome.exit_code is ExitCode.UNREACHABLE, context.outcome
--- a/features/steps/relayed_answer_steps.py
+++ b/features/steps/relayed_answer_steps.py
@@ -24,7 +24,13 @@
 from laburnumpier_router.intake.memory import make_caller_memory
 from laburnumpier_router.ports.server_registry import RegisteredServer
 from laburnumpier_router.relay.feature import RelayFeature
-from laburnumpier_router.relay.messages import MESSAGE_TYPES
+from laburnumpier_router.relay.messages import (
+    MESSAGE_TYPES,
+    ExchangeHead,
+    ExchangeReply,
+    ExchangeState,
+    StartExchange,
+)
 from laburnumpier_standins.memory_fleet import make_settings
 from multidict import CIMultiDict
 from scripted_server import ScriptedServer
@@ -32,6 +38,8 @@
 QUEUED_CONNECTIONS = 8
 LOST_REASON = "broke_off"
 """Reason of an exchange whose connection was lost before there was an answer."""
+INVALID_REASON = "invalid_head"
+"""Reason of an exchange whose answer has a head that breaks the protocol."""
 
 
 class CutOffClient:
@@ -179,6 +187,43 @@
     assert context.server.runs == 2, context.server.requests
 
 
+@then("neither has an answer, as the head is invalid")
+def check_invalid(context):
+    assert context.direct == INVALID_REASON, context.direct
+    assert context.relayed == INVALID_REASON, context.relayed
+    assert context.server.runs == 2, context.server.requests
+
+
+@given("a router of an earlier release that relays a head with {fault}")
+def relay_broken_head(context, fault):
+    make_socket_world(context, "answers")
+    name, _, text = fault.removeprefix("the ").partition(" ")
+    status, lines = 200, [(b"X-Attempt-Id", b"a1"), (b"Content-Length", b"5")]
+    if name == "status":
+        status = int(text)
+    else:
+        field, _, value = text.encode().decode("unicode_escape").encode("latin-1").partition(b": ")
+        lines.insert(1, (field, value))
+
+    async def reply(sender, message):
+        head = ExchangeHead(status=status, headers=lines, end_marker="length")
+        return ExchangeReply(state=ExchangeState.ENDED, head=head, data=b"hello")
+
+    link, _ = context.sockets.routers["r1"]
+    link.register_handler(StartExchange, reply)
+
+
+@when("a request is sent through that router")
+def fetch_relayed(context):
+    relay = context.sockets.routers["r0"][1]
+    context.relayed = run(context, fetch(relay.client, context.server.address))
+
+
+@then("it has no answer, as the head is invalid")
+def check_relayed_invalid(context):
+    assert context.relayed == INVALID_REASON, context.relayed
+
+
 @given("a port at which connections hang")
 def hang(context):
     # The kernel drops further connection requests while the queue of the listener is full.
--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -7,6 +7,7 @@
 import struct
 from collections.abc import Iterator
 
+from broken_heads import make_described_answer
 from head_stops import parse_head_stop
 
 EVENTS = {n: b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6)}
@@ -145,6 +146,10 @@
                 await asyncio.sleep(0.05)
                 _reset_connection(writer)
             return
+        described = make_described_answer(self.behaviour, attempt_id)
+        if described is not None:
+            await self._send(writer, described)
+            return
         match self.behaviour:
             case "answers" | "answers before it has read the body":
                 await self._send(writer, response)
--- a/packages/router/laburnumpier_router/ports/bounded_http.py
+++ b/packages/core/laburnumpier_core/bounded_http.py
@@ -1,17 +1,19 @@
-"""HTTP client sessions and body readers with limits on what a server may send.
+"""HTTP client sessions and body readers that check and limit what a server may send.
 
-A faulty server may send bytes without end, in a head, in the framing of a body or in the body.
-Every response is therefore limited in size; past a limit its connection is closed, and the call
-fails like one whose connection was lost.
+A faulty server may send heads that break the protocol, or bytes without end, in a head, in the
+framing of a body or in the body. Every response is therefore checked and limited in size; if it
+fails, its connection is closed, and the call fails like one whose connection was lost.
 """
 
 import functools
+from collections.abc import Callable
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
-from laburnumpier_core.errors import ServerConnectionLostError, ServerResponseLimitError
 
-from ..intake.memory import CallerMemory, MemoryShare, make_caller_memory
+from .errors import InvalidHeadError
+from .log import get_part_logger
+from .response_head import check_status
 
 MAX_HEAD_BYTES = 64 * 1024
 """Size of a response head with all interim (1xx) heads before it."""
@@ -20,15 +22,11 @@
 MAX_WIRE_BYTES_PER_BODY_BYTE = 2
 """Bytes on the wire for each byte of a body, beyond `MAX_FRAMING_BYTES`; a chunk of six bytes
 takes eleven."""
-MAX_SHARED_BODY_BYTES = 32 * 1024 * 1024
-"""Memory for all large bodies of a client at the same time; the smallest VMs have 150 MB."""
-UNSHARED_BODY_BYTES = 64 * 1024
-"""Size up to which a body takes nothing of the shared memory."""
 SWITCHING_PROTOCOLS_STATUS = 101
 PIECE_BYTES = 16 * 1024
 """Bytes that are parsed before the limits are checked again."""
-MAX_CONTROL_BODY_BYTES = 64 * 1024
-"""Size of a response to a control call, such as a load report, and of an error response."""
+
+_log = get_part_logger("http")
 
 
 class ResponseLimitError(aiohttp.ClientPayloadError):
@@ -44,61 +42,14 @@
         self.reason = reason
 
 
-class BodyMemory:
-    """The memory that the large bodies of a client share, within that of all callers."""
-
-    __slots__ = ("callers", "used_bytes")
-
-    def __init__(self, *, callers: CallerMemory | None = None):
-        """Creates the memory with nothing in use.
-
-        Args:
-            callers: Account of what callers make the process hold; by default one of its own.
-        """
-        self.callers = callers or make_caller_memory(0)
-        self.used_bytes = 0
-
-    def open_share(self) -> MemoryShare:
-        """Returns a share of nothing in the account of all callers."""
-        return MemoryShare(memory=self.callers)
-
-
-class BodyReservation:
-    """The share of one body in the memory of all; small bodies need none."""
-
-    __slots__ = ("_memory", "_share", "_taken_bytes")
-
-    def __init__(self, *, memory: BodyMemory):
-        """Creates a reservation of nothing."""
-        self._memory = memory
-        self._share = memory.open_share()
-        self._taken_bytes = 0
-
-    def grow(self, size_bytes: int) -> None:
-        """Takes as much of the memory as a body of a size needs.
-
-        Raises:
-            ResponseLimitError: If other bodies have taken too much of it.
-        """
-        needed_bytes = max(0, size_bytes - UNSHARED_BODY_BYTES) - self._taken_bytes
-        if needed_bytes <= 0:
-            return
-        if self._memory.used_bytes + needed_bytes > MAX_SHARED_BODY_BYTES:
-            raise ResponseLimitError("bodies_too_large", MAX_SHARED_BODY_BYTES)
-        if not self._share.set_bytes(size_bytes):
-            raise ResponseLimitError("bodies_too_large", self._memory.callers.limit_bytes)
-        self._memory.used_bytes += needed_bytes
-        self._taken_bytes += needed_bytes
-
-    def release(self) -> None:
-        """Returns the share."""
-        self._share.release()
-        self._memory.used_bytes -= self._taken_bytes
-        self._taken_bytes = 0
+class InvalidResponseError(aiohttp.ClientPayloadError):
+    """A response has a head that breaks the protocol."""
 
 
 class BoundedResponseHandler(ResponseHandler):
-    """Ends a connection whose response has a too large head or framing, or bytes behind its end.
+    """Ends a connection whose response is invalid, too large, or followed by further bytes.
+
+    Whatever reads a response over this handler gets none with an invalid head.
 
     The parser of aiohttp limits single header lines, but neither the number of interim heads nor
     chunk extensions.
@@ -119,9 +70,16 @@
     def feed_data(self, data, size: int = 0) -> None:
         """Queues a response head; whatever follows the first final one belongs to no request."""
         message, body = data
+        if self._exception is not None:
+            return
         if self._response_body is not None:
             self._should_close = True
             return
+        try:
+            check_status(message.code)
+        except InvalidHeadError as error:
+            self._reject_head(error)
+            return
         if message.code == SWITCHING_PROTOCOLS_STATUS:
             self._fail(aiohttp.ClientPayloadError("the server switched protocols unasked"))
             return
@@ -159,6 +117,11 @@
         if self._received_bytes > MAX_HEAD_BYTES + MAX_FRAMING_BYTES + framed_bytes:
             self._fail(ResponseLimitError("framing_too_large", MAX_FRAMING_BYTES))
 
+    def _reject_head(self, problem: InvalidHeadError) -> None:
+        server = self.transport and self.transport.get_extra_info("peername")
+        _log.warning("invalid response head", fields={"server": server, "problem": problem})
+        self._fail(InvalidResponseError(str(problem)))
+
     def _fail(self, error: aiohttp.ClientPayloadError) -> None:
         """Fails the response and closes the connection without sending what is left to send."""
         self.set_exception(error)
@@ -187,15 +150,17 @@
 
 
 async def read_body(
-    response: aiohttp.ClientResponse, max_bytes: int, reservation: BodyReservation | None = None
+    response: aiohttp.ClientResponse,
+    max_bytes: int,
+    reserve: Callable[[int], None] | None = None,
 ) -> bytes:
     """Returns the complete body of a response.
 
     Args:
         response: The response.
         max_bytes: Size limit of the body.
-        reservation: Share of the body in the memory of all, which the caller releases; None if
-            the limit is small.
+        reserve: Called with the size of the body before it grows, in bytes; raises
+            `ResponseLimitError` if there is no memory for it. None if the limit is small.
 
     Raises:
         ResponseLimitError: If it is larger than a limit; its connection is closed.
@@ -207,8 +172,8 @@
         while block := await response.content.readany():
             size_bytes = len(body) + len(block)
             _check_body_size(size_bytes, max_bytes)
-            if reservation is not None:
-                reservation.grow(size_bytes)
+            if reserve is not None:
+                reserve(size_bytes)
             body += block
     except ResponseLimitError:
         response.close()
@@ -219,10 +184,3 @@
 def _check_body_size(size_bytes: int, max_bytes: int) -> None:
     if size_bytes > max_bytes:
         raise ResponseLimitError("body_too_large", max_bytes)
-
-
-def make_lost_error(error: Exception) -> ServerConnectionLostError:
-    """Returns the error of a call to a server whose response was lost or passed a limit."""
-    if isinstance(error, ResponseLimitError):
-        return ServerResponseLimitError(error.reason, str(error))
-    return ServerConnectionLostError(repr(error))
--- a/packages/core/laburnumpier_core/errors.py
+++ b/packages/core/laburnumpier_core/errors.py
@@ -57,6 +57,10 @@
             self.code = ResultCode.OUTCOME_UNKNOWN
 
 
+class InvalidHeadError(LaburnumpierError):
+    """The head of an HTTP response breaks the protocol."""
+
+
 class UnreadableDataError(LaburnumpierError):
     """Bytes that another process wrote cannot be decoded."""
 
@@ -125,6 +129,12 @@
     reason = "broke_off"
 
 
+class ServerResponseInvalidError(ServerConnectionLostError):
+    """The response has a head that breaks the protocol, so that nothing of it is believed."""
+
+    reason = "invalid_head"
+
+
 class ServerResponseLimitError(ServerConnectionLostError):
     """The response passed a limit, and its connection was closed."""
 
--- a/packages/operator/laburnumpier_operator/client.py
+++ b/packages/operator/laburnumpier_operator/client.py
@@ -6,10 +6,13 @@
 from typing import Any
 
 import aiohttp
+from laburnumpier_core.bounded_http import make_session, read_body
 from laburnumpier_core.errors import LaburnumpierError
 from laburnumpier_core.result_codes import ResultCode
 
 REQUEST_TIMEOUT_SECONDS = 30.0
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+"""Size of a response; a state dump of a large fleet has some megabytes."""
 
 
 class ExitCode(enum.IntEnum):
@@ -72,12 +75,16 @@
     timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_SECONDS)
     try:
         async with (
-            aiohttp.ClientSession(timeout=timeout) as session,
+            make_session() as session,
             session.request(
-                call.method, router_url.rstrip("/") + call.path, json=call.body, headers=headers
+                call.method,
+                router_url.rstrip("/") + call.path,
+                json=call.body,
+                headers=headers,
+                timeout=timeout,
             ) as response,
         ):
-            body = json.loads(await response.read())
+            body = json.loads(await read_body(response, MAX_RESPONSE_BYTES))
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
         raise CommandError(ExitCode.UNREACHABLE, f"cannot reach {router_url}: {error}") from error
     except ValueError as error:
--- a/packages/router/laburnumpier_router/backend/http_clients.py
+++ b/packages/router/laburnumpier_router/backend/http_clients.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 import msgspec
+from laburnumpier_core.bounded_http import read_body
 from laburnumpier_core.decoding import decode_json
 from laburnumpier_core.errors import (
     ServerConnectionLostError,
@@ -15,12 +16,11 @@
 )
 
 from ..intake.memory import CallerMemory
-from ..ports.bounded_http import (
+from ..ports.response_memory import (
     MAX_CONTROL_BODY_BYTES,
     BodyMemory,
     BodyReservation,
     make_lost_error,
-    read_body,
 )
 from ..response_end import get_end_marker, make_server_session
 from .engine_port import (
@@ -258,7 +258,7 @@
             ) as response:
                 has_explicit_end = get_end_marker(response).is_explicit
                 handler = response.connection.protocol if response.connection else None
-                body = await read_body(response, MAX_SERVICE_BODY_BYTES, reservation)
+                body = await read_body(response, MAX_SERVICE_BODY_BYTES, reservation.grow)
                 if not has_explicit_end and getattr(handler, "was_reset", False):
                     raise ServerConnectionLostError(
                         "the connection was reset during a response without a length"
--- a/packages/router/laburnumpier_router/forward/http_client.py
+++ b/packages/router/laburnumpier_router/forward/http_client.py
@@ -9,13 +9,14 @@
 from collections.abc import AsyncIterator
 
 import aiohttp
+from laburnumpier_core.bounded_http import read_body
 from laburnumpier_core.errors import ServerConnectionLostError, ServerUnreachableError
 from laburnumpier_core.log import get_part_logger
 from multidict import CIMultiDictProxy
 from yarl import URL
 
 from ..intake.memory import CallerMemory
-from ..ports.bounded_http import BodyMemory, BodyReservation, make_lost_error, read_body
+from ..ports.response_memory import BodyMemory, BodyReservation, make_lost_error
 from ..response_end import EndMarker, get_end_marker, make_server_session
 from .exchange import CONNECT_TIMEOUT_SECONDS, ServerCall
 from .response_limits import MAX_BODY_BYTES
@@ -76,7 +77,7 @@
             ServerConnectionLostError: If it ends early.
         """
         try:
-            body = await read_body(self._response, MAX_BODY_BYTES, self._reservation)
+            body = await read_body(self._response, MAX_BODY_BYTES, self._reservation.grow)
         except (aiohttp.ClientError, OSError) as error:
             raise make_lost_error(error) from error
         self._check_not_reset()
--- a/packages/router/laburnumpier_router/ports/etcd_service.py
+++ b/packages/router/laburnumpier_router/ports/etcd_service.py
@@ -12,6 +12,7 @@
 import aiohttp
 import msgspec
 from aiohttp.http import HttpProcessingError
+from laburnumpier_core.bounded_http import ResponseLimitError, read_body
 from laburnumpier_core.decoding import decode_json
 from laburnumpier_core.errors import (
     StoreUnavailableError,
@@ -22,9 +23,9 @@
 
 from ..configuration.record import CONFIGURATION_KEY
 from ..evacuation.operator_keys import EVACUATION_PREFIX, OperatorKeys
-from .bounded_http import MAX_CONTROL_BODY_BYTES, ResponseLimitError, read_body
 from .evacuations import Evacuations
 from .key_value_service import CommitOutcome, FoundValues, StoredValue, Write
+from .response_memory import MAX_CONTROL_BODY_BYTES
 from .store_connections import StoreConnections
 from .store_era import UNKNOWN_ERA, StoreEra, StorePosition
 
--- a/packages/router/laburnumpier_router/ports/store_connections.py
+++ b/packages/router/laburnumpier_router/ports/store_connections.py
@@ -9,11 +9,10 @@
 from collections.abc import AsyncIterator
 
 import aiohttp
+from laburnumpier_core.bounded_http import make_session
 from laburnumpier_core.log import get_part_logger
 from laburnumpier_core.metrics import Metrics
 
-from .bounded_http import make_session
-
 _log = get_part_logger("store")
 
 
--- a/packages/router/laburnumpier_router/ports/vm_list.py
+++ b/packages/router/laburnumpier_router/ports/vm_list.py
@@ -9,11 +9,10 @@
 
 import aiohttp
 import msgspec
+from laburnumpier_core.bounded_http import make_session, read_body
 from laburnumpier_core.decoding import decode_json
 from laburnumpier_core.errors import StoreUnavailableError, UnreadableDataError
 
-from .bounded_http import make_session, read_body
-
 MAX_LIST_BYTES = 1024 * 1024
 """Size of the list; an entry takes some 100 bytes."""
 
--- a/packages/router/laburnumpier_router/relay/messages.py
+++ b/packages/router/laburnumpier_router/relay/messages.py
@@ -131,13 +131,13 @@
 
 
 class ExchangeHead(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """Head of a server's response.
+    """Head of a server's response, which the asking router checks.
 
     Attributes:
         end_marker: Value of the `EndMarker` of the response.
     """
 
-    status: Annotated[int, msgspec.Meta(ge=100, le=999)]
+    status: Annotated[int, msgspec.Meta(ge=0, le=999)]
     headers: HeaderLines
     end_marker: str
 
--- a/packages/router/laburnumpier_router/relay/relay_sender.py
+++ b/packages/router/laburnumpier_router/relay/relay_sender.py
@@ -12,7 +12,7 @@
 from ..fleet.service import FleetService
 from ..forward.exchange import ServerCall
 from ..intake.memory import CallerMemory, MemoryShare
-from ..ports.bounded_http import BodyMemory
+from ..ports.response_memory import BodyMemory
 from .contact_monitor import ContactMonitor
 from .messages import (
     MAX_BODY_BYTES,
--- a/packages/router/laburnumpier_router/relay/relayed_exchange.py
+++ b/packages/router/laburnumpier_router/relay/relayed_exchange.py
@@ -6,11 +6,18 @@
 from collections.abc import AsyncIterator
 
 import aiohttp
-from laburnumpier_core.errors import ServerConnectionLostError, ServerResponseLimitError
+from laburnumpier_core.bounded_http import ResponseLimitError
+from laburnumpier_core.errors import (
+    InvalidHeadError,
+    ServerConnectionLostError,
+    ServerResponseInvalidError,
+    ServerResponseLimitError,
+)
+from laburnumpier_core.response_head import check_status
 from multidict import CIMultiDictProxy
 
 from ..forward.response_limits import MAX_BODY_BYTES
-from ..ports.bounded_http import BodyMemory, BodyReservation, ResponseLimitError, make_lost_error
+from ..ports.response_memory import BodyMemory, BodyReservation, make_lost_error
 from ..response_end import EndMarker
 from .messages import ExchangeHead, ExchangeReply, ExchangeState, decode_headers
 from .relay_session import RelayLostError, RelaySession
@@ -67,6 +74,11 @@
         self._session = session
         self._status = head.status
         self._headers = CIMultiDictProxy(decode_headers(head.headers))
+        try:
+            # A router of an earlier release passes on what its servers send.
+            check_status(head.status)
+        except InvalidHeadError as error:
+            raise ServerResponseInvalidError(str(error)) from error
         try:
             self._end_marker = EndMarker(head.end_marker)
         except ValueError as error:
@@ -180,6 +192,8 @@
     text = "the relaying router lost the response"
     if reply.reason in ("", ServerConnectionLostError.reason):
         return ServerConnectionLostError(text)
+    if reply.reason == ServerResponseInvalidError.reason:
+        return ServerResponseInvalidError(text)
     if reply.reason.startswith("relay_"):
         return RelayLostError(text)
     return ServerResponseLimitError(reply.reason, text)
--- a/packages/router/laburnumpier_router/response_end.py
+++ b/packages/router/laburnumpier_router/response_end.py
@@ -10,8 +10,7 @@
 from typing import Any
 
 import aiohttp
-
-from .ports.bounded_http import BoundedResponseHandler
+from laburnumpier_core.bounded_http import BoundedResponseHandler
 
 RECEIVE_BUFFER_BYTES = 64 * 1024
 """Size that the kernel is asked for as a receive buffer; it takes twice as much."""
--- a/packages/router/laburnumpier_router/sending/sender.py
+++ b/packages/router/laburnumpier_router/sending/sender.py
@@ -8,6 +8,7 @@
 from laburnumpier_core.clock import Clock
 from laburnumpier_core.errors import (
     ServerConnectionLostError,
+    ServerResponseInvalidError,
     ServerResponseLimitError,
     ServerUnreachableError,
 )
@@ -203,6 +204,8 @@
             observer.record_failure()
             server.record_failure()
             server.record_connection_lost(self._clock.monotonic_seconds())
+            if isinstance(error, ServerResponseInvalidError):
+                self._metrics.count("forward.invalid_heads")
             crash_check = None
             if not run.has_begun and not isinstance(error, ServerResponseLimitError):
                 progress.lost_count += 1
