A head with a broken name of a field is no answer

It can happen here: a line that begins with a blank was joined with the line before and passed on; a blank behind Content-Length or Transfer-Encoding, or before them, made the answer end with its connection; a 429 with such a line was believed when it said that nothing ran.

Cause: the parser of the HTTP library is lenient with responses and does not tell a joined line from a sound one.

Change: HeadChecker checks the bytes of each head, interim ones too, before the parser gets them, for all HTTP connections. A relayed head is checked by the router that asked for it.

--- a/features/backend/broken_answers.feature
+++ b/features/backend/broken_answers.feature
@@ -33,3 +33,35 @@
       | 000 OK | platform | writes a key      | WriteOutcomeUnknownError |
       | 000 OK | platform | reads all servers | StoreUnavailableError    |
       | 000 OK | etcd     | writes a key      | WriteOutcomeUnknownError |
+
+  # Guards against a call that is decided by an answer of which a line cannot be read.
+  Scenario Outline: An answer with a broken name of a field is no answer
+    Given a server that <behaviour>
+    When a call <call>
+    Then the call ends with <outcome> within 1.0 seconds
+
+    Examples:
+      | behaviour                                                | call                  | outcome                    |
+      | answers with the line X-A\x20: 1                         | calls it as a service | ServerResponseInvalidError |
+      | answers with the line \x20X-A: 1                         | calls it as a service | ServerResponseInvalidError |
+      | answers with the framing Content-Length\x20: 24          | calls it as a service | ServerResponseInvalidError |
+      | answers with the line \x20X-A: 1                         | sends it an order     | ServerResponseInvalidError |
+      | answers with the refusal 503 Content-Length\x20: 24      | sends it an order     | ServerResponseInvalidError |
+      | streams with the line \x20X-A: 1                         | starts a run          | ServerResponseInvalidError |
+      | streams with the refusal 503 \x20X-A: 1                  | starts a run          | ServerResponseInvalidError |
+      | streams with the framing Transfer-Encoding\x20: chunked  | starts a run          | ServerResponseInvalidError |
+
+  # Guards against a list, a write or a state that a broken head tells.
+  Scenario Outline: An answer with a broken name of a field is none of a router, a store or the platform
+    Given a server that answers with the <part>
+    When the operators' command asks it for its state
+    Then the command ends as one that did not reach the router
+    When the client of the <store> store <call>
+    Then the call ends with <outcome> within 1.5 seconds
+
+    Examples:
+      | part                                | store    | call           | outcome                  |
+      | framing Content-Length\x20: 24      | VM-list  | reads the list | StoreUnavailableError    |
+      | line \x20X-A: 1                     | VM-list  | reads the list | StoreUnavailableError    |
+      | refusal 409 Content-Length\x20: 24  | platform | writes a key   | WriteOutcomeUnknownError |
+      | refusal 503 \x20X-A: 1              | platform | writes a key   | WriteOutcomeUnknownError |
--- a/features/forward/broken_answers.feature
+++ b/features/forward/broken_answers.feature
@@ -29,3 +29,58 @@
       | 299 Unusual    | 299    |
       | 200            | 200    |
       | 200 \xd6k\x21  | 200    |
+
+  # Guards against a field that is passed on, or that says where the body ends, with a broken name.
+  Scenario Outline: An answer with a field whose name is none is no answer
+    Given a router process and <count> servers
+    When callers send a request of each kind, answered with the <answer>
+    Then each of them ran once at each server that it may go to, and got 502 of the router
+
+    Examples: Names
+      | answer                             | count |
+      | line X A: 1                        | 1     |
+      | line X-A\x20: 1                    | 1     |
+      | line X-A\x09: 1                    | 1     |
+      | line X\x01A: 1                     | 1     |
+      | line X\x00A: 1                     | 1     |
+      | line X\x7fA: 1                     | 1     |
+      | line \x20X-A: 1                    | 1     |
+      | line X-A: 1\r\n\x09X-B: 2          | 2     |
+      | first \x20X-A: 1                   | 1     |
+      | interim X A: 1                     | 1     |
+      | interim Content-Length\x20: 1      | 1     |
+      | interim \x20X-A: 1                 | 1     |
+
+    Examples: Names of fields that say where the body ends
+      | answer                             | count |
+      | framing Content-Length\x20: 24     | 2     |
+      | framing Content-Length\x09: 24     | 1     |
+      | framing Content-Length\x01: 24     | 1     |
+      | framing \x20Content-Length: 24     | 1     |
+      | framing Transfer-Encoding\x20: chunked | 2 |
+      | framing \x20Transfer-Encoding: chunked | 1 |
+
+    Examples: Refusals, which promise nothing
+      | answer                             | count |
+      | refusal 503 X A: 1                 | 1     |
+      | refusal 503 Content-Length\x20: 24 | 2     |
+      | refusal 421 Content-Length\x20: 24 | 1     |
+      | refusal 429 \x20X-A: 1             | 1     |
+      | refusal 408 X\x01A: 1              | 1     |
+
+  # Guards against a valid answer that is not passed on since it is unusual.
+  Scenario Outline: An answer with unusual fields is passed on
+    Given a router process and 1 servers
+    When callers send a request of each kind, answered with the <answer>
+    Then each of them got the answer of the server, with the status 200
+
+    Examples:
+      | answer                             |
+      | line X-A: \xe9\xff                 |
+      | line x!#$%&'*+-.^_`~1:a            |
+      | line X-A:                          |
+      | line X-A: a\x09b                   |
+      | interim X-A: 1                     |
+      | framing Transfer-Encoding: Chunked |
+      | framing TRANSFER-ENCODING:\x09chunked\x20 |
+      | trailer X-A: 1                     |
--- a/features/relay/answers.feature
+++ b/features/relay/answers.feature
@@ -63,6 +63,12 @@
       | answers with the status 000 OK  |
       | streams with the status 000 OK  |
       | answers with the status 600 Odd |
+      | answers with the line X A: 1    |
+      | answers with the line \x20X-A: 1 |
+      | streams with the line X-A\x20: 1 |
+      | answers with the framing Content-Length\x20: 24 |
+      | streams with the framing Transfer-Encoding\x20: chunked |
+      | answers with the refusal 503 Content-Length\x20: 24 |
 
   # Guards against a router of an earlier release that passes on what its servers send.
   Scenario Outline: A relayed head is checked by the router that asked for it
@@ -75,6 +81,8 @@
       | the status 0   |
       | the status 99  |
       | the status 600 |
+      | the line X A: 1 |
+      | the line X\x01A: 1 |
 
   # Guards against messages that are larger than the transport takes.
   Scenario: A request body of 4 MiB
--- a/packages/core/laburnumpier_core/bounded_http.py
+++ b/packages/core/laburnumpier_core/bounded_http.py
@@ -13,7 +13,7 @@
 
 from .errors import InvalidHeadError
 from .log import get_part_logger
-from .response_head import check_status
+from .response_head import HeadChecker
 
 MAX_HEAD_BYTES = 64 * 1024
 """Size of a response head with all interim (1xx) heads before it."""
@@ -59,11 +59,13 @@
         """Creates the handler of one connection."""
         super().__init__(loop)
         self._received_bytes = 0
+        self._head_checker = HeadChecker()
         self._response_body: aiohttp.StreamReader | None = None
 
     def set_response_params(self, **params) -> None:
         """Prepares for the response to the next request."""
         self._received_bytes = 0
+        self._head_checker = HeadChecker()
         self._response_body = None
         super().set_response_params(**params)
 
@@ -75,11 +77,6 @@
         if self._response_body is not None:
             self._should_close = True
             return
-        try:
-            check_status(message.code)
-        except InvalidHeadError as error:
-            self._reject_head(error)
-            return
         if message.code == SWITCHING_PROTOCOLS_STATUS:
             self._fail(aiohttp.ClientPayloadError("the server switched protocols unasked"))
             return
@@ -102,6 +99,12 @@
                 return
             piece = data[start : start + PIECE_BYTES]
             self._received_bytes += len(piece)
+            # The parser does not tell all of a head: it joins lines, and leaves some out.
+            try:
+                self._head_checker.feed(piece)
+            except InvalidHeadError as error:
+                self._reject_head(error)
+                return
             super().data_received(piece)
             self._check_limits()
 
--- a/packages/core/laburnumpier_core/response_head.py
+++ b/packages/core/laburnumpier_core/response_head.py
@@ -4,10 +4,67 @@
 believed. HTTP libraries accept heads that they can make sense of, and differ in which.
 """
 
+import re
+from collections.abc import Iterable
+
 from .errors import InvalidHeadError
 
 MIN_STATUS = 100
 MAX_STATUS = 599
+MIN_FINAL_STATUS = 200
+MAX_HEAD_END_BYTES = 4
+_HEAD_END = re.compile(rb"\r?\n\r?\n")
+_STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] (?P<status>[0-9]{3})(?: [^\x00\r]*)?")
+_FIELD_LINE = re.compile(rb"(?P<name>[^:]*):(?P<value>.*)", re.DOTALL)
+_TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+"""A field's name has no blanks and no control bytes."""
+_FORBIDDEN_IN_VALUE = re.compile(rb"[\x00\r\n]")
+_BLANKS = b" \t"
+
+
+class HeadChecker:
+    """Checks the heads of one response as its bytes arrive: interim ones and the final one."""
+
+    __slots__ = ("_has_final_head", "_received")
+
+    def __init__(self):
+        """Creates a checker that has received nothing."""
+        self._received = bytearray()
+        self._has_final_head = False
+
+    def feed(self, data: bytes) -> None:
+        """Adds bytes and checks each head that is whole now; bytes of a body are passed over.
+
+        Raises:
+            InvalidHeadError: If a head breaks the protocol.
+        """
+        while data and not self._has_final_head:
+            # Parsers pass over empty lines before a response.
+            searched = max(0, len(self._received) - MAX_HEAD_END_BYTES)
+            self._received += data if self._received else data.lstrip(b"\r\n")
+            end = _HEAD_END.search(self._received, searched)
+            if end is None:
+                return
+            status = check_head(bytes(self._received[: end.start()]))
+            data = bytes(self._received[end.end() :])
+            self._received.clear()
+            self._has_final_head = status >= MIN_FINAL_STATUS
+
+
+def check_head(head: bytes) -> int:
+    """Checks a head as it was received, without its empty line, and returns its status.
+
+    Raises:
+        InvalidHeadError: If it breaks the protocol.
+    """
+    status_line, *lines = (line.removesuffix(b"\r") for line in head.split(b"\n"))
+    match = _STATUS_LINE.fullmatch(status_line)
+    if match is None:
+        raise InvalidHeadError(f"status line {_shorten(status_line)}")
+    status = int(match["status"])
+    check_status(status)
+    check_fields([_split_field(line) for line in lines])
+    return status
 
 
 def check_status(status: int) -> None:
@@ -21,3 +78,35 @@
     """
     if not MIN_STATUS <= status <= MAX_STATUS:
         raise InvalidHeadError(f"status {status:03}")
+
+
+def check_fields(fields: Iterable[tuple[bytes, bytes]]) -> None:
+    """Checks the names and values of fields.
+
+    Args:
+        fields: Name and value of each header line.
+
+    Raises:
+        InvalidHeadError: If one breaks the protocol.
+    """
+    for name, value in fields:
+        if not _TOKEN.fullmatch(name):
+            raise InvalidHeadError(f"field name {_shorten(name)}")
+        if _FORBIDDEN_IN_VALUE.search(value):
+            raise InvalidHeadError(f"value of {_shorten(name)}")
+
+
+def _split_field(line: bytes) -> tuple[bytes, bytes]:
+    """Returns name and value of a header line; one that goes on with the line before has neither.
+
+    Raises:
+        InvalidHeadError: If it has no colon.
+    """
+    match = _FIELD_LINE.fullmatch(line)
+    if match is None:
+        raise InvalidHeadError(f"header line {_shorten(line)}")
+    return match["name"], match["value"].strip(_BLANKS)
+
+
+def _shorten(text: bytes) -> str:
+    return repr(text[:60])
--- a/packages/router/laburnumpier_router/relay/relayed_exchange.py
+++ b/packages/router/laburnumpier_router/relay/relayed_exchange.py
@@ -13,7 +13,7 @@
     ServerResponseInvalidError,
     ServerResponseLimitError,
 )
-from laburnumpier_core.response_head import check_status
+from laburnumpier_core.response_head import check_fields, check_status
 from multidict import CIMultiDictProxy
 
 from ..forward.response_limits import MAX_BODY_BYTES
@@ -77,6 +77,7 @@
         try:
             # A router of an earlier release passes on what its servers send.
             check_status(head.status)
+            check_fields(head.headers)
         except InvalidHeadError as error:
             raise ServerResponseInvalidError(str(error)) from error
         try:
