A head that does not tell where the body ends is no answer

Callers got bytes of the framing as the body: an answer with an unknown transfer coding was passed on up to the end of its connection, one with two codings without the line that says so.

Cause: what is not understood counted as absent, and routers leave out the lines that concern one connection.

Change: HeadChecker takes no transfer coding but chunked, which is the only one that requests allow, none in HTTP/1.0, no length beside it, and no length but digits. The same for relayed heads.

Evidence: six of the nine new examples of features/forward/broken_answers.feature failed on with real processes, all pass now. The other three (two lengths in one, a sign, a length beside chunks) were refused before. features/forward/open_ends.feature passes unchanged.

--- a/features/backend/broken_answers.feature
+++ b/features/backend/broken_answers.feature
@@ -45,6 +45,7 @@
       | answers with the line X-A\x20: 1                         | calls it as a service | ServerResponseInvalidError |
       | answers with the line \x20X-A: 1                         | calls it as a service | ServerResponseInvalidError |
       | answers with the framing Content-Length\x20: 24          | calls it as a service | ServerResponseInvalidError |
+      | answers with the framing Transfer-Encoding: xchunked     | calls it as a service | ServerResponseInvalidError |
       | answers with the line \x20X-A: 1                         | sends it an order     | ServerResponseInvalidError |
       | answers with the refusal 503 Content-Length\x20: 24      | sends it an order     | ServerResponseInvalidError |
       | streams with the line \x20X-A: 1                         | starts a run          | ServerResponseInvalidError |
--- a/features/forward/broken_answers.feature
+++ b/features/forward/broken_answers.feature
@@ -68,6 +68,24 @@
       | refusal 429 \x20X-A: 1             | 1     |
       | refusal 408 X\x01A: 1              | 1     |
 
+  # Guards against bytes of the framing that reach a caller as the body.
+  Scenario Outline: An answer whose head does not tell where its body ends is no answer
+    Given a router process and 1 servers
+    When callers send a request of each kind, answered with the framing <line>
+    Then each of them ran once at each server that it may go to, and got 502 of the router
+
+    Examples:
+      | line                                            |
+      | Transfer-Encoding: xchunked                     |
+      | Transfer-Encoding: chunked, gzip                |
+      | Transfer-Encoding: gzip, chunked                |
+      | Transfer-Encoding: \x0bchunked                  |
+      | Transfer-Encoding: chunked;a=b                  |
+      | Transfer-Encoding:                              |
+      | Transfer-Encoding: chunked\r\nContent-Length: 5 |
+      | Content-Length: 2 4                             |
+      | Content-Length: +24                             |
+
   # Guards against a valid answer that is not passed on since it is unusual.
   Scenario Outline: An answer with unusual fields is passed on
     Given a router process and 1 servers
--- a/features/relay/answers.feature
+++ b/features/relay/answers.feature
@@ -68,6 +68,7 @@
       | streams with the line X-A\x20: 1 |
       | answers with the framing Content-Length\x20: 24 |
       | streams with the framing Transfer-Encoding\x20: chunked |
+      | answers with the framing Transfer-Encoding: xchunked |
       | answers with the refusal 503 Content-Length\x20: 24 |
 
   # Guards against a router of an earlier release that passes on what its servers send.
@@ -83,6 +84,7 @@
       | the status 600 |
       | the line X A: 1 |
       | the line X\x01A: 1 |
+      | the line Transfer-Encoding: gzip |
 
   # Guards against messages that are larger than the transport takes.
   Scenario: A request body of 4 MiB
--- a/packages/core/laburnumpier_core/response_head.py
+++ b/packages/core/laburnumpier_core/response_head.py
@@ -14,11 +14,12 @@
 MIN_FINAL_STATUS = 200
 MAX_HEAD_END_BYTES = 4
 _HEAD_END = re.compile(rb"\r?\n\r?\n")
-_STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] (?P<status>[0-9]{3})(?: [^\x00\r]*)?")
+_STATUS_LINE = re.compile(rb"HTTP/1\.(?P<minor>[0-9]) (?P<status>[0-9]{3})(?: [^\x00\r]*)?")
 _FIELD_LINE = re.compile(rb"(?P<name>[^:]*):(?P<value>.*)", re.DOTALL)
 _TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 """A field's name has no blanks and no control bytes."""
 _FORBIDDEN_IN_VALUE = re.compile(rb"[\x00\r\n]")
+_LENGTH = re.compile(rb"[0-9]+")
 _BLANKS = b" \t"
 
 
@@ -63,7 +64,10 @@
         raise InvalidHeadError(f"status line {_shorten(status_line)}")
     status = int(match["status"])
     check_status(status)
-    check_fields([_split_field(line) for line in lines])
+    fields = [_split_field(line) for line in lines]
+    check_fields(fields)
+    if match["minor"] == b"0" and _list_values(fields, b"transfer-encoding"):
+        raise InvalidHeadError("a transfer coding in a response of HTTP/1.0")
     return status
 
 
@@ -81,19 +85,36 @@
 
 
 def check_fields(fields: Iterable[tuple[bytes, bytes]]) -> None:
-    """Checks the names and values of fields.
+    """Checks the names and values of fields, and what they say of the end of the body.
 
     Args:
         fields: Name and value of each header line.
 
     Raises:
-        InvalidHeadError: If one breaks the protocol.
+        InvalidHeadError: If one is none, or if the end of the body is not clear.
     """
+    fields = list(fields)
     for name, value in fields:
         if not _TOKEN.fullmatch(name):
             raise InvalidHeadError(f"field name {_shorten(name)}")
         if _FORBIDDEN_IN_VALUE.search(value):
             raise InvalidHeadError(f"value of {_shorten(name)}")
+    _check_framing(fields)
+
+
+def _check_framing(fields: list[tuple[bytes, bytes]]) -> None:
+    """Checks that there is one way to find the end of the body.
+
+    Requests name no transfer codings, so that a response may have none but chunked.
+    """
+    codings = _list_values(fields, b"transfer-encoding")
+    lengths = _list_values(fields, b"content-length")
+    if codings and (len(codings) > 1 or codings[0].lower() != b"chunked"):
+        raise InvalidHeadError(f"transfer coding {_shorten(b', '.join(codings))}")
+    if codings and lengths:
+        raise InvalidHeadError("a length beside a transfer coding")
+    if len(set(lengths)) > 1 or not all(map(_LENGTH.fullmatch, lengths)):
+        raise InvalidHeadError(f"length {_shorten(b', '.join(lengths))}")
 
 
 def _split_field(line: bytes) -> tuple[bytes, bytes]:
@@ -108,5 +129,10 @@
     return match["name"], match["value"].strip(_BLANKS)
 
 
+def _list_values(fields: list[tuple[bytes, bytes]], name: bytes) -> list[bytes]:
+    """Returns the values of all fields with a name, given in lower case."""
+    return [value.strip(_BLANKS) for found, value in fields if found.lower() == name]
+
+
 def _shorten(text: bytes) -> str:
     return repr(text[:60])
