A chunk that is none ends its answer at once

Callers waited until the deadline and got 504, or 500 "unexpected error", when a server sent a chunk size that is no number behind a sound head; requests that may be repeated were not sent elsewhere.

Cause: the HTTP library forgets the body when its parser fails within it, so that nobody who reads the body is told.

Change: the handler of a connection fails the body of its response whenever the connection fails, for all HTTP connections.

--- a/features/forward/broken_answers.feature
+++ b/features/forward/broken_answers.feature
@@ -102,3 +102,17 @@
       | framing Transfer-Encoding: Chunked |
       | framing TRANSFER-ENCODING:\x09chunked\x20 |
       | trailer X-A: 1                     |
+
+  # Guards against a request that ends with 500, or waits, as nobody is told of a broken chunk.
+  Scenario Outline: An answer with a chunk that is none is no answer
+    Given a router process and 1 servers
+    When callers send a request of each kind, answered with the chunk <line>
+    Then each of them ran once at each server that it may go to, and got 502 of the router
+    And each of them took at most 1.5 seconds
+
+    Examples:
+      | line                |
+      | zz                  |
+      | -5                  |
+      | fffffffffffffffffff |
+      | 2                   |
--- a/features/steps/broken_answer_steps.py
+++ b/features/steps/broken_answer_steps.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import signal
+import time
 
 from answer_end_steps import REPEATABLE_KINDS, KindOutcome, send_raw
 from behave import given, then, when
@@ -81,17 +83,57 @@
 @when("callers send a request of each kind, answered with the {described}")
 def send_described(context, described):
     """Sends one request of each kind; requests of streams are answered with streams."""
-    context.outcomes = {}
+    context.outcomes, context.seconds = {}, {}
     for number, kind in enumerate(KINDS):
         verb = "streams" if "stream" in kind else "answers"
         for server in context.servers:
             server.behaviour = f"{verb} with the {described}"
             server.runs = 0
+        started_seconds = time.monotonic()
         answer = run(context, send_kind(context, kind, attempt=f"a{number}"))
+        context.seconds[kind] = time.monotonic() - started_seconds
         runs = [server.runs for server in context.servers]
         context.outcomes[kind] = KindOutcome(answer=answer, runs=runs)
 
 
+@when("a caller sends a {kind} request with {size:d} bytes and the server {behaviour}")
+def send_upload(context, kind, size, behaviour):
+    context.servers[0].behaviour = behaviour
+    context.answer = run(context, send_kind(context, kind, bytes(size)))
+
+
+@when(
+    "a caller sends a {kind} request with {size:d} bytes, and the process is frozen while "
+    "its server {behaviour}"
+)
+def send_while_frozen(context, kind, size, behaviour):
+    server = context.servers[0]
+    server.behaviour = f"{behaviour} when it is told"
+
+    async def play():
+        sending = asyncio.create_task(send_kind(context, kind, bytes(size)))
+        async with asyncio.timeout(ANSWER_SECONDS):
+            while not server.runs:
+                await asyncio.sleep(0.01)
+        # The router waits for the answer, and the whole request has arrived.
+        await asyncio.sleep(0.1)
+        context.process.send_signal(signal.SIGSTOP)
+        server.break_off()
+        await asyncio.sleep(0.2)
+        context.process.send_signal(signal.SIGCONT)
+        return await sending
+
+    context.answer = run(context, play())
+
+
+@then("the caller has no answer that looks complete, and its request ran once")
+def check_incomplete(context):
+    answer = context.answer
+    is_broken_off = answer.end in ("reset", "framed and incomplete")
+    assert answer.status == 502 or is_broken_off, answer
+    assert sum(server.runs for server in context.servers) == 1, context.servers
+
+
 @then("each of them ran once at each server that it may go to, and got 502 of the router")
 def check_lost(context):
     for kind, outcome in context.outcomes.items():
@@ -132,3 +174,8 @@
 def check_not_reached(context):
     assert isinstance(context.outcome, CommandError), context.outcome
     assert context.outcome.exit_code is ExitCode.UNREACHABLE, context.outcome
+
+
+@then("each of them took at most {seconds:f} seconds")
+def check_seconds(context, seconds):
+    assert max(context.seconds.values()) <= seconds, context.seconds
--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -13,6 +13,7 @@
 EVENTS = {n: b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6)}
 SLOW_EVENT_SECONDS = 0.06
 LONG_EVENT_SECONDS = 0.4
+BODY_PAUSE_SECONDS = 0.02
 BYTE_INTERVAL_SECONDS = 0.2
 LARGE_EVENT = b"id: 1\ndata: " + b"x" * 60_000 + b"\n\n"
 RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Server-Signature: sig\r\n"
@@ -90,7 +91,7 @@
             _reset_connection(writer)
 
     def break_off(self) -> None:
-        """Resets the connections of the behaviour `streams until told to break off`."""
+        """Resets the connections of the behaviours that wait until they are told."""
         self._told_to_break_off.set()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -148,7 +149,10 @@
             return
         described = make_described_answer(self.behaviour, attempt_id)
         if described is not None:
-            await self._send(writer, described)
+            described_head, separator, described_body = described.partition(b"\r\n\r\n")
+            await self._send(writer, described_head + separator)
+            await asyncio.sleep(BODY_PAUSE_SECONDS)
+            await self._send(writer, described_body)
             return
         match self.behaviour:
             case "answers" | "answers before it has read the body":
@@ -170,6 +174,19 @@
             case "answers and resets before it has read the body":
                 await self._send(writer, head + b"\r\nhel")
                 _reset_connection(writer)
+            case "answers, ends and resets before it has read the body":
+                await self._send(writer, head + b"\r\nhel")
+                writer.write_eof()
+                await asyncio.sleep(0.02)
+                _reset_connection(writer)
+            case "answers and resets when it is told":
+                await self._told_to_break_off.wait()
+                await self._send(writer, head + b"\r\nhel")
+                _reset_connection(writer)
+            case "streams and resets when it is told":
+                await self._told_to_break_off.wait()
+                await self._send(writer, stream_head + b"\r\n" + b"".join(events[:2]))
+                _reset_connection(writer)
             case "fails":
                 error = b"HTTP/1.1 500 X\r\nX-Attempt-Id: %b\r\nContent-Length: 0\r\n\r\n"
                 await self._send(writer, error % attempt_id)
--- a/packages/core/laburnumpier_core/bounded_http.py
+++ b/packages/core/laburnumpier_core/bounded_http.py
@@ -69,6 +69,14 @@
         self._response_body = None
         super().set_response_params(**params)
 
+    def set_exception(self, exc: BaseException, *cause: BaseException) -> None:
+        """Fails what reads the response; its body too, which the parser may have let go of."""
+        super().set_exception(exc, *cause)
+        body = self._response_body
+        if body is not None and not body.is_eof() and body.exception() is None:
+            is_known = isinstance(exc, aiohttp.ClientError)
+            body.set_exception(exc if is_known else aiohttp.ClientPayloadError(repr(exc)))
+
     def feed_data(self, data, size: int = 0) -> None:
         """Queues a response head; whatever follows the first final one belongs to no request."""
         message, body = data
