Answers of servers share an account of the memory

Cause: each answer is limited, their sum was not, but for bodies above 64 KiB.

Change: ServerMemory, a tenth of the VM's memory, counts heads, unread bytes, bodies and events that are not whole, of all engines and services. Those that held most for longest give way and count as lost. Buffers of a connection are smaller, a response has at most 64 interim heads, and the parts of a failed body are dropped at once, which a cycle of references had kept.

--- a/features/steps/broken_answer_steps.py
+++ b/features/steps/broken_answer_steps.py
@@ -51,7 +51,7 @@
 
 
 @given("a router process and {count:d} servers")
-def start_with_servers(context, count):
+def start_with_servers(context, count, vm_limits=None):
     context.servers = [ScriptedServer("answers") for _ in range(count)]
     start_router_process(
         context,
@@ -59,6 +59,7 @@
         early_sighup=False,
         backend=context.servers[0],
         configuration=make_configuration(),
+        vm_limits=vm_limits,
     )
 
     async def add(server, number):
--- a/features/steps/crowd.py
+++ b/features/steps/crowd.py
@@ -131,15 +131,17 @@
         peak_descriptors: Largest number of open descriptors.
     """
 
-    def __init__(self, *, pid: int, ports: list[int]):
+    def __init__(self, *, pid: int, ports: list[int], server_ports: list[int] | None = None):
         """Creates a watch without samples.
 
         Args:
             pid: Id of the process.
             ports: Ports on which it listens.
+            server_ports: Ports of servers to which only this process connects.
         """
         self._pid = pid
         self._ports = {f"{port:04X}" for port in ports}
+        self._server_ports = {f"{port:04X}" for port in server_ports or []}
         self.peak_bytes = 0
         self.peak_descriptors = 0
 
@@ -178,7 +180,9 @@
         for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
             fields = line.split()
             port = fields[1].partition(":")[2]
-            if port in self._ports and fields[3] in ESTABLISHED_STATES:
+            remote_port = fields[2].partition(":")[2]
+            is_own = port in self._ports or remote_port in self._server_ports
+            if is_own and fields[3] in ESTABLISHED_STATES:
                 total += int(fields[4].partition(":")[2], 16)
         return total
 
--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -157,6 +157,8 @@
         match self.behaviour:
             case "answers" | "answers before it has read the body":
                 await self._send(writer, response)
+            case "answers with 256 KiB":
+                await self._send(writer, head + _frame_by_length(b"x" * 256 * 1024))
             case "answers twice":
                 await self._send(writer, response + response)
             case "answers in chunks":
@@ -462,6 +464,8 @@
             return start + b"\r\n", itertools.repeat(text)
         case "sends interim heads without end":
             return b"", itertools.repeat(b"HTTP/1.1 103 X\r\n\r\n" * 2048)
+        case "sends zero bytes without end":
+            return b"", itertools.repeat(bytes(ENDLESS_BLOCK_BYTES))
         case "sends header lines without end":
             return head, itertools.repeat(b"X-Other: x\r\n" * 4096)
         case "sends lines without end":
--- a/packages/core/laburnumpier_core/bounded_http.py
+++ b/packages/core/laburnumpier_core/bounded_http.py
@@ -11,7 +11,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
-from .errors import InvalidHeadError
+from .errors import InvalidHeadError, TooManyHeadsError
 from .log import get_part_logger
 from .response_head import HeadChecker
 
@@ -113,6 +113,9 @@
             except InvalidHeadError as error:
                 self._reject_head(error)
                 return
+            except TooManyHeadsError:
+                self._fail(ResponseLimitError("head_too_large", MAX_HEAD_BYTES))
+                return
             super().data_received(piece)
             self._check_limits()
 
@@ -177,19 +180,36 @@
         ResponseLimitError: If it is larger than a limit; its connection is closed.
         aiohttp.ClientError: If it ends early.
     """
-    body = bytearray()
+    blocks: list[bytes] = []
     try:
-        _check_body_size(response.content_length or 0, max_bytes)
-        while block := await response.content.readany():
-            size_bytes = len(body) + len(block)
-            _check_body_size(size_bytes, max_bytes)
-            if reserve is not None:
-                reserve(size_bytes)
-            body += block
+        await _read_blocks(response, max_bytes, reserve, blocks)
+        return b"".join(blocks)
     except ResponseLimitError:
         response.close()
         raise
-    return bytes(body)
+    finally:
+        # The error of a response refers to this frame, and the response to its error.
+        blocks.clear()
+
+
+async def _read_blocks(
+    response: aiohttp.ClientResponse,
+    max_bytes: int,
+    reserve: Callable[[int], None] | None,
+    blocks: list[bytes],
+) -> None:
+    """Appends the body of a response to a list; see `read_body`.
+
+    One buffer that grows would be moved by the allocator again and again.
+    """
+    size_bytes = 0
+    _check_body_size(response.content_length or 0, max_bytes)
+    while block := await response.content.readany():
+        size_bytes += len(block)
+        _check_body_size(size_bytes, max_bytes)
+        if reserve is not None:
+            reserve(size_bytes)
+        blocks.append(block)
 
 
 def _check_body_size(size_bytes: int, max_bytes: int) -> None:
--- a/packages/core/laburnumpier_core/errors.py
+++ b/packages/core/laburnumpier_core/errors.py
@@ -61,6 +61,10 @@
     """The head of an HTTP response breaks the protocol."""
 
 
+class TooManyHeadsError(LaburnumpierError):
+    """An HTTP response has too many interim heads before its final one."""
+
+
 class UnreadableDataError(LaburnumpierError):
     """Bytes that another process wrote cannot be decoded."""
 
--- a/packages/core/laburnumpier_core/response_head.py
+++ b/packages/core/laburnumpier_core/response_head.py
@@ -7,12 +7,13 @@
 import re
 from collections.abc import Iterable
 
-from .errors import InvalidHeadError
+from .errors import InvalidHeadError, TooManyHeadsError
 
 MIN_STATUS = 100
 MAX_STATUS = 599
 MIN_FINAL_STATUS = 200
 MAX_HEAD_END_BYTES = 4
+MAX_INTERIM_HEADS = 64
 _HEAD_END = re.compile(rb"\r?\n\r?\n")
 _STATUS_LINE = re.compile(rb"HTTP/1\.(?P<minor>[0-9]) (?P<status>[0-9]{3})(?: [^\x00\r]*)?")
 _FIELD_LINE = re.compile(rb"(?P<name>[^:]*):(?P<value>.*)", re.DOTALL)
@@ -26,18 +27,25 @@
 class HeadChecker:
     """Checks the heads of one response as its bytes arrive: interim ones and the final one."""
 
-    __slots__ = ("_has_final_head", "_received")
+    __slots__ = ("_has_final_head", "_interim_count", "_received")
 
     def __init__(self):
         """Creates a checker that has received nothing."""
         self._received = bytearray()
+        self._interim_count = 0
         self._has_final_head = False
 
+    @property
+    def unchecked_bytes(self) -> int:
+        """Size of a head that is not whole."""
+        return len(self._received)
+
     def feed(self, data: bytes) -> None:
         """Adds bytes and checks each head that is whole now; bytes of a body are passed over.
 
         Raises:
             InvalidHeadError: If a head breaks the protocol.
+            TooManyHeadsError: If there are more interim heads than a server has reason to send.
         """
         while data and not self._has_final_head:
             # Parsers pass over empty lines before a response.
@@ -50,6 +58,9 @@
             data = bytes(self._received[end.end() :])
             self._received.clear()
             self._has_final_head = status >= MIN_FINAL_STATUS
+            self._interim_count += not self._has_final_head
+            if self._interim_count > MAX_INTERIM_HEADS:
+                raise TooManyHeadsError(f"more than {MAX_INTERIM_HEADS} interim heads")
 
 
 def check_head(head: bytes) -> int:
--- a/packages/router/laburnumpier_router/backend/http_clients.py
+++ b/packages/router/laburnumpier_router/backend/http_clients.py
@@ -22,6 +22,7 @@
     BodyReservation,
     make_lost_error,
 )
+from ..ports.server_memory import ServerMemory, make_server_memory
 from ..response_end import get_end_marker, make_server_session
 from .engine_port import (
     EngineCall,
@@ -50,14 +51,16 @@
     of one would be taken for the answer to the next call on its connection.
     """
 
-    __slots__ = ("_session", "_stall_seconds")
+    __slots__ = ("_server_memory", "_session", "_stall_seconds")
 
-    def __init__(self, *, stall_seconds: float):
+    def __init__(self, *, stall_seconds: float, server_memory: ServerMemory | None = None):
         """Creates a client that connects on first use.
 
         Args:
             stall_seconds: Maximum time between reads before a stream counts as failed.
+            server_memory: Account of what servers' answers hold; by default one of its own.
         """
+        self._server_memory = server_memory or make_server_memory(0)
         self._stall_seconds = stall_seconds
         self._session: aiohttp.ClientSession | None = None
 
@@ -161,7 +164,7 @@
 
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            self._session = make_server_session()
+            self._session = make_server_session(self._server_memory)
         return self._session
 
     async def _post(self, url: str, body: dict[str, Any]) -> dict[str, Any]:
@@ -222,14 +225,18 @@
     is therefore sent only on a connection that was just accepted.
     """
 
-    __slots__ = ("_body_memory", "_session")
+    __slots__ = ("_body_memory", "_server_memory", "_session")
 
-    def __init__(self, *, memory: CallerMemory | None = None):
+    def __init__(
+        self, *, memory: CallerMemory | None = None, server_memory: ServerMemory | None = None
+    ):
         """Creates a client without connections.
 
         Args:
             memory: Account of what callers make the process hold; by default one of its own.
+            server_memory: The same of servers' answers.
         """
+        self._server_memory = server_memory or make_server_memory(0)
         self._body_memory = BodyMemory(callers=memory)
         self._session: aiohttp.ClientSession | None = None
 
@@ -241,7 +248,7 @@
             ServerConnectionLostError: If the outcome is unknown.
         """
         if self._session is None:
-            self._session = make_server_session()
+            self._session = make_server_session(self._server_memory)
         target = f"{url}/{call.path}" + (f"?{call.query}" if call.query else "")
         timeout = aiohttp.ClientTimeout(
             total=timeout_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS
@@ -258,7 +265,13 @@
             ) as response:
                 has_explicit_end = get_end_marker(response).is_explicit
                 handler = response.connection.protocol if response.connection else None
-                body = await read_body(response, MAX_SERVICE_BODY_BYTES, reservation.grow)
+
+                def reserve(size_bytes: int) -> None:
+                    reservation.grow(size_bytes)
+                    if handler is not None:
+                        handler.keep(size_bytes)
+
+                body = await read_body(response, MAX_SERVICE_BODY_BYTES, reserve)
                 if not has_explicit_end and getattr(handler, "was_reset", False):
                     raise ServerConnectionLostError(
                         "the connection was reset during a response without a length"
--- a/packages/router/laburnumpier_router/forward/event_stream.py
+++ b/packages/router/laburnumpier_router/forward/event_stream.py
@@ -64,6 +64,10 @@
         """Whether an incomplete event is buffered."""
         return bool(self._buffer)
 
+    def count_partial_bytes(self) -> int:
+        """Returns the size of the incomplete event that is buffered."""
+        return len(self._buffer)
+
     def discard_partial_event(self) -> None:
         """Discards the incomplete event of an interrupted stream; another server may go on."""
         self.has_event_due = self.has_event_due or _has_fields(self._buffer)
--- a/packages/router/laburnumpier_router/forward/exchange.py
+++ b/packages/router/laburnumpier_router/forward/exchange.py
@@ -43,6 +43,8 @@
         connect_timeout_seconds: Timeout for connecting.
         report_stranded: Called once if the call turns out to have been sent while this router was
             cut off from the servers, so that no server works on it. None if nobody needs to know.
+        count_kept: Returns how many bytes of the response its receiver keeps, such as a part of
+            an event; None if it keeps none.
     """
 
     method: str
@@ -54,6 +56,7 @@
     remaining_seconds: float = math.inf
     connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS
     report_stranded: Callable[[], None] | None = None
+    count_kept: Callable[[], int] | None = None
 
 
 class ServerExchange(Protocol):
--- a/packages/router/laburnumpier_router/forward/http_client.py
+++ b/packages/router/laburnumpier_router/forward/http_client.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import aiohttp
 from laburnumpier_core.bounded_http import read_body
@@ -17,6 +17,7 @@
 
 from ..intake.memory import CallerMemory
 from ..ports.response_memory import BodyMemory, BodyReservation, make_lost_error
+from ..ports.server_memory import ServerMemory, make_server_memory
 from ..response_end import EndMarker, get_end_marker, make_server_session
 from .exchange import CONNECT_TIMEOUT_SECONDS, ServerCall
 from .response_limits import MAX_BODY_BYTES
@@ -24,8 +25,8 @@
 ACCEPT_TIMEOUT_SECONDS = 0.2
 """Timeout for finding out whether a server accepts connections; meanwhile an event of the server
 that is to be replaced can wait to be passed on."""
-READ_BUFFER_BYTES = 65536
-"""Size of the buffer for reading a response body."""
+READ_BUFFER_BYTES = 16 * 1024
+"""Size of the buffer for reading a response body; twice as much may be held."""
 
 _log = get_part_logger("forward")
 
@@ -33,14 +34,22 @@
 class HttpServerExchange:
     """A response that is received over HTTP."""
 
-    __slots__ = ("_protocol", "_reservation", "_response")
+    __slots__ = ("_handler", "_reservation", "_response")
 
-    def __init__(self, *, response: aiohttp.ClientResponse, reservation: BodyReservation):
-        """Wraps a response whose head was received."""
+    def __init__(
+        self,
+        *,
+        response: aiohttp.ClientResponse,
+        reservation: BodyReservation,
+        count_kept: Callable[[], int] | None,
+    ):
+        """Wraps a response whose head was received; see `ServerCall` for `count_kept`."""
         self._response = response
         self._reservation = reservation
         connection = response.connection
-        self._protocol = connection.protocol if connection is not None else None
+        self._handler = connection.protocol if connection is not None else None
+        if self._handler is not None:
+            self._handler.count_kept = count_kept
 
     @property
     def status(self) -> int:
@@ -77,16 +86,26 @@
             ServerConnectionLostError: If it ends early.
         """
         try:
-            body = await read_body(self._response, MAX_BODY_BYTES, self._reservation.grow)
+            body = await read_body(self._response, MAX_BODY_BYTES, self._reserve)
         except (aiohttp.ClientError, OSError) as error:
             raise make_lost_error(error) from error
         self._check_not_reset()
         self._reservation.release()
         return body
 
+    def _reserve(self, size_bytes: int) -> None:
+        """Accounts for a body that grows.
+
+        Raises:
+            ResponseLimitError: If there is no memory for it.
+        """
+        self._reservation.grow(size_bytes)
+        if self._handler is not None:
+            self._handler.keep(size_bytes)
+
     def _check_not_reset(self) -> None:
         ends_with_connection = self.end_marker is EndMarker.CLOSE
-        if ends_with_connection and getattr(self._protocol, "was_reset", False):
+        if ends_with_connection and getattr(self._handler, "was_reset", False):
             raise ServerConnectionLostError(
                 "the connection was reset during a response without a length"
             )
@@ -95,15 +114,19 @@
 class HttpServerClient:
     """Sends requests to servers over HTTP/1.1."""
 
-    __slots__ = ("_body_memory", "_session")
+    __slots__ = ("_body_memory", "_server_memory", "_session")
 
-    def __init__(self, *, memory: CallerMemory | None = None):
+    def __init__(
+        self, *, memory: CallerMemory | None = None, server_memory: ServerMemory | None = None
+    ):
         """Creates the client; its session is created at the first request.
 
         Args:
             memory: Account of what callers make the process hold; by default one of its own.
+            server_memory: The same of servers' answers.
         """
         self._body_memory = BodyMemory(callers=memory)
+        self._server_memory = server_memory or make_server_memory(0)
         self._session: aiohttp.ClientSession | None = None
 
     @contextlib.asynccontextmanager
@@ -142,7 +165,9 @@
             joined.release()
         reservation = BodyReservation(memory=self._body_memory)
         try:
-            yield HttpServerExchange(response=response, reservation=reservation)
+            yield HttpServerExchange(
+                response=response, reservation=reservation, count_kept=call.count_kept
+            )
         finally:
             reservation.release()
             response.close()
@@ -174,6 +199,7 @@
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = make_server_session(
+                self._server_memory,
                 cookie_jar=aiohttp.DummyCookieJar(),
                 skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
                 read_bufsize=READ_BUFFER_BYTES,
--- a/packages/router/laburnumpier_router/main.py
+++ b/packages/router/laburnumpier_router/main.py
@@ -40,6 +40,7 @@
 from .intake.server import BoundedAppRunner, bound_server
 from .intake.service import Intake
 from .ports.etcd_service import EtcdKeyValueService
+from .ports.server_memory import make_server_memory
 from .ports.vm_list import HttpVmList
 from .stop_request import StopRequest
 
@@ -151,6 +152,7 @@
         url=settings.store_url, timeout_seconds=settings.store_timeout_seconds, metrics=metrics
     )
     memory = make_caller_memory(settings.memory_mb)
+    server_memory = make_server_memory(settings.memory_mb)
     return Ports(
         store=store,
         evacuations=store,
@@ -160,8 +162,10 @@
             else None
         ),
         network=PynngPeerNetwork(settings=settings),
-        engines=HttpEngineClient(stall_seconds=settings.stall_seconds),
-        services=HttpServiceClient(memory=memory),
+        engines=HttpEngineClient(
+            stall_seconds=settings.stall_seconds, server_memory=server_memory
+        ),
+        services=HttpServiceClient(memory=memory, server_memory=server_memory),
         memory=memory,
     )
 
--- /dev/null
+++ b/packages/router/laburnumpier_router/ports/server_memory.py
@@ -0,0 +1,169 @@
+"""The account of the memory that servers' answers make this process hold.
+
+Each answer is limited by itself, but not what many of them hold together: heads that are not
+whole, bytes that nobody has read, bodies and events that are not whole. If they hold more than
+the account, those give way that have held most for longest without getting anywhere. A server that
+sends without end so makes room for others, and a sound answer moves on.
+"""
+
+import os
+import time
+from collections.abc import Callable, Iterable
+
+from laburnumpier_core.log import get_part_logger
+
+SERVER_SHARE = 0.1
+"""Part of the VM's memory that answers of servers may use, beside what callers may use."""
+LOW_SHARE = 0.75
+"""Part of the account that is used at most after answers gave way."""
+SMALL_BYTES = 16 * 1024
+"""Size up to which an answer does not give way."""
+MAX_UNSTATED_BYTES = 64 * 1024 * 1024
+"""Size of the account if the memory of the VM is not known."""
+BYTES_PER_MEGABYTE = 1_000_000
+
+_log = get_part_logger("http")
+
+
+class ServerMemory:
+    """Sum of what all answers hold, and its limit.
+
+    Attributes:
+        limit_bytes: Size of the account.
+        gave_way_count: Number of answers that gave way.
+    """
+
+    __slots__ = ("_holders", "_used_bytes", "gave_way_count", "limit_bytes")
+
+    def __init__(self, *, limit_bytes: int):
+        """Creates an account of which nothing is used.
+
+        Args:
+            limit_bytes: Size of the account.
+        """
+        self.limit_bytes = limit_bytes
+        self.gave_way_count = 0
+        self._holders: set[AnswerShare] = set()
+        self._used_bytes = 0
+
+    @property
+    def used_bytes(self) -> int:
+        """Sum of what all answers were last known to hold."""
+        return self._used_bytes
+
+    def add(self, share: "AnswerShare") -> None:
+        """Adds a holder."""
+        self._holders.add(share)
+
+    def remove(self, share: "AnswerShare") -> None:
+        """Removes a holder, which holds nothing any more."""
+        self._holders.discard(share)
+
+    def record(self, before_bytes: int, after_bytes: int) -> None:
+        """Records that a holder has another number of bytes than before."""
+        self._used_bytes += after_bytes - before_bytes
+
+    def relieve(self) -> None:
+        """Lets answers give way if the account is overdrawn."""
+        if self._used_bytes <= self.limit_bytes:
+            return
+        # What was read in the meantime is not known yet.
+        for share in self._holders:
+            share.measure()
+        if self._used_bytes <= self.limit_bytes:
+            return
+        count = self._make_room(sorted(self._holders, key=AnswerShare.rank, reverse=True))
+        self.gave_way_count += count
+        fields = {"answers": count, "held_bytes": self._used_bytes, "limit": self.limit_bytes}
+        _log.warning("answers gave way", fields=fields)
+
+    def _make_room(self, shares: Iterable["AnswerShare"]) -> int:
+        """Lets answers give way in their order; returns how many did."""
+        count = 0
+        for share in shares:
+            if self._used_bytes <= LOW_SHARE * self.limit_bytes:
+                break
+            if share.held_bytes > SMALL_BYTES:
+                share.give_way()
+                count += 1
+        return count
+
+
+class AnswerShare:
+    """What one answer holds of the account."""
+
+    __slots__ = (
+        "_began_seconds",
+        "_count_bytes",
+        "_give_way",
+        "_is_released",
+        "_memory",
+        "held_bytes",
+    )
+
+    def __init__(
+        self,
+        *,
+        memory: ServerMemory,
+        count_bytes: Callable[[], int],
+        give_way: Callable[[], None],
+    ):
+        """Creates a share of nothing and adds it to the account.
+
+        Args:
+            memory: The account.
+            count_bytes: Returns how much the answer holds now, in bytes.
+            give_way: Fails the answer and drops what it holds.
+        """
+        self._memory = memory
+        self._count_bytes = count_bytes
+        self._give_way = give_way
+        self._began_seconds = 0.0
+        self._is_released = False
+        self.held_bytes = 0
+        memory.add(self)
+
+    def update(self) -> None:
+        """Measures what the answer holds; answers give way if that is too much."""
+        self.measure()
+        self._memory.relieve()
+
+    def measure(self) -> None:
+        """Records what the answer holds now."""
+        if self._is_released:
+            return
+        held_bytes = self._count_bytes()
+        if self.held_bytes <= SMALL_BYTES < held_bytes:
+            self._began_seconds = time.monotonic()
+        self._memory.record(self.held_bytes, held_bytes)
+        self.held_bytes = held_bytes
+
+    def rank(self) -> tuple[float, int]:
+        """Returns what decides who gives way: bytes times the seconds that they were held."""
+        held_seconds = time.monotonic() - self._began_seconds
+        return self.held_bytes * held_seconds, self.held_bytes
+
+    def give_way(self) -> None:
+        """Fails the answer; nothing of it is held any more."""
+        self.release()
+        self._give_way()
+
+    def release(self) -> None:
+        """Gives the share back for good."""
+        self._is_released = True
+        self._memory.record(self.held_bytes, 0)
+        self.held_bytes = 0
+        self._memory.remove(self)
+
+
+def make_server_memory(memory_mb: float) -> ServerMemory:
+    """Returns the account of a process.
+
+    Args:
+        memory_mb: Memory of the VM in MB; 0 if it is not known. The process may then share that
+            of the machine with others.
+    """
+    if memory_mb:
+        return ServerMemory(limit_bytes=round(SERVER_SHARE * memory_mb * BYTES_PER_MEGABYTE))
+    machine_bytes = os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
+    return ServerMemory(limit_bytes=min(round(SERVER_SHARE * machine_bytes), MAX_UNSTATED_BYTES))
--- a/packages/router/laburnumpier_router/response_end.py
+++ b/packages/router/laburnumpier_router/response_end.py
@@ -4,16 +4,22 @@
 well. Whoever passes such a response on must not claim an end that the server did not claim.
 """
 
+import asyncio
 import enum
 import functools
 import socket
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
-from laburnumpier_core.bounded_http import BoundedResponseHandler
+from laburnumpier_core.bounded_http import BoundedResponseHandler, ResponseLimitError
 
-RECEIVE_BUFFER_BYTES = 64 * 1024
+from .ports.server_memory import AnswerShare, ServerMemory
+
+RECEIVE_BUFFER_BYTES = 32 * 1024
 """Size that the kernel is asked for as a receive buffer; it takes twice as much."""
+PAUSED_BYTES = 2 * RECEIVE_BUFFER_BYTES
+"""Bytes that the socket of a paused connection may hold."""
 EMPTY_STATUSES = (204, 304)
 """Statuses of responses that have no body."""
 
@@ -31,24 +37,65 @@
         return self is not EndMarker.CLOSE
 
 
-class ResetAwareResponseHandler(BoundedResponseHandler):
-    """Records whether a connection was reset or closed normally.
+class ServerResponseHandler(BoundedResponseHandler):
+    """Records whether a connection was reset, and accounts for what its answer holds.
 
     aiohttp treats a body without a length as complete even if the connection was reset.
+
+    Attributes:
+        was_reset: Whether the connection ended with an error.
+        kept_bytes: Bytes of the body that its reader has taken and keeps.
+        count_kept: Returns what is kept of the answer beside that; None for nothing.
     """
 
-    was_reset = False
+    def __init__(self, *, loop: asyncio.AbstractEventLoop, memory: ServerMemory):
+        """Creates the handler of one connection.
+
+        Args:
+            loop: The event loop.
+            memory: Account of what servers' answers hold.
+        """
+        super().__init__(loop)
+        self.was_reset = False
+        self.kept_bytes = 0
+        self.count_kept: Callable[[], int] | None = None
+        self._memory = memory
+        self._share = AnswerShare(
+            memory=memory, count_bytes=self._count_held_bytes, give_way=self._give_way
+        )
+
+    def keep(self, size_bytes: int) -> None:
+        """Records how much of the body its reader keeps."""
+        self.kept_bytes = size_bytes
+        self._share.update()
+
+    def data_received(self, data: bytes) -> None:
+        """Parses received bytes and accounts for what is left of them."""
+        super().data_received(data)
+        self._share.update()
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Records whether the connection ended with an error."""
+        """Records whether the connection ended with an error; the answer grows no more."""
         self.was_reset = exc is not None
+        self._share.release()
         super().connection_lost(exc)
 
+    def _count_held_bytes(self) -> int:
+        unread_bytes = getattr(self._response_body, "_size", 0)
+        paused_bytes = PAUSED_BYTES if self._reading_paused else 0
+        kept_bytes = self.kept_bytes + (self.count_kept() if self.count_kept else 0)
+        return self._head_checker.unchecked_bytes + unread_bytes + paused_bytes + kept_bytes
+
+    def _give_way(self) -> None:
+        self._fail(ResponseLimitError("answers_too_large", self._memory.limit_bytes))
 
-def make_reset_aware_connector() -> aiohttp.TCPConnector:
+
+def make_server_connector(memory: ServerMemory) -> aiohttp.TCPConnector:
     """Returns a connector that opens a new connection for each request and notices resets."""
     connector = aiohttp.TCPConnector(limit=0, force_close=True, socket_factory=_make_small_socket)
-    connector._factory = functools.partial(ResetAwareResponseHandler, loop=connector._loop)
+    connector._factory = functools.partial(
+        ServerResponseHandler, loop=connector._loop, memory=memory
+    )
     return connector
 
 
@@ -63,14 +110,15 @@
     return connection
 
 
-def make_server_session(**options: Any) -> aiohttp.ClientSession:
+def make_server_session(memory: ServerMemory, **options: Any) -> aiohttp.ClientSession:
     """Returns a session that sends each request once, on a new connection, and notices resets.
 
     Args:
+        memory: Account of what servers' answers hold.
         options: Further options of the session.
     """
     session = aiohttp.ClientSession(
-        connector=make_reset_aware_connector(), auto_decompress=False, **options
+        connector=make_server_connector(memory), auto_decompress=False, **options
     )
     # aiohttp sends requests with an idempotent method again if their connection is lost. If the
     # second connection is refused, the first request would count as never sent.
--- a/packages/router/laburnumpier_router/sending/sender.py
+++ b/packages/router/laburnumpier_router/sending/sender.py
@@ -206,6 +206,8 @@
             server.record_connection_lost(self._clock.monotonic_seconds())
             if isinstance(error, ServerResponseInvalidError):
                 self._metrics.count("forward.invalid_heads")
+            if isinstance(error, ServerResponseLimitError):
+                self._metrics.count(f"forward.limit.{error.reason}")
             crash_check = None
             if not run.has_begun and not isinstance(error, ServerResponseLimitError):
                 progress.lost_count += 1
@@ -416,6 +418,7 @@
             server_id=server.entry.server_id,
             remaining_seconds=remaining_seconds,
             report_stranded=place and functools.partial(self._places.return_unused, place),
+            count_kept=progress.splitter.count_partial_bytes,
         )
 
     async def _relay_response(
