An answer that ends beside its upload is whole only if the upload is taken

A plain reset was handled already, also one that arrives together with the part; those tests stay. But a server that ended its half of the connection first and reset it 20 ms later got its part through as an answer up to an orderly close.

Cause: the router closed the connection at the end of the server's half, so that only a reset that met bytes of its own buffer was seen.

Change: such an answer waits until the rest of the upload has arrived at the server's system, or the connection is reset. An orderly early answer without a length still passes.

--- a/features/backend/broken_answers.feature
+++ b/features/backend/broken_answers.feature
@@ -66,3 +66,14 @@
       | line \x20X-A: 1                     | VM-list  | reads the list | StoreUnavailableError    |
       | refusal 409 Content-Length\x20: 24  | platform | writes a key   | WriteOutcomeUnknownError |
       | refusal 503 \x20X-A: 1              | platform | writes a key   | WriteOutcomeUnknownError |
+
+  # Guards against a part of an answer that is stored as the whole one.
+  Scenario Outline: A part of an answer that is reset beside its upload is no answer
+    Given a server that <behaviour>
+    When a call calls it as a service with 4 MiB
+    Then the call ends with ServerConnectionLostError within 1.0 seconds
+
+    Examples:
+      | behaviour                                            |
+      | resets an answer without a length                    |
+      | answers, ends and resets before it has read the body |
--- a/features/forward/broken_answers.feature
+++ b/features/forward/broken_answers.feature
@@ -116,3 +116,45 @@
       | -5                  |
       | fffffffffffffffffff |
       | 2                   |
+
+  # Guards against a part of an answer without a length that looks whole, as its server answered a
+  # long upload at once and reset the connection.
+  Scenario Outline: A part of an answer that is reset beside its upload is not complete
+    Given a router process and 1 servers
+    When a caller sends a <kind> request with <size> bytes and the server <behaviour>
+    Then the caller has no answer that looks complete, and its request ran once
+
+    Examples:
+      | kind           | size    | behaviour                                            |
+      | idempotent     | 1000000 | answers and resets before it has read the body       |
+      | non-idempotent | 1000000 | answers and resets before it has read the body       |
+      | non-idempotent | 4000000 | answers and resets before it has read the body       |
+      | plain stream   | 4000000 | answers and resets before it has read the body       |
+      | non-idempotent | 1000000 | answers, ends and resets before it has read the body |
+      | idempotent     | 4000000 | answers, ends and resets before it has read the body |
+      | non-idempotent | 4000000 | answers, ends and resets before it has read the body |
+
+  # Guards against a reset that arrives together with the answer and looks like its end.
+  Scenario Outline: A part of an answer that arrives together with a reset is not complete
+    Given a router process and 1 servers
+    When a caller sends a <kind> request with <size> bytes, and the process is frozen while its server <behaviour>
+    Then the caller has no answer that looks complete, and its request ran once
+
+    Examples:
+      | kind             | size    | behaviour          |
+      | idempotent       | 5       | answers and resets |
+      | non-idempotent   | 5       | answers and resets |
+      | non-idempotent   | 1000000 | answers and resets |
+      | plain stream     | 5       | streams and resets |
+      | resumable stream | 5       | streams and resets |
+
+  # Guards against a sound early answer that is taken for a part.
+  Scenario Outline: An early answer without a length is passed on to its end
+    Given a router process and 1 servers
+    When a caller sends a <kind> request with <size> bytes and the server answers, ends and drains before it has read the body
+    Then the caller has the answer up to its close
+
+    Examples:
+      | kind           | size    |
+      | non-idempotent | 1000000 |
+      | idempotent     | 4000000 |
--- a/features/relay/answers.feature
+++ b/features/relay/answers.feature
@@ -86,6 +86,17 @@
       | the line X\x01A: 1 |
       | the line Transfer-Encoding: gzip |
 
+  # Guards against a part of an answer without a length that the relaying router takes for whole.
+  Scenario Outline: A part of an answer that is reset beside its upload is not complete
+    Given two routers on sockets, one of them cut off from a server that <behaviour>
+    When a request with a body of 4 MiB is sent through the other router
+    Then its answer is not complete
+
+    Examples:
+      | behaviour                                            |
+      | answers and resets before it has read the body       |
+      | answers, ends and resets before it has read the body |
+
   # Guards against messages that are larger than the transport takes.
   Scenario: A request body of 4 MiB
     Given two routers on sockets, one of them cut off from a server that answers
--- a/features/steps/broken_answer_steps.py
+++ b/features/steps/broken_answer_steps.py
@@ -25,6 +25,8 @@
     "plain stream": "streaming",
 }
 MAX_ATTEMPTS = 2
+SERVER_RECEIVE_BYTES = 32 * 1024
+"""Small enough that most of an upload is not taken by a server that does not read it."""
 
 
 def make_configuration():
@@ -52,7 +54,9 @@
 
 @given("a router process and {count:d} servers")
 def start_with_servers(context, count, vm_limits=None):
-    context.servers = [ScriptedServer("answers") for _ in range(count)]
+    context.servers = [
+        ScriptedServer("answers", receive_bytes=SERVER_RECEIVE_BYTES) for _ in range(count)
+    ]
     start_router_process(
         context,
         4,
@@ -177,6 +181,12 @@
     assert context.outcome.exit_code is ExitCode.UNREACHABLE, context.outcome
 
 
+@then("the caller has the answer up to its close")
+def check_whole(context):
+    assert context.answer.status == 200, context.answer
+    assert (context.answer.body, context.answer.end) == (b"hello", "closed"), context.answer
+
+
 @then("each of them took at most {seconds:f} seconds")
 def check_seconds(context, seconds):
     assert max(context.seconds.values()) <= seconds, context.seconds
--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -51,7 +51,7 @@
 
 @given("a server that {behaviour}")
 def start_server(context, behaviour):
-    context.servers = [ScriptedServer(behaviour)]
+    context.servers = [ScriptedServer(behaviour, receive_bytes=READ_BUFFER_BYTES)]
     context.engine = HttpEngineClient(stall_seconds=1.0)
     context.service = HttpServiceClient()
 
@@ -85,6 +85,10 @@
             return context.engine.order(url, order, 1.0)
         case "starts a run":
             return read_run(context, url)
+        case "calls it as a service with 4 MiB":
+            body = bytes(4 * MEBIBYTE)
+            call = ServiceCall(method="POST", path="p", query="", headers={}, body=body)
+            return context.service.call(url, call, 1.0)
         case "calls it as a service":
             call = ServiceCall(method="POST", path="p", query="", headers={}, body=b"{}")
             return context.service.call(url, call, 1.0)
--- a/features/steps/relayed_answer_steps.py
+++ b/features/steps/relayed_answer_steps.py
@@ -36,6 +36,7 @@
 from scripted_server import ScriptedServer
 
 QUEUED_CONNECTIONS = 8
+SERVER_RECEIVE_BYTES = 64 * 1024
 LOST_REASON = "broke_off"
 """Reason of an exchange whose connection was lost before there was an answer."""
 INVALID_REASON = "invalid_head"
@@ -106,7 +107,7 @@
 
 @given("two routers on sockets, one of them cut off from a server that {behaviour}")
 def make_socket_world(context, behaviour):
-    context.server = ScriptedServer(behaviour)
+    context.server = ScriptedServer(behaviour, receive_bytes=SERVER_RECEIVE_BYTES)
 
     async def start():
         await context.server.start()
@@ -180,6 +181,13 @@
     assert sent.count((b"POST /x?y=%201", b"order")) == 2, sent
 
 
+@then("its answer is not complete")
+def check_relayed_part(context):
+    reason = context.relayed if isinstance(context.relayed, str) else context.relayed[-1]
+    assert reason == LOST_REASON, context.relayed
+    assert context.server.runs == 1, context.server.requests
+
+
 @then("neither has an answer, and both exchanges end as a lost connection")
 def check_lost(context):
     assert context.direct == LOST_REASON, context.direct
--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -55,8 +55,15 @@
         max_endless_bytes: Limit of `sent_bytes`, after which it waits for clients to close.
     """
 
-    def __init__(self, behaviour: str, version: str = ""):
-        """Creates a server; `start` makes it listen."""
+    def __init__(self, behaviour: str, version: str = "", receive_bytes: int = 0):
+        """Creates a server; `start` makes it listen.
+
+        Args:
+            behaviour: Name of the behaviour.
+            version: See the class.
+            receive_bytes: Size that the kernel is asked for as receive buffers; 0 for the usual.
+        """
+        self._receive_bytes = receive_bytes
         self.behaviour = behaviour
         self.version = version
         self.runs = 0
@@ -72,7 +79,10 @@
 
     async def start(self) -> None:
         """Listens on a loopback port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        listener = socket.create_server(("127.0.0.1", 0))
+        if self._receive_bytes:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_bytes)
+        self._server = await asyncio.start_server(self._serve, sock=listener)
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
         if self.behaviour == "does not listen":
@@ -181,6 +191,10 @@
                 writer.write_eof()
                 await asyncio.sleep(0.02)
                 _reset_connection(writer)
+            case "answers, ends and drains before it has read the body":
+                await self._send(writer, head + b"\r\nhello")
+                writer.write_eof()
+                await reader.read()
             case "answers and resets when it is told":
                 await self._told_to_break_off.wait()
                 await self._send(writer, head + b"\r\nhel")
--- a/packages/router/laburnumpier_router/response_end.py
+++ b/packages/router/laburnumpier_router/response_end.py
@@ -6,8 +6,10 @@
 
 import asyncio
 import enum
+import fcntl
 import functools
 import socket
+import termios
 from collections.abc import Callable
 from typing import Any
 
@@ -20,6 +22,13 @@
 """Size that the kernel is asked for as a receive buffer; it takes twice as much."""
 PAUSED_BYTES = 2 * RECEIVE_BUFFER_BYTES
 """Bytes that the socket of a paused connection may hold."""
+UPLOAD_CHECK_SECONDS = 0.02
+"""Interval at which the rest of an upload is looked at whose answer has ended."""
+FRAMING_FIELDS = frozenset({"content-length", "transfer-encoding"})
+TCP_CLOSED = 7
+"""State of a connection that was reset, in the first byte of Linux's `tcp_info`."""
+TCP_STATE_BYTES = 1
+INT_BYTES = 4
 EMPTY_STATUSES = (204, 304)
 """Statuses of responses that have no body."""
 
@@ -58,6 +67,7 @@
         super().__init__(loop)
         self.was_reset = False
         self.kept_bytes = 0
+        self._ends_with_connection = False
         self.count_kept: Callable[[], int] | None = None
         self._memory = memory
         self._share = AnswerShare(
@@ -74,12 +84,54 @@
         super().data_received(data)
         self._share.update()
 
+    def feed_data(self, data, size: int = 0) -> None:
+        """Queues a response head, and records whether the body ends with the connection."""
+        message, _ = data
+        self._ends_with_connection = not (FRAMING_FIELDS & {*map(str.lower, message.headers)})
+        super().feed_data(data, size)
+
+    def eof_received(self) -> bool:
+        """Returns whether to keep a connection whose server has sent its last byte.
+
+        An answer that ends with its connection beside its upload is whole only if the server
+        takes the rest of the upload. A server that breaks off resets the connection.
+        """
+        super().eof_received()
+        is_open = self._ends_with_connection and self._has_unsent_request()
+        if is_open:
+            self._loop.call_later(UPLOAD_CHECK_SECONDS, self._check_upload)
+        return is_open
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Records whether the connection ended with an error; the answer grows no more."""
-        self.was_reset = exc is not None
+        self.was_reset = self.was_reset or exc is not None
         self._share.release()
         super().connection_lost(exc)
 
+    def _check_upload(self) -> None:
+        """Closes the connection when the server has taken or refused the whole request."""
+        if not self.is_connected():
+            return
+        connection = self.transport.get_extra_info("socket")
+        state = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_STATE_BYTES)[0]
+        if state == TCP_CLOSED:
+            self.was_reset = True
+            self.transport.abort()
+        elif self._has_unsent_request():
+            self._loop.call_later(UPLOAD_CHECK_SECONDS, self._check_upload)
+        else:
+            self.transport.close()
+
+    def _has_unsent_request(self) -> bool:
+        """Whether bytes of the request have not arrived at the server's system."""
+        if self.transport is None:
+            return False
+        if self.transport.get_write_buffer_size():
+            return True
+        connection = self.transport.get_extra_info("socket")
+        unsent = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(INT_BYTES))
+        return any(unsent)
+
     def _count_held_bytes(self) -> int:
         unread_bytes = getattr(self._response_body, "_size", 0)
         paused_bytes = PAUSED_BYTES if self._reading_paused else 0
