A list of VMs is read only from a success

Routers would have believed a list of VMs in an error response, one without VMs too.

Cause: the client did not look at the status. Change: any status but 200 fails as an unavailable list.

Evidence: the three new examples of features/backend/broken_answers.feature failed before and pass now.

--- a/features/backend/broken_answers.feature
+++ b/features/backend/broken_answers.feature
@@ -67,6 +67,18 @@
       | refusal 409 Content-Length\x20: 24  | platform | writes a key   | WriteOutcomeUnknownError |
       | refusal 503 \x20X-A: 1              | platform | writes a key   | WriteOutcomeUnknownError |
 
+  # Guards against a list of no VMs that an error response brings.
+  Scenario Outline: A list of VMs is read only from a success
+    Given a server that answers with the status <status>
+    When the client of the VM-list store reads the list
+    Then the call ends with StoreUnavailableError within 1.5 seconds
+
+    Examples:
+      | status                    |
+      | 500 Internal Server Error |
+      | 404 Not Found             |
+      | 202 Accepted              |
+
   # Guards against a part of an answer that is stored as the whole one.
   Scenario Outline: A part of an answer that is reset beside its upload is no answer
     Given a server that <behaviour>
--- a/packages/router/laburnumpier_router/ports/vm_list.py
+++ b/packages/router/laburnumpier_router/ports/vm_list.py
@@ -13,6 +13,7 @@
 from laburnumpier_core.decoding import decode_json
 from laburnumpier_core.errors import StoreUnavailableError, UnreadableDataError
 
+SUCCESS_STATUS = 200
 MAX_LIST_BYTES = 1024 * 1024
 """Size of the list; an entry takes some 100 bytes."""
 
@@ -69,6 +70,8 @@
         timeout = aiohttp.ClientTimeout(total=self._timeout_seconds)
         try:
             async with self._session.get(self._url, timeout=timeout) as response:
+                if response.status != SUCCESS_STATUS:
+                    raise StoreUnavailableError(f"VM list: status {response.status}")
                 body = await read_body(response, MAX_LIST_BYTES)
             document = decode_json(body, _ListDocument)
         except (aiohttp.ClientError, TimeoutError, OSError, UnreadableDataError) as error:
