Lines of own chats' events are in the account of servers' answers

An engine of the own interface that sends an event without end could make a router keep a line of 1 MiB for each chat, whatever the others held.

--- a/features/backend/endless_answers.feature
+++ b/features/backend/endless_answers.feature
@@ -65,3 +65,9 @@
     When a call has it count tokens
     Then the call ends with nothing within 1.5 seconds
     And the server's connection is closed before it has sent 8 MiB
+
+  # Guards against lines of many chats that together take the memory of a small VM.
+  Scenario: The events of runs that are not whole share an account
+    Given an account of 2 MiB for the answers of a server that streams an event without end
+    When 20 runs start at once
+    Then all runs end with ServerResponseLimitError, and the server has sent at most 12 MiB
--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -28,6 +28,7 @@
 from laburnumpier_router.forward.servers import ServerTable
 from laburnumpier_router.ports.etcd_service import EtcdKeyValueService
 from laburnumpier_router.ports.key_value_service import Write
+from laburnumpier_router.ports.server_memory import ServerMemory
 from laburnumpier_router.ports.store_era import StorePosition
 from laburnumpier_router.ports.vm_list import HttpVmList
 from laburnumpier_router.request.answer_log import AnswerLog
@@ -64,6 +65,35 @@
     context.cleanups.append((context.real, stop))
 
 
+@given("an account of {mebibytes:d} MiB for the answers of a server that {behaviour}")
+def start_server_with_account(context, mebibytes, behaviour):
+    start_server(context, behaviour)
+    context.servers[0].max_endless_bytes = MANY_ENDLESS_BYTES
+    memory = ServerMemory(limit_bytes=mebibytes * MEBIBYTE)
+    context.engine = HttpEngineClient(stall_seconds=1.0, server_memory=memory)
+
+
+@when("{count:d} runs start at once")
+def start_runs(context, count):
+    context.events = []
+    url = f"http://{context.servers[0].address}"
+
+    async def start_all():
+        async with asyncio.timeout(CALL_LIMIT_SECONDS):
+            runs = (read_run(context, url) for _ in range(count))
+            context.outcomes = await asyncio.gather(*runs, return_exceptions=True)
+
+    run(context, start_all())
+
+
+@then("all runs end with {outcome}, and the server has sent at most {mebibytes:d} MiB")
+def check_runs(context, outcome, mebibytes):
+    names = {type(found).__name__ for found in context.outcomes}
+    assert names == {outcome}, context.outcomes
+    sent_bytes = context.servers[0].sent_bytes
+    assert sent_bytes <= mebibytes * MEBIBYTE, sent_bytes
+
+
 async def read_run(context, url):
     body = {"model": "m", "messages": []}
     call = EngineCall(run_id="r", body=body, priority=5, max_events=MAX_RUN_EVENTS)
--- a/packages/router/laburnumpier_router/backend/http_clients.py
+++ b/packages/router/laburnumpier_router/backend/http_clients.py
@@ -1,6 +1,6 @@
 """HTTP clients of model engines and plain services."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import aiohttp
@@ -86,7 +86,8 @@
             ) as response:
                 if response.status != 200:
                     raise ServerRefusedError(response.status, await _read_error_text(response))
-                async for event in _read_events(response.content, call.max_events):
+                keep = response.connection.protocol.keep if response.connection else None
+                async for event in _read_events(response.content, call.max_events, keep):
                     yield event
         except aiohttp.ClientConnectorError as error:
             raise ServerUnreachableError(str(error)) from error
@@ -185,10 +186,16 @@
 
 
 async def _read_events(
-    content: aiohttp.StreamReader, max_events: int
+    content: aiohttp.StreamReader, max_events: int, keep: Callable[[int], None] | None
 ) -> AsyncIterator[EngineEvent]:
     """Parses server-sent events; fields other than `id` and `data` are ignored.
 
+    Args:
+        content: The body of the response.
+        max_events: Most events that the stream may have.
+        keep: Called with the size of the line that is not whole, in bytes; None if nothing
+            follows any more.
+
     Raises:
         ServerConnectionLostError: If the stream ends without an end event.
         ServerResponseLimitError: If the stream, its number of events or a line is too large.
@@ -203,6 +210,8 @@
         *lines, incomplete_line = (incomplete_line + chunk).split(b"\n")
         if len(incomplete_line) > MAX_LINE_BYTES:
             raise ServerResponseLimitError("event_too_large", "event line exceeds the size limit")
+        if keep is not None:
+            keep(len(incomplete_line))
         for line in lines:
             if line.startswith(b"id:"):
                 event_id = int(line[3:])
