Sound answers stay when answers without end give way

Cause, traced by a print of all holders: progress was compared with the last measurement, which may be lower while a body is read, so that endless answers counted as moving on and their age was a millisecond. Sound ones that had waited longer gave way first. Large bodies also took part in the account of callers, which then had no room.

Change: progress is compared with the most that was passed on. Bodies of responses are in the account of servers' answers only, until they are read.

--- a/features/forward/endless_crowds.feature
+++ b/features/forward/endless_crowds.feature
@@ -36,3 +36,4 @@
       | idempotent       | sends a body without a length and without end | answers with 256 KiB |
       | resumable stream | streams an event without end                  | streams slowly       |
       | non-idempotent   | answers with 256 KiB                          | answers with 256 KiB |
+      | idempotent       | sends a body without a length and without end | answers with 128 KiB |
--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -167,6 +167,8 @@
         match self.behaviour:
             case "answers" | "answers before it has read the body":
                 await self._send(writer, response)
+            case "answers with 128 KiB":
+                await self._send(writer, head + _frame_by_length(b"x" * 128 * 1024))
             case "answers with 256 KiB":
                 await self._send(writer, head + _frame_by_length(b"x" * 256 * 1024))
             case "answers twice":
--- a/packages/router/laburnumpier_router/backend/http_clients.py
+++ b/packages/router/laburnumpier_router/backend/http_clients.py
@@ -15,7 +15,6 @@
     UnreadableDataError,
 )
 
-from ..intake.memory import CallerMemory
 from ..ports.response_memory import (
     MAX_CONTROL_BODY_BYTES,
     BodyMemory,
@@ -23,7 +22,8 @@
     make_lost_error,
 )
 from ..ports.server_memory import ServerMemory, make_server_memory
-from ..response_end import get_end_marker, make_server_session
+from ..response_end import get_end_marker
+from ..server_connection import make_server_session
 from .engine_port import (
     EngineCall,
     EngineEvent,
@@ -236,17 +236,14 @@
 
     __slots__ = ("_body_memory", "_server_memory", "_session")
 
-    def __init__(
-        self, *, memory: CallerMemory | None = None, server_memory: ServerMemory | None = None
-    ):
+    def __init__(self, *, server_memory: ServerMemory | None = None):
         """Creates a client without connections.
 
         Args:
-            memory: Account of what callers make the process hold; by default one of its own.
-            server_memory: The same of servers' answers.
+            server_memory: Account of what servers' answers hold; by default one of its own.
         """
         self._server_memory = server_memory or make_server_memory(0)
-        self._body_memory = BodyMemory(callers=memory)
+        self._body_memory = BodyMemory()
         self._session: aiohttp.ClientSession | None = None
 
     async def call(self, url: str, call: ServiceCall, timeout_seconds: float) -> ServiceResponse:
--- a/packages/router/laburnumpier_router/forward/http_client.py
+++ b/packages/router/laburnumpier_router/forward/http_client.py
@@ -15,10 +15,11 @@
 from multidict import CIMultiDictProxy
 from yarl import URL
 
-from ..intake.memory import CallerMemory
+from ..intake.memory import CallerMemory, MemoryShare, make_caller_memory
 from ..ports.response_memory import BodyMemory, BodyReservation, make_lost_error
 from ..ports.server_memory import ServerMemory, make_server_memory
-from ..response_end import EndMarker, get_end_marker, make_server_session
+from ..response_end import EndMarker, get_end_marker
+from ..server_connection import make_server_session
 from .exchange import CONNECT_TIMEOUT_SECONDS, ServerCall
 from .response_limits import MAX_BODY_BYTES
 
@@ -114,7 +115,7 @@
 class HttpServerClient:
     """Sends requests to servers over HTTP/1.1."""
 
-    __slots__ = ("_body_memory", "_server_memory", "_session")
+    __slots__ = ("_body_memory", "_memory", "_server_memory", "_session")
 
     def __init__(
         self, *, memory: CallerMemory | None = None, server_memory: ServerMemory | None = None
@@ -125,7 +126,8 @@
             memory: Account of what callers make the process hold; by default one of its own.
             server_memory: The same of servers' answers.
         """
-        self._body_memory = BodyMemory(callers=memory)
+        self._memory = memory or make_caller_memory(0)
+        self._body_memory = BodyMemory()
         self._server_memory = server_memory or make_server_memory(0)
         self._session: aiohttp.ClientSession | None = None
 
@@ -138,7 +140,7 @@
             ServerConnectionLostError: If the outcome is unknown.
         """
         # The library joins the body with the head.
-        joined = self._body_memory.open_share()
+        joined = MemoryShare(memory=self._memory)
         joined.add_bytes(len(call.body))
         try:
             response = await self._get_session().request(
--- a/packages/router/laburnumpier_router/ports/server_memory.py
+++ b/packages/router/laburnumpier_router/ports/server_memory.py
@@ -2,8 +2,8 @@
 
 Each answer is limited by itself, but not what many of them hold together: heads that are not
 whole, bytes that nobody has read, bodies and events that are not whole. If they hold more than
-the account, those give way that have held most for longest without getting anywhere. A server that
-sends without end so makes room for others, and a sound answer moves on.
+the account, those give way that have held most for longest without passing anything on. A server
+that sends without end so makes room for others, and a sound answer moves on.
 """
 
 import os
@@ -93,11 +93,13 @@
     """What one answer holds of the account."""
 
     __slots__ = (
-        "_began_seconds",
-        "_count_bytes",
+        "_count_held",
+        "_count_passed",
         "_give_way",
         "_is_released",
         "_memory",
+        "_moved_seconds",
+        "_passed_bytes",
         "held_bytes",
     )
 
@@ -105,20 +107,24 @@
         self,
         *,
         memory: ServerMemory,
-        count_bytes: Callable[[], int],
+        count_held: Callable[[], int],
+        count_passed: Callable[[], int],
         give_way: Callable[[], None],
     ):
         """Creates a share of nothing and adds it to the account.
 
         Args:
             memory: The account.
-            count_bytes: Returns how much the answer holds now, in bytes.
+            count_held: Returns how much the answer holds now, in bytes.
+            count_passed: Returns how much of it has been passed on, in bytes.
             give_way: Fails the answer and drops what it holds.
         """
         self._memory = memory
-        self._count_bytes = count_bytes
+        self._count_held = count_held
+        self._count_passed = count_passed
         self._give_way = give_way
-        self._began_seconds = 0.0
+        self._passed_bytes = 0
+        self._moved_seconds = time.monotonic()
         self._is_released = False
         self.held_bytes = 0
         memory.add(self)
@@ -132,15 +138,16 @@
         """Records what the answer holds now."""
         if self._is_released:
             return
-        held_bytes = self._count_bytes()
-        if self.held_bytes <= SMALL_BYTES < held_bytes:
-            self._began_seconds = time.monotonic()
+        held_bytes, passed_bytes = self._count_held(), self._count_passed()
+        if held_bytes <= SMALL_BYTES or passed_bytes > self._passed_bytes:
+            self._moved_seconds = time.monotonic()
+        self._passed_bytes = max(self._passed_bytes, passed_bytes)
         self._memory.record(self.held_bytes, held_bytes)
         self.held_bytes = held_bytes
 
     def rank(self) -> tuple[float, int]:
-        """Returns what decides who gives way: bytes times the seconds that they were held."""
-        held_seconds = time.monotonic() - self._began_seconds
+        """Returns what decides who gives way: bytes times the seconds without progress."""
+        held_seconds = time.monotonic() - self._moved_seconds
         return self.held_bytes * held_seconds, self.held_bytes
 
     def give_way(self) -> None:
