--- a/features/forward/broken_answers.feature
+++ b/features/forward/broken_answers.feature
@@ -158,3 +158,19 @@
       | kind           | size    |
       | non-idempotent | 1000000 |
       | idempotent     | 4000000 |
+
+  # Guards against a stream that goes on, or ends as whole, with the answer of a server that has none.
+  Scenario Outline: A stream does not go on with an answer that is none
+    Given a router process and 2 servers
+    When a caller sends a resumable stream request to a server that breaks off after 2 events and one that streams with the <answer>
+    Then the caller has the events 1 2
+    And the caller sees an answer that is framed and incomplete
+    And each of the servers ran it once
+
+    Examples:
+      | answer                                 |
+      | status 000 OK                          |
+      | line \x20X-A: 1                        |
+      | framing Transfer-Encoding\x20: chunked |
+      | refusal 503 \x20X-A: 1                 |
+      | chunk zz                               |
--- a/features/steps/broken_answer_steps.py
+++ b/features/steps/broken_answer_steps.py
@@ -131,6 +131,17 @@
     context.answer = run(context, play())
 
 
+@when("a caller sends a resumable stream request to a server that {first} and one that {second}")
+def send_resumable(context, first, second):
+    context.servers[0].behaviour, context.servers[1].behaviour = first, second
+    context.answer = run(context, send_kind(context, "resumable stream"))
+
+
+@then("each of the servers ran it once")
+def check_runs(context):
+    assert [server.runs for server in context.servers] == [1, 1], context.servers
+
+
 @then("the caller has no answer that looks complete, and its request ran once")
 def check_incomplete(context):
     answer = context.answer
--- a/packages/router/laburnumpier_router/ports/server_memory.py
+++ b/packages/router/laburnumpier_router/ports/server_memory.py
@@ -30,10 +30,9 @@
 
     Attributes:
         limit_bytes: Size of the account.
-        gave_way_count: Number of answers that gave way.
     """
 
-    __slots__ = ("_holders", "_used_bytes", "gave_way_count", "limit_bytes")
+    __slots__ = ("_holders", "_used_bytes", "limit_bytes")
 
     def __init__(self, *, limit_bytes: int):
         """Creates an account of which nothing is used.
@@ -42,15 +41,9 @@
             limit_bytes: Size of the account.
         """
         self.limit_bytes = limit_bytes
-        self.gave_way_count = 0
         self._holders: set[AnswerShare] = set()
         self._used_bytes = 0
 
-    @property
-    def used_bytes(self) -> int:
-        """Sum of what all answers were last known to hold."""
-        return self._used_bytes
-
     def add(self, share: "AnswerShare") -> None:
         """Adds a holder."""
         self._holders.add(share)
@@ -73,7 +66,6 @@
         if self._used_bytes <= self.limit_bytes:
             return
         count = self._make_room(sorted(self._holders, key=AnswerShare.rank, reverse=True))
-        self.gave_way_count += count
         fields = {"answers": count, "held_bytes": self._used_bytes, "limit": self.limit_bytes}
         _log.warning("answers gave way", fields=fields)
 
