Bodies of responses are in the account of callers again while they are read

Cause: took bodies out of the account of callers, in which callers who do not read give way to others. 40 answers of 1 MiB at once then shared the account of servers' answers, where each may give way, the ordinary one too.

--- a/packages/router/laburnumpier_router/backend/http_clients.py
+++ b/packages/router/laburnumpier_router/backend/http_clients.py
@@ -15,6 +15,7 @@
     UnreadableDataError,
 )
 
+from ..intake.memory import CallerMemory
 from ..ports.response_memory import (
     MAX_CONTROL_BODY_BYTES,
     BodyMemory,
@@ -236,14 +237,17 @@
 
     __slots__ = ("_body_memory", "_server_memory", "_session")
 
-    def __init__(self, *, server_memory: ServerMemory | None = None):
+    def __init__(
+        self, *, memory: CallerMemory | None = None, server_memory: ServerMemory | None = None
+    ):
         """Creates a client without connections.
 
         Args:
-            server_memory: Account of what servers' answers hold; by default one of its own.
+            memory: Account of what callers make the process hold; by default one of its own.
+            server_memory: The same of servers' answers.
         """
         self._server_memory = server_memory or make_server_memory(0)
-        self._body_memory = BodyMemory()
+        self._body_memory = BodyMemory(callers=memory)
         self._session: aiohttp.ClientSession | None = None
 
     async def call(self, url: str, call: ServiceCall, timeout_seconds: float) -> ServiceResponse:
--- a/packages/router/laburnumpier_router/forward/http_client.py
+++ b/packages/router/laburnumpier_router/forward/http_client.py
@@ -127,7 +127,7 @@
             server_memory: The same of servers' answers.
         """
         self._memory = memory or make_caller_memory(0)
-        self._body_memory = BodyMemory()
+        self._body_memory = BodyMemory(callers=self._memory)
         self._server_memory = server_memory or make_server_memory(0)
         self._session: aiohttp.ClientSession | None = None
 
