Relayed answers take part in the account of servers' answers

What was seen: nothing by a caller yet. Each answer may take 256 KiB of buffers and an event of 256 KiB; the relaying routers' accounts bound only what they hold themselves.

Cause: `RelayedExchange` limited each answer, and nothing limited their sum. The account that came with measures connections to servers only.

Fix: a relayed exchange holds a share of the same account (`AnswerShare`), which counts what waits for its reader, what `read` has collected and the event that is not whole. It is measured with each message; an answer that gives way counts as lost, `answers_too_large`. `Ports` hands the account on.

Evidence: features/relay/answers.feature, 'Relayed answers without end share an account', real sockets, both routers in the process of the test.

--- a/features/relay/answers.feature
+++ b/features/relay/answers.feature
@@ -97,6 +97,22 @@
       | answers and resets before it has read the body       |
       | answers, ends and resets before it has read the body |
 
+  # Guards against answers that are limited each, and together exceed the memory of the router that asked for them.
+  # Readers drop an answer a moment after it gave way, so there may be as much again.
+  Scenario Outline: Relayed answers without end share an account
+    Given two routers on sockets, one of them cut off from a server that <behaviour>
+    And the answers that the cut-off router receives may hold 1 MiB
+    When 30 requests are sent through the other router, and each reader <way> its answer
+    Then the cut-off router held at most 2 MiB of answers
+    And answers gave way, and a further answer arrives whole
+
+    Examples:
+      | behaviour                                     | way           |
+      | streams an event without end                  | keeps         |
+      | streams an event without end                  | leaves unread |
+      | sends a body without a length and without end | keeps         |
+      | sends a body without a length and without end | leaves unread |
+
   # Guards against messages that are larger than the transport takes.
   Scenario: A request body of 4 MiB
     Given two routers on sockets, one of them cut off from a server that answers
--- a/features/steps/cut_off_world.py
+++ b/features/steps/cut_off_world.py
@@ -39,6 +39,7 @@
 from laburnumpier_router.notices.server_notices import ServerNotices
 from laburnumpier_router.places import place_messages
 from laburnumpier_router.places.place_keeper import build_place_keeper
+from laburnumpier_router.ports.server_memory import make_server_memory
 from laburnumpier_router.ports.server_registry import RegisteredServer
 from laburnumpier_router.relay.feature import RelayFeature
 from laburnumpier_router.relay.messages import MESSAGE_TYPES
@@ -343,6 +344,7 @@
             metrics=metrics,
             random_source=random.Random(name),
             memory=make_caller_memory(0),
+            server_memory=make_server_memory(0),
         )
         self.relay.register_handlers(self.link)
         limits = ServerRateLimits(clock=clock, metrics=metrics)
--- a/features/steps/relayed_answer_steps.py
+++ b/features/steps/relayed_answer_steps.py
@@ -20,8 +20,10 @@
 from laburnumpier_router.fleet.peer_network import PynngPeerNetwork
 from laburnumpier_router.forward.exchange import ServerCall
 from laburnumpier_router.forward.http_client import HttpServerClient
+from laburnumpier_router.forward.response_limits import MAX_EVENT_BYTES
 from laburnumpier_router.forward.servers import ServerTable
 from laburnumpier_router.intake.memory import make_caller_memory
+from laburnumpier_router.ports.server_memory import ServerMemory, make_server_memory
 from laburnumpier_router.ports.server_registry import RegisteredServer
 from laburnumpier_router.relay.feature import RelayFeature
 from laburnumpier_router.relay.messages import (
@@ -41,6 +43,10 @@
 """Reason of an exchange whose connection was lost before there was an answer."""
 INVALID_REASON = "invalid_head"
 """Reason of an exchange whose answer has a head that breaks the protocol."""
+GAVE_WAY_REASON = "answers_too_large"
+"""Reason of an exchange whose answer gave way to others."""
+SAMPLE_SECONDS = 0.01
+CROWD_SECONDS = 2.0
 
 
 class CutOffClient:
@@ -68,6 +74,7 @@
     """Two routers, of which `r0` is cut off."""
 
     def __init__(self, server):
+        self.server_memory = make_server_memory(0)
         self.addresses = {name: f"127.0.0.1:{find_free_port()}" for name in ("r0", "r1")}
         self.routers, self.killed = {}, {}
         for name, client in (("r0", CutOffClient()), ("r1", HttpServerClient())):
@@ -94,6 +101,7 @@
             metrics=metrics,
             random_source=random.Random(1),
             memory=make_caller_memory(0),
+            server_memory=self.server_memory,
         )
         relay.register_handlers(link)
         return link, relay
@@ -148,6 +156,92 @@
         return error.reason
 
 
+@given("the answers that the cut-off router receives may hold {mebibytes:d} MiB")
+def limit_answers(context, mebibytes):
+    relay = context.sockets.routers["r0"][1]
+    relay.sender._server_memory = ServerMemory(limit_bytes=mebibytes * 1024 * 1024)
+
+
+class RelayedReaders:
+    """Readers of relayed answers, each of which keeps an event or reads nothing at first."""
+
+    def __init__(self, client, address):
+        self._client, self._address = client, address
+        self._buffers, self._kept = {}, {}
+        self.most_held_bytes = 0
+        self.reasons = []
+
+    async def read(self, number, *, way):
+        """Sends a request and holds its answer until the answer is lost, or for a while."""
+        self._kept[number] = 0
+        call = ServerCall(
+            method="POST",
+            address=self._address,
+            target="/x",
+            headers=CIMultiDict({"X-Attempt-Id": f"a{number}"}),
+            body=b"order",
+            server_id="i-0",
+            remaining_seconds=4.0,
+            count_kept=lambda: self._kept[number],
+        )
+        try:
+            async with asyncio.timeout(CROWD_SECONDS), self._client.open(call) as exchange:
+                self._buffers[number] = exchange
+                await self._hold(number, exchange, way)
+        except TimeoutError:
+            pass
+        except ServerConnectionLostError as error:
+            self.reasons.append(error.reason)
+        finally:
+            self._buffers.pop(number, None)
+            self._kept[number] = 0
+
+    async def watch(self):
+        """Samples how much all answers hold."""
+        while True:
+            buffered = sum(exchange._buffered_bytes for exchange in self._buffers.values())
+            held_bytes = buffered + sum(self._kept.values())
+            self.most_held_bytes = max(self.most_held_bytes, held_bytes)
+            await asyncio.sleep(SAMPLE_SECONDS)
+
+    async def _hold(self, number, exchange, way):
+        if way == "leaves unread":
+            await asyncio.sleep(CROWD_SECONDS / 2)
+        async for chunk in exchange.iterate_chunks():
+            if way == "keeps":
+                self._kept[number] += len(chunk)
+            if self._kept[number] > MAX_EVENT_BYTES:
+                return
+
+
+@when("{count:d} requests are sent through the other router, and each reader {way} its answer")
+def read_many(context, count, way):
+    relay = context.sockets.routers["r0"][1]
+    context.readers = RelayedReaders(relay.client, context.server.address)
+
+    async def play():
+        watching = asyncio.create_task(context.readers.watch())
+        await asyncio.gather(*(context.readers.read(number, way=way) for number in range(count)))
+        watching.cancel()
+
+    run(context, play())
+
+
+@then("the cut-off router held at most {mebibytes:d} MiB of answers")
+def check_held(context, mebibytes):
+    most = context.readers.most_held_bytes
+    assert 0 < most <= mebibytes * 1024 * 1024, (most, context.readers.reasons)
+
+
+@then("answers gave way, and a further answer arrives whole")
+def check_gave_way(context):
+    assert set(context.readers.reasons) == {GAVE_WAY_REASON}, context.readers.reasons
+    context.server.behaviour = "answers"
+    relay = context.sockets.routers["r0"][1]
+    answer = run(context, fetch(relay.client, context.server.address))
+    assert answer[0] == 200 and answer[-2:] == (b"hello", ""), answer
+
+
 @when("the same request is sent directly and through the other router")
 def fetch_both(context):
     async def play():
--- a/packages/router/laburnumpier_router/application.py
+++ b/packages/router/laburnumpier_router/application.py
@@ -84,6 +84,7 @@
 from .ports.dialect import Dialect
 from .ports.evacuations import EvacuationSource
 from .ports.key_value_service import KeyValueService
+from .ports.server_memory import ServerMemory, make_server_memory
 from .ports.server_registry import ServerRegistry
 from .ports.store_calls import log_store_calls_periodically
 from .ports.vm_list import VmList
@@ -170,6 +171,7 @@
         services: Client of plain services.
         evacuations: Tells which data centres are evacuated; None if the platform names none.
         memory: Account of what callers make the process hold; None to make one by the settings.
+        server_memory: The same of servers' answers.
     """
 
     store: KeyValueService
@@ -181,6 +183,7 @@
     record_format: RecordFormat | None = None
     evacuations: EvacuationSource | None = None
     memory: CallerMemory | None = None
+    server_memory: ServerMemory | None = None
 
 
 class RouterApplication:
@@ -832,6 +835,9 @@
             metrics=self._metrics,
             random_source=self._random,
             memory=self._memory,
+            server_memory=(
+                self._ports.server_memory or make_server_memory(self._settings.memory_mb)
+            ),
         )
         self._relay.register_handlers(self._peer_link)
         self._fleet.make_server_reach = self._relay.monitor.make_reach
--- a/packages/router/laburnumpier_router/main.py
+++ b/packages/router/laburnumpier_router/main.py
@@ -167,6 +167,7 @@
         ),
         services=HttpServiceClient(memory=memory, server_memory=server_memory),
         memory=memory,
+        server_memory=server_memory,
     )
 
 
--- a/packages/router/laburnumpier_router/relay/feature.py
+++ b/packages/router/laburnumpier_router/relay/feature.py
@@ -12,6 +12,7 @@
 from ..forward.servers import ServerTable
 from ..intake.memory import CallerMemory
 from ..ports.dialect import Dialect
+from ..ports.server_memory import ServerMemory
 from .contact_monitor import ContactMonitor
 from .messages import AskContact, CancelExchange, KeepRequest, ReadExchange, StartExchange
 from .peer_contacts import PeerContacts
@@ -44,6 +45,7 @@
         metrics: Metrics,
         random_source: random.Random,
         memory: CallerMemory,
+        server_memory: ServerMemory,
     ):
         """Creates the parts.
 
@@ -56,6 +58,7 @@
             metrics: Counters and gauges.
             random_source: Spreads probes, questions and relayed requests.
             memory: Account of what callers make the process hold.
+            server_memory: The same of servers' answers.
         """
         peers = PeerContacts(random_source=random_source)
         self.monitor = ContactMonitor(
@@ -69,7 +72,12 @@
         )
         direct = ObservedServerClient(client=client, monitor=self.monitor, clock=clock)
         self.sender = RelaySender(
-            fleet=fleet, monitor=self.monitor, clock=clock, metrics=metrics, memory=memory
+            fleet=fleet,
+            monitor=self.monitor,
+            clock=clock,
+            metrics=metrics,
+            memory=memory,
+            server_memory=server_memory,
         )
         self.client = RelayingServerClient(direct=direct, relay=self.sender, monitor=self.monitor)
         self.host = RelayHost(
--- a/packages/router/laburnumpier_router/relay/relay_sender.py
+++ b/packages/router/laburnumpier_router/relay/relay_sender.py
@@ -13,6 +13,7 @@
 from ..forward.exchange import ServerCall
 from ..intake.memory import CallerMemory, MemoryShare
 from ..ports.response_memory import BodyMemory
+from ..ports.server_memory import ServerMemory
 from .contact_monitor import ContactMonitor
 from .messages import (
     MAX_BODY_BYTES,
@@ -55,6 +56,7 @@
         "_monitor",
         "_numbers",
         "_open_count",
+        "_server_memory",
         "_tasks",
     )
 
@@ -66,6 +68,7 @@
         clock: Clock,
         metrics: Metrics,
         memory: CallerMemory,
+        server_memory: ServerMemory,
     ):
         """Creates a sender without exchanges.
 
@@ -75,8 +78,10 @@
             clock: Source of time.
             metrics: Counters.
             memory: Account of what callers make the process hold.
+            server_memory: The same of servers' answers.
         """
         self._memory = memory
+        self._server_memory = server_memory
         self._fleet = fleet
         self._monitor = monitor
         self._clock = clock
@@ -152,7 +157,12 @@
                 raise make_relayed_error(reply)
             self._monitor.peers.record_reached(peer, self._now())
             exchange = RelayedExchange(
-                session=session, head=reply.head, reply=reply, memory=self._body_memory
+                session=session,
+                head=reply.head,
+                reply=reply,
+                memory=self._body_memory,
+                server_memory=self._server_memory,
+                count_kept=call.count_kept,
             )
             own_stack.push_async_callback(exchange.close)
             await stack.enter_async_context(own_stack.pop_all())
--- a/packages/router/laburnumpier_router/relay/relayed_exchange.py
+++ b/packages/router/laburnumpier_router/relay/relayed_exchange.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import aiohttp
 from laburnumpier_core.bounded_http import ResponseLimitError
@@ -18,6 +18,7 @@
 
 from ..forward.response_limits import MAX_BODY_BYTES
 from ..ports.response_memory import BodyMemory, BodyReservation, make_lost_error
+from ..ports.server_memory import AnswerShare, ServerMemory
 from ..response_end import EndMarker
 from .messages import ExchangeHead, ExchangeReply, ExchangeState, decode_headers
 from .relay_session import RelayLostError, RelaySession
@@ -40,14 +41,18 @@
         "_buffer",
         "_buffered_bytes",
         "_changed",
+        "_count_kept",
         "_end_marker",
         "_error",
         "_has_room",
         "_headers",
         "_is_ended",
+        "_kept_bytes",
         "_position",
         "_reservation",
+        "_server_memory",
         "_session",
+        "_share",
         "_status",
         "_task",
     )
@@ -59,6 +64,8 @@
         head: ExchangeHead,
         reply: ExchangeReply,
         memory: BodyMemory,
+        server_memory: ServerMemory,
+        count_kept: Callable[[], int] | None,
     ):
         """Begins to receive the body.
 
@@ -67,6 +74,8 @@
             head: The response head.
             reply: The reply that brought the head, perhaps with the first bytes.
             memory: Memory that bodies share which are read as a whole.
+            server_memory: Account of what servers' answers hold.
+            count_kept: See `ServerCall`.
 
         Raises:
             ServerConnectionLostError: If the head is not valid.
@@ -85,13 +94,22 @@
         except ValueError as error:
             raise ServerConnectionLostError("unknown end marker of a relayed response") from error
         self._reservation = BodyReservation(memory=memory)
+        self._server_memory = server_memory
+        self._count_kept = count_kept
         self._buffer: collections.deque[bytes] = collections.deque()
         self._buffered_bytes = 0
         self._position = 0
+        self._kept_bytes = 0
         self._is_ended = False
         self._error: ServerConnectionLostError | None = None
         self._changed = asyncio.Event()
         self._has_room = asyncio.Event()
+        self._share = AnswerShare(
+            memory=server_memory,
+            count_held=self._count_held_bytes,
+            count_passed=self._count_passed_bytes,
+            give_way=self._give_way,
+        )
         self._take(reply)
         self._task = asyncio.create_task(self._receive())
 
@@ -139,15 +157,19 @@
         async for chunk in self.iterate_chunks():
             try:
                 self._reservation.grow(len(body) + len(chunk))
+                self._kept_bytes = len(body) + len(chunk)
                 if len(body) + len(chunk) > MAX_BODY_BYTES:
                     raise ResponseLimitError("body_too_large", MAX_BODY_BYTES)
             except aiohttp.ClientError as error:
                 raise make_lost_error(error) from error
             body += chunk
+        # Whoever gets the body accounts for it.
+        self._share.release()
         return bytes(body)
 
     async def close(self) -> None:
         """Stops receiving."""
+        self._share.release()
         self._reservation.release()
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
@@ -177,6 +199,9 @@
         return self._buffered_bytes < BUFFER_BYTES
 
     def _take(self, reply: ExchangeReply) -> None:
+        """Keeps what a reply brings; the answer may give way to others because of it."""
+        if self._error is not None:
+            return
         if reply.data:
             self._buffer.append(reply.data)
             self._buffered_bytes += len(reply.data)
@@ -186,6 +211,23 @@
         elif reply.state is not ExchangeState.OPEN:
             self._error = make_relayed_error(reply)
         self._changed.set()
+        self._share.update()
+
+    def _count_held_bytes(self) -> int:
+        """Returns how much of the body waits for its reader or is kept by it."""
+        kept_bytes = self._kept_bytes + (self._count_kept() if self._count_kept else 0)
+        return self._buffered_bytes + kept_bytes
+
+    def _count_passed_bytes(self) -> int:
+        """Returns how much of the body its reader has passed on or dropped."""
+        return self._position - self._count_held_bytes()
+
+    def _give_way(self) -> None:
+        limit_bytes = self._server_memory.limit_bytes
+        self._error = make_lost_error(ResponseLimitError("answers_too_large", limit_bytes))
+        self._buffer.clear()
+        self._buffered_bytes = 0
+        self._changed.set()
 
 
 def make_relayed_error(reply: ExchangeReply) -> ServerConnectionLostError:
