--- a/features/environment.py
+++ b/features/environment.py
@@ -6,6 +6,8 @@
 
 Scenarios named by a `skip FEATURE: SCENARIO` line of KNOWN-RED.txt are skipped and printed. A line
 that names an outline skips all its examples, unless it ends with the number of one, ` -- @1.1`.
+
+What failed is printed once more at the end, because records of CI runs may keep only that part.
 """
 
 import asyncio
@@ -18,6 +20,7 @@
 KNOWN_RED_PATH = pathlib.Path(__file__).parents[1] / "KNOWN-RED.txt"
 SKIP_PREFIX = "skip "
 EXAMPLE_SEPARATOR = " -- @"
+MAX_MESSAGE_LENGTH = 3000
 
 
 def read_known_red():
@@ -31,6 +34,7 @@
     logging.disable(logging.CRITICAL)
     context.counts = {"passed": 0, "failed": 0}
     context.known_red = read_known_red()
+    context.failure_messages = []
 
 
 def before_scenario(context, scenario):
@@ -55,8 +59,14 @@
     if scenario.status.name != "skipped":
         outcome = "passed" if scenario.status.name == "passed" else "failed"
         context.counts[outcome] += 1
+    for step in scenario.all_steps:
+        if step.error_message:
+            message = step.error_message[:MAX_MESSAGE_LENGTH]
+            context.failure_messages.append(f"{scenario.location} {step.name}:\n{message}")
 
 
 def after_all(context):
+    for message in context.failure_messages:
+        print(f"\nfailed: {message}")
     counts = context.counts
     print(f"\nscenarios: {counts['passed']} passed, {counts['failed']} failed")
