Test fleets: a process reserves the ports that it chooses

A port was looked at once and kept by nobody until the router started, nor while it started again, so that callers of one run reached a router of the other.

Fix: a process reserves ports in blocks of 128, by a name in the abstract namespace of Unix sockets, which belongs to the same network and goes with the process.

--- a/features/platform/soak.feature
+++ b/features/platform/soak.feature
@@ -29,3 +29,8 @@
   Scenario: Routers listen on ports that no outgoing connection can take
     When the ports of 60 routers are chosen
     Then they are all different and outside the range of outgoing connections
+
+  # Guards against fleets of two runs that share a port, so that callers of one reach a router of the other.
+  Scenario: Processes on one machine choose different ports
+    When 6 processes choose the ports of 100 routers each
+    Then they are all different and outside the range of outgoing connections
--- a/packages/measure/laburnumpier_measure/local_fleet.py
+++ b/packages/measure/laburnumpier_measure/local_fleet.py
@@ -1,6 +1,7 @@
 """Runs stand-ins and routers as processes on loopback, for the demo and the benchmarks."""
 
 import asyncio
+import collections
 import dataclasses
 import pathlib
 import random
@@ -22,9 +23,12 @@
 FIRST_PORT = 10_000
 """Lowest port that a router may listen on."""
 LAST_PORT = 65_535
+BLOCK_PORTS = 128
+"""Ports that a process reserves at a time."""
 _OUTGOING_PORTS_PATH = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
 
-_chosen_ports: set[int] = set()
+_reservations: list[socket.socket] = []
+_reserved_ports: collections.deque[int] = collections.deque()
 
 
 def find_free_port() -> int:
@@ -39,24 +43,46 @@
 
 
 def choose_listen_ports(count: int) -> list[int]:
-    """Returns unused ports on loopback that no outgoing connection can take before the start.
+    """Returns unused ports on loopback that neither others nor outgoing connections can take.
 
-    They begin at a random one and are chosen only once, so that fleets on one machine rarely meet.
+    No other process that chooses ports in this way gets them before this one ends, so that a
+    router finds its ports free when it starts again.
 
     Raises:
         OSError: If there are not enough unused ports.
     """
-    outgoing_ports = read_outgoing_ports()
-    candidates = [port for port in range(FIRST_PORT, LAST_PORT + 1) if port not in outgoing_ports]
-    first = random.SystemRandom().randrange(len(candidates))
     ports = []
-    for port in candidates[first:] + candidates[:first]:
-        if port not in _chosen_ports and _is_unused(port):
-            _chosen_ports.add(port)
+    while len(ports) < count:
+        if not _reserved_ports:
+            _reserved_ports.extend(_reserve_block())
+        port = _reserved_ports.popleft()
+        if _is_unused(port):
             ports.append(port)
-            if len(ports) == count:
-                return ports
-    raise OSError(f"fewer than {count} unused ports outside {outgoing_ports}")
+    return ports
+
+
+def _reserve_block() -> range:
+    """Reserves ports for this process until it ends, by the name of a socket.
+
+    Raises:
+        OSError: If all ports are reserved.
+    """
+    outgoing_ports = read_outgoing_ports()
+    starts = range(FIRST_PORT, LAST_PORT + 2 - BLOCK_PORTS, BLOCK_PORTS)
+    for start in random.SystemRandom().sample(starts, len(starts)):
+        block = range(start, start + BLOCK_PORTS)
+        if any(port in outgoing_ports for port in block):
+            continue
+        reservation = socket.socket(socket.AF_UNIX)
+        try:
+            # Names in the abstract namespace belong to the same network as the ports.
+            reservation.bind(f"\0laburnumpier-ports-{start}")
+        except OSError:
+            reservation.close()
+            continue
+        _reservations.append(reservation)
+        return block
+    raise OSError(f"all ports outside {outgoing_ports} are reserved")
 
 
 def make_descriptor_limit(count: int | None) -> Callable[[], None] | None:
