A stop signal between two runs of the event loop is handled

A router that got SIGTERM just after its start went on as if nothing had happened and was killed at the end of its grace period.

Cause: the router ran its event loop three times, and uvloop notes a signal that arrives between two runs but handles it with the next one only.

The loop now runs once, from the start to the exit. process.feature, 'A stop signal just after the start is not lost', makes the time between two runs long: failed in three of three plays before, passes now.

--- a/features/forward/process.feature
+++ b/features/forward/process.feature
@@ -37,3 +37,8 @@
     When a request is answered
     And the process receives SIGTERM
     Then the process exits with code 0 after 2 to 4 seconds
+
+  # Guards against a stop signal that arrives between two runs of the event loop and is never handled.
+  Scenario: A stop signal just after the start is not lost
+    Given a router process with a grace period of 4 seconds that receives SIGTERM just after its start
+    Then the process exits with code 0 after 0 to 4 seconds
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -19,6 +19,23 @@
 from scripted_server import ScriptedServer
 
 SLOW_SHUTDOWN = "import atexit, time\natexit.register(time.sleep, 10)\n"
+START_SECONDS = 0.5
+"""Time in which a process that handles signals starts its application."""
+SLOW_RETURN_OF_LOOP = """
+import time
+import uvloop
+
+
+class SlowLoop(uvloop.Loop):
+    def run_until_complete(self, future):
+        result = super().run_until_complete(future)
+        time.sleep(1.5)
+        return result
+
+
+uvloop.new_event_loop = SlowLoop
+"""
+"""Lets the process take long for what it does between two runs of its event loop."""
 CONFIGURATION = {
     "Version": 3,
     "Routes": [
@@ -66,6 +83,20 @@
     )
 
 
+@given(
+    "a router process with a grace period of {grace_seconds:d} seconds "
+    "that receives SIGTERM just after its start"
+)
+def start_with_early_stop(context, grace_seconds):
+    start_router_process(
+        context,
+        grace_seconds,
+        early_sighup=False,
+        early_stop=True,
+        site_customization=SLOW_RETURN_OF_LOOP,
+    )
+
+
 def read_signal_mask(process, name):
     """Returns the mask of the signals that a process ignores (SigIgn) or handles (SigCgt)."""
     status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
@@ -88,11 +119,23 @@
     context.process.send_signal(signal.SIGHUP)
 
 
+async def send_early_stop(context):
+    """Sends SIGTERM soon after the process handles it, whether it is ready or not."""
+    bit = 1 << (signal.SIGTERM - 1)
+    async with asyncio.timeout(20):
+        while not read_signal_mask(context.process, "SigCgt") & bit:
+            await asyncio.sleep(0.001)
+    await asyncio.sleep(START_SECONDS)
+    context.signalled_at_seconds = asyncio.get_running_loop().time()
+    context.process.send_signal(signal.SIGTERM)
+
+
 def start_router_process(
     context,
     grace_seconds,
     *,
     early_sighup,
+    early_stop=False,
     site_customization="",
     backend=None,
     configuration=CONFIGURATION,
@@ -105,6 +148,7 @@
         context: Gets the process, its ports, the store and the server.
         grace_seconds: Grace period of a stop.
         early_sighup: Whether the process receives SIGHUP as early as possible.
+        early_stop: Whether it receives SIGTERM just after its start, ready or not.
         site_customization: Python code that the interpreter runs first.
         backend: The server; by default one that streams.
         configuration: Configuration in the platform's form.
@@ -151,6 +195,9 @@
         context.output = asyncio.create_task(context.process.stdout.read())
         if early_sighup:
             await send_early_sighup(context)
+        if early_stop:
+            await send_early_stop(context)
+            return
         async with asyncio.timeout(20):
             while await read_readiness_status(context) != 200:
                 await asyncio.sleep(0.05)
--- a/packages/router/laburnumpier_router/main.py
+++ b/packages/router/laburnumpier_router/main.py
@@ -272,9 +272,18 @@
     entrypoint = aiomisc.entrypoint(
         service, loop_factory=uvloop.new_event_loop, log_config=False, catch_signals=()
     )
-    with entrypoint as loop:
-        loop.run_until_complete(service.stop_request.wait())
-        loop.run_until_complete(service.stop())
+    entrypoint.loop.run_until_complete(_serve_until_stopped(entrypoint, service))
+
+
+async def _serve_until_stopped(entrypoint: aiomisc.Entrypoint, service: RouterService) -> NoReturn:
+    """Starts the service, stops it when that is asked for, and exits the process.
+
+    All of it happens in one run of the event loop. uvloop does not handle a signal that arrives
+    between two runs until it receives another one.
+    """
+    async with entrypoint:
+        await service.stop_request.wait()
+        await service.stop()
         _log.info("process exits")
         # The rest is left to the system. The threads of nng can take a second to end on a busy
         # machine, and a closed loop would no longer handle signals.
