Bodies that are read as a whole take turns while little memory is left

Callers of sound answers of 256 KiB got 502 with no faulty server at all: 40 of them hold more than a tenth of a VM of 88 MB, so some gave way, and what must not be repeated was lost (endless_crowds.feature, 'Sound answers are received beside those without end', row 4).

Cause: all bodies were read at once, so that all were short of their ends when the account was used up. Now, while more than a quarter of the account is used, one is read on and the others wait with what is in their sockets and buffers: those that state a length first, then the older ones. When answers give way, a tenth of the account is freed, not a quarter, so that fewer sound ones go with an endless one.

--- a/features/forward/answer_account.feature
+++ b/features/forward/answer_account.feature
@@ -10,11 +10,26 @@
     Then only answer <given_up> has given way
 
     Examples:
-      | length_a           | held_a | length_b              | held_b | given_up |
-      | states no length   | 40     | states 512 KiB        | 80     | A        |
-      | states 512 KiB     | 40     | states no length      | 20     | B        |
-      | states no length   | 10     | states 512 KiB        | 400    | B        |
-      | states no length   | 40     | states more than 1 GB | 80     | B        |
-      | states no length   | 80     | states no length      | 40     | A        |
-      | is relayed with no length | 40 | is relayed with one | 80     | A        |
-      | is relayed with no length | 10 | is relayed with one | 400    | B        |
+      | length_a                  | held_a | length_b              | held_b | given_up |
+      | states no length          | 40     | states 512 KiB        | 80     | A        |
+      | states 512 KiB            | 40     | states no length      | 20     | B        |
+      | states no length          | 10     | states 512 KiB        | 400    | B        |
+      | states no length          | 40     | states more than 1 GB | 80     | B        |
+      | states no length          | 80     | states no length      | 40     | A        |
+      | is relayed with no length | 40     | is relayed with one   | 80     | A        |
+      | is relayed with no length | 10     | is relayed with one   | 400    | B        |
+
+  # Guards against a body that stalls, is slow or has given way, and keeps all others from being read.
+  Scenario Outline: Bodies take turns while little memory is left
+    Given bodies that lose their turns after 0.5 s without progress and after 1 s, of which A has one
+    When B, which states no length, and C, which states one, wait and <event>
+    Then C may be read further after <c> s and B after <b> s
+
+    Examples:
+      | event                  | c   | b   |
+      | A ends                 | 0   | 0.5 |
+      | A stalls               | 0.5 | 1   |
+      | A goes on              | 1   | 2.5 |
+      | C gives way            | 0   | 0.5 |
+      | A ends and leaves room | 0   | 0   |
+      | B begins first         | 0.5 | 1   |
--- a/features/forward/endless_crowds.feature
+++ b/features/forward/endless_crowds.feature
@@ -31,9 +31,11 @@
     And each caller got the status 200
 
     Examples:
-      | kind             | first                                         | second               |
-      | idempotent       | sends a body without a length and without end | answers              |
-      | idempotent       | sends a body without a length and without end | answers with 256 KiB |
-      | resumable stream | streams an event without end                  | streams slowly       |
-      | non-idempotent   | answers with 256 KiB                          | answers with 256 KiB |
-      | idempotent       | sends a body without a length and without end | answers with 128 KiB |
+      | kind             | first                                         | second                         |
+      | idempotent       | sends a body without a length and without end | answers                        |
+      | idempotent       | sends a body without a length and without end | answers with 256 KiB           |
+      | resumable stream | streams an event without end                  | streams slowly                 |
+      | non-idempotent   | answers with 256 KiB                          | answers with 256 KiB           |
+      | idempotent       | sends a body without a length and without end | answers with 128 KiB           |
+      | non-idempotent   | answers with 256 KiB in chunks                | answers with 256 KiB in chunks |
+      | idempotent       | sends a body without a length and without end | answers with 256 KiB in chunks |
--- a/features/steps/answer_account_steps.py
+++ b/features/steps/answer_account_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 from contract_steps import run
 from laburnumpier_router.intake.memory import make_caller_memory
+from laburnumpier_router.ports.read_turns import ReadTurns
 from laburnumpier_router.ports.response_memory import BodyMemory
 from laburnumpier_router.ports.server_memory import AnswerShare, ServerMemory
 from laburnumpier_router.relay.messages import ExchangeHead, ExchangeReply, ExchangeState
@@ -22,6 +23,12 @@
     "is relayed with one": [(b"content-length", b"524288")],
 }
 
+POSITIONS = {"A": (False, 0), "B": (True, 1), "C": (False, 2)}
+"""Whether a body states no length, and its number."""
+PLAY_SECONDS = 4.0
+"""Time after which a body that has no turn gets none."""
+TOLERANCE_SECONDS = 0.2
+
 
 class SilentSession:
     """Messages to a relaying router that sends no more of the body."""
@@ -104,3 +111,57 @@
 @then("only answer {name:w} has given way")
 def check_gave_way(context, name):
     assert context.gave_way == [name], context.gave_way
+
+
+@given(
+    "bodies that lose their turns after {pause:g} s without progress and after {turn:g} s, "
+    "of which A has one"
+)
+def make_turns(context, pause, turn):
+    context.is_short = True
+    context.turns = ReadTurns(
+        is_short=lambda: context.is_short, pause_seconds=pause, turn_seconds=turn
+    )
+
+
+@when("B, which states no length, and C, which states one, wait and {event}")
+def play_turns(context, event):
+    context.turn_seconds = {}
+
+    async def wait(name, began_seconds):
+        await context.turns.wait(POSITIONS[name])
+        context.turn_seconds[name] = asyncio.get_running_loop().time() - began_seconds
+
+    async def go_on():
+        while True:
+            await context.turns.wait(POSITIONS["A"])
+            await asyncio.sleep(0.02)
+
+    async def play():
+        await context.turns.wait(POSITIONS["A"])
+        began_seconds = asyncio.get_running_loop().time()
+        names = ("B", "C") if event == "B begins first" else ("C", "B")
+        tasks = [asyncio.create_task(wait(name, began_seconds)) for name in names]
+        await asyncio.sleep(0)
+        reading = asyncio.create_task(go_on()) if event == "A goes on" else None
+        match event:
+            case "A ends":
+                context.turns.end(POSITIONS["A"])
+            case "C gives way":
+                context.turns.end(POSITIONS["C"])
+            case "A ends and leaves room":
+                context.is_short = False
+                context.turns.end(POSITIONS["A"])
+        await asyncio.wait(tasks, timeout=PLAY_SECONDS)
+        if reading is not None:
+            reading.cancel()
+
+    run(context, play())
+
+
+@then("C may be read further after {c:g} s and B after {b:g} s")
+def check_turns(context, c, b):
+    for name, expected in (("C", c), ("B", b)):
+        seconds = context.turn_seconds.get(name)
+        assert seconds is not None, (name, context.turn_seconds)
+        assert abs(seconds - expected) <= TOLERANCE_SECONDS, context.turn_seconds
--- a/features/steps/scripted_server.py
+++ b/features/steps/scripted_server.py
@@ -171,6 +171,11 @@
                 await self._send(writer, head + _frame_by_length(b"x" * 128 * 1024))
             case "answers with 256 KiB":
                 await self._send(writer, head + _frame_by_length(b"x" * 256 * 1024))
+            case "answers with 256 KiB in chunks":
+                chunks = _encode_chunk(b"x" * 1024) * 256
+                await self._send(
+                    writer, head + b"Transfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n"
+                )
             case "answers twice":
                 await self._send(writer, response + response)
             case "answers in chunks":
--- a/packages/core/laburnumpier_core/bounded_http.py
+++ b/packages/core/laburnumpier_core/bounded_http.py
@@ -6,7 +6,7 @@
 """
 
 import functools
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -167,6 +167,7 @@
     response: aiohttp.ClientResponse,
     max_bytes: int,
     reserve: Callable[[int], None] | None = None,
+    wait_for_turn: Callable[[], Awaitable[None]] | None = None,
 ) -> bytes:
     """Returns the complete body of a response.
 
@@ -175,6 +176,7 @@
         max_bytes: Size limit of the body.
         reserve: Called with the size of the body before it grows, in bytes; raises
             `ResponseLimitError` if there is no memory for it. None if the limit is small.
+        wait_for_turn: Awaited before more is read; None to read at once.
 
     Raises:
         ResponseLimitError: If it is larger than a limit; its connection is closed.
@@ -182,7 +184,7 @@
     """
     blocks: list[bytes] = []
     try:
-        await _read_blocks(response, max_bytes, reserve, blocks)
+        await _read_blocks(response, max_bytes, reserve, wait_for_turn, blocks)
         return b"".join(blocks)
     except ResponseLimitError:
         response.close()
@@ -196,6 +198,7 @@
     response: aiohttp.ClientResponse,
     max_bytes: int,
     reserve: Callable[[int], None] | None,
+    wait_for_turn: Callable[[], Awaitable[None]] | None,
     blocks: list[bytes],
 ) -> None:
     """Appends the body of a response to a list; see `read_body`.
@@ -210,6 +213,8 @@
         if reserve is not None:
             reserve(size_bytes)
         blocks.append(block)
+        if wait_for_turn is not None:
+            await wait_for_turn()
 
 
 def _check_body_size(size_bytes: int, max_bytes: int) -> None:
--- a/packages/router/laburnumpier_router/backend/http_clients.py
+++ b/packages/router/laburnumpier_router/backend/http_clients.py
@@ -281,7 +281,8 @@
                     if handler is not None:
                         handler.keep(size_bytes)
 
-                body = await read_body(response, MAX_SERVICE_BODY_BYTES, reserve)
+                wait_for_turn = handler.wait_for_turn if handler is not None else None
+                body = await read_body(response, MAX_SERVICE_BODY_BYTES, reserve, wait_for_turn)
                 if not has_explicit_end and getattr(handler, "was_reset", False):
                     raise ServerConnectionLostError(
                         "the connection was reset during a response without a length"
--- a/packages/router/laburnumpier_router/forward/http_client.py
+++ b/packages/router/laburnumpier_router/forward/http_client.py
@@ -87,7 +87,8 @@
             ServerConnectionLostError: If it ends early.
         """
         try:
-            body = await read_body(self._response, MAX_BODY_BYTES, self._reserve)
+            wait_for_turn = self._handler.wait_for_turn if self._handler is not None else None
+            body = await read_body(self._response, MAX_BODY_BYTES, self._reserve, wait_for_turn)
         except (aiohttp.ClientError, OSError) as error:
             raise make_lost_error(error) from error
         self._check_not_reset()
--- a/packages/router/laburnumpier_router/ports/server_memory.py
+++ b/packages/router/laburnumpier_router/ports/server_memory.py
@@ -5,18 +5,24 @@
 the account, those give way that have held most for longest without passing anything on. A server
 that sends without end so makes room for others, and a sound answer moves on. As both may hold as
 much when the account is full, an answer that states its length counts less: it ends by itself.
+Before that, bodies that are read as a whole take turns, so that sound ones need not give way.
 """
 
+import itertools
 import os
 import time
 from collections.abc import Callable, Iterable
 
 from laburnumpier_core.log import get_part_logger
 
+from .read_turns import ReadTurns
+
 SERVER_SHARE = 0.1
 """Part of the VM's memory that answers of servers may use, beside what callers may use."""
-LOW_SHARE = 0.75
+LOW_SHARE = 0.9
 """Part of the account that is used at most after answers gave way."""
+TURNS_SHARE = 0.25
+"""Part of the account above which bodies take turns; the rest is for what their buffers hold."""
 SMALL_BYTES = 16 * 1024
 """Size up to which an answer does not give way."""
 MAX_UNSTATED_BYTES = 64 * 1024 * 1024
@@ -34,9 +40,10 @@
 
     Attributes:
         limit_bytes: Size of the account.
+        turns: Turns in which bodies are read while the account is nearly used up.
     """
 
-    __slots__ = ("_holders", "_used_bytes", "limit_bytes")
+    __slots__ = ("_holders", "_numbers", "_used_bytes", "limit_bytes", "turns")
 
     def __init__(self, *, limit_bytes: int):
         """Creates an account of which nothing is used.
@@ -47,10 +54,13 @@
         self.limit_bytes = limit_bytes
         self._holders: set[AnswerShare] = set()
         self._used_bytes = 0
+        self._numbers = itertools.count()
+        self.turns = ReadTurns(is_short=self._is_nearly_used_up)
 
-    def add(self, share: "AnswerShare") -> None:
-        """Adds a holder."""
+    def add(self, share: "AnswerShare") -> int:
+        """Adds a holder; returns its number, which grows from one to the next."""
         self._holders.add(share)
+        return next(self._numbers)
 
     def remove(self, share: "AnswerShare") -> None:
         """Removes a holder, which holds nothing any more."""
@@ -73,6 +83,9 @@
         fields = {"answers": count, "held_bytes": self._used_bytes, "limit": self.limit_bytes}
         _log.warning("answers gave way", fields=fields)
 
+    def _is_nearly_used_up(self) -> bool:
+        return self._used_bytes > TURNS_SHARE * self.limit_bytes
+
     def _make_room(self, shares: Iterable["AnswerShare"]) -> int:
         """Lets answers give way in their order; returns how many did."""
         count = 0
@@ -96,6 +109,7 @@
         "_is_released",
         "_memory",
         "_moved_seconds",
+        "_number",
         "_passed_bytes",
         "held_bytes",
     )
@@ -125,7 +139,7 @@
         self._has_length = False
         self._is_released = False
         self.held_bytes = 0
-        memory.add(self)
+        self._number = memory.add(self)
 
     def state_length(self, length_bytes: int | None) -> None:
         """Records the length of the body that the head of the answer states.
@@ -136,6 +150,11 @@
         """
         self._has_length = length_bytes is not None and length_bytes <= self._memory.limit_bytes
 
+    async def wait_for_turn(self) -> None:
+        """Waits until the body may be read further, if little memory is left."""
+        if self.held_bytes > SMALL_BYTES:
+            await self._memory.turns.wait(self._position)
+
     def update(self) -> None:
         """Measures what the answer holds; answers give way if that is too much."""
         self.measure()
@@ -170,6 +189,11 @@
         self._memory.record(self.held_bytes, 0)
         self.held_bytes = 0
         self._memory.remove(self)
+        self._memory.turns.end(self._position)
+
+    @property
+    def _position(self) -> tuple[bool, int]:
+        return not self._has_length, self._number
 
 
 def make_server_memory(memory_mb: float) -> ServerMemory:
--- a/packages/router/laburnumpier_router/relay/relayed_exchange.py
+++ b/packages/router/laburnumpier_router/relay/relayed_exchange.py
@@ -164,6 +164,8 @@
             except aiohttp.ClientError as error:
                 raise make_lost_error(error) from error
             body += chunk
+            if not self._is_ended:
+                await self._share.wait_for_turn()
         # Whoever gets the body accounts for it.
         self._share.release()
         return bytes(body)
--- a/packages/router/laburnumpier_router/server_connection.py
+++ b/packages/router/laburnumpier_router/server_connection.py
@@ -66,6 +66,11 @@
         self.kept_bytes = size_bytes
         self._share.update()
 
+    async def wait_for_turn(self) -> None:
+        """Waits until more of the body may be read, unless all of it has been received."""
+        if self._response_body is not None and not self._response_body.is_eof():
+            await self._share.wait_for_turn()
+
     def data_received(self, data: bytes) -> None:
         """Parses received bytes and accounts for what is left of them."""
         super().data_received(data)
