--- a/features/steps/relayed_answer_steps.py
+++ b/features/steps/relayed_answer_steps.py
@@ -167,7 +167,7 @@
 
     def __init__(self, client, address):
         self._client, self._address = client, address
-        self._buffers, self._kept = {}, {}
+        self._exchanges, self._kept = {}, {}
         self.most_held_bytes = 0
         self.reasons = []
 
@@ -186,20 +186,20 @@
         )
         try:
             async with asyncio.timeout(CROWD_SECONDS), self._client.open(call) as exchange:
-                self._buffers[number] = exchange
+                self._exchanges[number] = exchange
                 await self._hold(number, exchange, way)
         except TimeoutError:
             pass
         except ServerConnectionLostError as error:
             self.reasons.append(error.reason)
         finally:
-            self._buffers.pop(number, None)
+            self._exchanges.pop(number, None)
             self._kept[number] = 0
 
     async def watch(self):
         """Samples how much all answers hold."""
         while True:
-            buffered = sum(exchange._buffered_bytes for exchange in self._buffers.values())
+            buffered = sum(exchange._buffered_bytes for exchange in self._exchanges.values())
             held_bytes = buffered + sum(self._kept.values())
             self.most_held_bytes = max(self.most_held_bytes, held_bytes)
             await asyncio.sleep(SAMPLE_SECONDS)
