A request that fails unexpectedly is not said to be not run

Callers of a forwarded request got 500 with "ran":"no" for any error that the router did not expect, also after the request was sent and had run.

Cause: the frontend of forwarded requests left the default of the error, "not run". It now says that this is unknown, as the own interface does.

process.feature, 'A request that fails unexpectedly after it was sent may have run', a router process in which reading an answer fails: "no" on, "unknown" now.

--- a/features/forward/process.feature
+++ b/features/forward/process.feature
@@ -42,3 +42,9 @@
   Scenario: A stop signal just after the start is not lost
     Given a router process with a grace period of 4 seconds that receives SIGTERM just after its start
     Then the process exits with code 0 after 0 to 4 seconds
+
+  # Guards against a promise that a request has not run, made by whatever went wrong after it was sent.
+  Scenario: A request that fails unexpectedly after it was sent may have run
+    Given a router process with a grace period of 4 seconds that fails unexpectedly when it reads answers
+    When a request is sent
+    Then it ran, and its caller got 500 and is told that it may have run
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -36,6 +36,21 @@
 uvloop.new_event_loop = SlowLoop
 """
 """Lets the process take long for what it does between two runs of its event loop."""
+FAILING_READS = """
+import aiohttp
+
+read = aiohttp.StreamReader.readany
+
+
+async def fail(self):
+    if type(self._protocol).__name__ == "ServerResponseHandler":
+        raise ValueError("not expected")
+    return await read(self)
+
+
+aiohttp.StreamReader.readany = fail
+"""
+"""Lets reading the answer of a server fail with an error that nobody expects."""
 CONFIGURATION = {
     "Version": 3,
     "Routes": [
@@ -83,6 +98,29 @@
     )
 
 
+@given(
+    "a router process with a grace period of {grace_seconds:d} seconds "
+    "that fails unexpectedly when it reads answers"
+)
+def start_with_failing_reads(context, grace_seconds):
+    start_router_process(
+        context, grace_seconds, early_sighup=False, site_customization=FAILING_READS
+    )
+
+
+@when("a request is sent")
+def send_one_request(context):
+    context.answer = run(context, send_request(context))
+
+
+@then("it ran, and its caller got {status:d} and is told that it may have run")
+def check_may_have_run(context, status):
+    found, body = context.answer
+    assert found == status, context.answer
+    assert json.loads(body)["ran"] == "unknown", context.answer
+    assert context.backend.runs == 1, context.backend.runs
+
+
 @given(
     "a router process with a grace period of {grace_seconds:d} seconds "
     "that receives SIGTERM just after its start"
--- a/packages/router/laburnumpier_router/forward/frontend.py
+++ b/packages/router/laburnumpier_router/forward/frontend.py
@@ -9,7 +9,7 @@
 from laburnumpier_core.errors import RequestError
 from laburnumpier_core.log import get_part_logger
 from laburnumpier_core.metrics import Metrics
-from laburnumpier_core.result_codes import RESULT_CODE_TABLE, ResultCode
+from laburnumpier_core.result_codes import RESULT_CODE_TABLE, Ran, ResultCode
 from multidict import CIMultiDict
 
 from ..callers.responses import (
@@ -344,7 +344,7 @@
         except Exception:
             _log.exception("request failed", fields={"request": attempt_id})
             if not sink.started:
-                error = RequestError(ResultCode.INTERNAL_ERROR)
+                error = RequestError(ResultCode.INTERNAL_ERROR, ran=Ran.UNKNOWN)
                 return self._make_error_response(error, attempt_id, closing=True)
             sink.abort()
         return self._end_response(sink, attempt_id)
