A length or an event id of thousands of digits is none

A server sent a Content-Length of 5000 zeros and 24: callers got 500 with "ran":"no", though it ran. An event whose id has as many digits failed the splitting of its stream.

Cause: Python converts at most 4300 digits, and neither place expected an error. A length of more than 100 digits is now no valid length, at the one place that checks heads, so the answer is lost: 502. An id of more than 18 digits is none; its event is passed on as one without an id.

--- a/features/forward/broken_answers.feature
+++ b/features/forward/broken_answers.feature
@@ -85,6 +85,8 @@
       | Transfer-Encoding: chunked\r\nContent-Length: 5 |
       | Content-Length: 2 4                             |
       | Content-Length: +24                             |
+      | Content-Length: 0{5000}24                       |
+      | Content-Length: 9{25}                           |
 
   # Guards against a valid answer that is not passed on since it is unusual.
   Scenario Outline: An answer with unusual fields is passed on
--- a/features/forward/decisions.feature
+++ b/features/forward/decisions.feature
@@ -67,12 +67,13 @@
     Then the events <events> are forwarded, and <rest> is buffered
 
     Examples:
-      | last_id | chunks                      | events | rest             |
-      | none    | id: 1/a// + id: 2/b//       | 1 2    | nothing          |
-      | none    | id: 1/a/ + /id: 2/b         | 1      | part of an event |
-      | none    | i + d: 1/a/ + / + id: 2/b// | 1 2    | nothing          |
-      | 1       | id: 1/a//id: 2/b//          | 2      | nothing          |
-      | none    | x: 7/id: 1/a//              | 1      | nothing          |
+      | last_id | chunks                       | events | rest             |
+      | none    | id: 1/a// + id: 2/b//        | 1 2    | nothing          |
+      | none    | id: 1/a/ + /id: 2/b          | 1      | part of an event |
+      | none    | i + d: 1/a/ + / + id: 2/b//  | 1 2    | nothing          |
+      | 1       | id: 1/a//id: 2/b//           | 2      | nothing          |
+      | none    | x: 7/id: 1/a//               | 1      | nothing          |
+      | none    | id: 1/a//id:9{5000}/data:b// | 1      | nothing          |
 
   Scenario: Spending is reported as totals, so that a repeated report counts once
     Given an account of 1000 tokens with a grant of 400
--- a/features/steps/broken_heads.py
+++ b/features/steps/broken_heads.py
@@ -5,6 +5,7 @@
 _BEHAVIOUR = re.compile(r"(?P<verb>answers|streams) with the (?P<part>[a-z]+)(?: (?P<text>.*))?")
 DESCRIBED_BODY = b'{"serial": 1, "vms": []}'
 """Body of an answer that is no stream; a store, a router and the list of VMs send JSON."""
+_REPEATED = re.compile(r"(.)\{([0-9]+)\}")
 _EVENTS = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6))
 
 
@@ -17,14 +18,15 @@
             `framing` for the one that says where the body ends, `interim` for one of an interim
             head before a sound one, `trailer`, `chunk` for the first line of a chunk, or `refusal`
             for a status that says that nothing ran and one more line. The text may hold escapes
-            such as `\x01`.
+            such as `\x01`, and `0{9}` for nine of a letter.
         attempt_id: Id of the request.
     """
     match = _BEHAVIOUR.fullmatch(behaviour)
     if match is None:
         return None
     is_stream = match["verb"] == "streams"
-    text = (match["text"] or "").encode().decode("unicode_escape").encode("latin-1")
+    described = _REPEATED.sub(lambda found: found[1] * int(found[2]), match["text"] or "")
+    text = described.encode().decode("unicode_escape").encode("latin-1")
     body = _EVENTS if is_stream else DESCRIBED_BODY
     lines = [b"X-Attempt-Id: " + attempt_id, b"X-Server-Signature: sig"]
     if is_stream:
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -2,6 +2,7 @@
 
 import collections
 import random
+import re
 
 from behave import given, then, when
 from laburnumpier_core.identity import is_successor
@@ -229,6 +230,7 @@
 @when("the chunks {chunks} arrive")
 def feed(context, chunks):
     context.forwarded = b""
+    chunks = re.sub(r"(.)\{([0-9]+)\}", lambda found: found[1] * int(found[2]), chunks)
     for chunk in chunks.split(" + "):
         context.forwarded += context.splitter.feed(chunk.replace("/", "\n").encode())
 
--- a/packages/core/laburnumpier_core/response_head.py
+++ b/packages/core/laburnumpier_core/response_head.py
@@ -20,7 +20,8 @@
 _TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 """A field's name has no blanks and no control bytes."""
 _FORBIDDEN_IN_VALUE = re.compile(rb"[\x00\r\n]")
-_LENGTH = re.compile(rb"[0-9]+")
+_LENGTH = re.compile(rb"[0-9]{1,100}")
+"""A length; one of thousands of digits cannot be converted, and no library expects it."""
 _BLANKS = b" \t"
 
 
--- a/packages/router/laburnumpier_router/forward/event_stream.py
+++ b/packages/router/laburnumpier_router/forward/event_stream.py
@@ -10,6 +10,7 @@
 
 _LINE = re.compile(rb"([A-Za-z][\w.-]*)?(:.*)?")
 """A line of an event, or its beginning: a field of any name, a comment, or nothing."""
+_EVENT_ID = re.compile(rb"[0-9]{1,18}")
 _KNOWN_LINE = re.compile(rb"(id|data|event|retry)?(:.*)?")
 """A line as every event has one; beside it, servers may add fields of their own."""
 
@@ -140,5 +141,5 @@
     for line in event.split(b"\n"):
         if line.startswith(b"id:"):
             text = line[3:].strip()
-            return int(text) if text.isdigit() else None
+            return int(text) if _EVENT_ID.fullmatch(text) else None
     return None
--- a/packages/router/laburnumpier_router/response_end.py
+++ b/packages/router/laburnumpier_router/response_end.py
@@ -39,6 +39,6 @@
 
 
 def get_stated_length(headers: Mapping[str, str]) -> int | None:
-    """Returns the length of the body that a head states, in bytes; None if it states none."""
+    """Returns the length in bytes that a valid head states; None if it states none."""
     text = headers.get("Content-Length", "")
     return int(text) if text.isascii() and text.isdigit() else None
